--- /dev/null
+++ b/badgerseam/api/__init__.py
@@ -0,0 +1,1 @@
+"""What users see."""
--- /dev/null
+++ b/badgerseam/api/users.py
@@ -0,0 +1,226 @@
+"""What users ask: submissions, polls, cancellations, readiness."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+
+import msgspec
+
+from badgerseam.cluster.member import Member
+from badgerseam.http.server import Reply, error_reply
+from badgerseam.model.job import Job, Phase
+from badgerseam.model.model import Model, job_key
+from badgerseam.model.resources import Resources
+from badgerseam.store.client import Refused, StateClient, Unavailable
+from badgerseam.store.ledger import Ledger
+from badgerseam.wire import users as wire
+from badgerseam.wire.state import Condition
+from badgerseam.workers.control import Control
+
+JOB_ID = re.compile(r"job-[0-9]{1,18}")
+ROOT = "/submissions"
+GATHER_S = 0.004
+RETRY_S = 1
+
+
+class Confirmations:
+    """Confirms by one comparing transaction that the jobs asked about have not changed."""
+
+    def __init__(self, state: StateClient) -> None:
+        self._state = state
+        self._waiting: dict[str, tuple[int, list[asyncio.Future[bool]]]] = {}
+        self._running = False
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def unchanged(self, key: str, version: int) -> bool:
+        """Whether the key still has the version; Unavailable if nobody can tell."""
+        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        known = self._waiting.get(key)
+        if known is not None and known[0] != version:
+            return False
+        self._waiting.setdefault(key, (version, []))[1].append(future)
+        if not self._running:
+            self._running = True
+            task = asyncio.ensure_future(self._run())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        return await future
+
+    async def _run(self) -> None:
+        await asyncio.sleep(GATHER_S)
+        while self._waiting:
+            most = 4 * self._state.params.txn_ops
+            batch = dict(list(self._waiting.items())[:most])
+            for key in batch:
+                del self._waiting[key]
+            failed: set[str] = set()
+            error: Unavailable | None = None
+            try:
+                conditions = [Condition(key, version) for key, (version, _) in batch.items()]
+                await self._state.transact(conditions, [], 1.2)
+            except Refused as refusal:
+                failed = set(refusal.failed)
+            except Unavailable as unavailable:
+                error = unavailable
+            for key, (_, futures) in batch.items():
+                for future in futures:
+                    if future.done():
+                        continue
+                    if error is not None:
+                        future.set_exception(Unavailable(str(error)))
+                    else:
+                        future.set_result(key not in failed)
+        self._running = False
+
+
+class Api:
+    """The handler of the address that users, workers and health checks use."""
+
+    def __init__(
+        self,
+        model: Model,
+        state: StateClient,
+        ledger: Ledger,
+        member: Member,
+        control: Control,
+    ) -> None:
+        self._model = model
+        self._ledger = ledger
+        self._member = member
+        self._control = control
+        self._confirm = Confirmations(state)
+
+    async def handle(self, method: str, path: str, body: bytes) -> Reply:
+        """One request of a user or a health check."""
+        try:
+            return await self._route(method, path, body)
+        except Unavailable:
+            return error_reply(503, "the state service cannot be asked", RETRY_S)
+
+    def dispatch(self, method: str, path: str, body: bytes) -> Reply | object:
+        """Workers' reports are answered at once; the rest may wait for the state service."""
+        if path == "/checkin":
+            if method != "POST":
+                return error_reply(405, "POST only")
+            return self._control.checkin(body)
+        if path == "/ready":
+            return self._ready()
+        return self.handle(method, path, body)
+
+    def _ready(self) -> Reply:
+        if self._model.loaded and self._model.types and self._member.fresh(6.0):
+            return Reply(200, b'{"ready":true}')
+        return error_reply(503, "not ready", RETRY_S)
+
+    async def _route(self, method: str, path: str, body: bytes) -> Reply:
+        if path == ROOT:
+            if method != "POST":
+                return error_reply(405, "POST only")
+            return await self._submit(body)
+        if not path.startswith(ROOT + "/"):
+            return error_reply(404, "no such path")
+        job_id, _, action = path[len(ROOT) + 1 :].partition("/")
+        if not JOB_ID.fullmatch(job_id):
+            # No such id can ever have been accepted.
+            return error_reply(404, "malformed id")
+        if not self._model.loaded:
+            return error_reply(503, "starting", RETRY_S)
+        if not action:
+            return await self._show(job_id) if method == "GET" else error_reply(405, "GET only")
+        if action == "abort":
+            return await self._abort(job_id) if method == "POST" else error_reply(405, "POST only")
+        return error_reply(404, "no such path")
+
+    # ---- submissions ----
+
+    async def _submit(self, body: bytes) -> Reply:
+        try:
+            spec = wire.submission_decoder.decode(body)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            return Reply(400, wire.status_encoder.encode({"error": str(error)[:300]}))
+        model = self._model
+        with model.lock:
+            known = spec.id in model.ended or spec.id in model.job_index
+            if not known and not (model.loaded and model.types):
+                return error_reply(503, "starting", RETRY_S)
+            reason = None if known else self._hopeless(spec)
+        if known:
+            return await self._show(spec.id)
+        if reason is not None:
+            # A retry of a job that was accepted gets its state, whatever we think of it now.
+            if await self._ledger.read(spec.id) is not None:
+                return await self._show(spec.id)
+            return Reply(422, wire.status_encoder.encode({"error": reason}))
+        phase = await self._ledger.accept(spec)
+        if phase == Phase.OPEN and spec.id not in self._model.ended:
+            with model.lock:
+                job = model.job(spec.id)
+            if job is not None and not job.attempts and not job.finished:
+                return _status(201, wire.JobStatus(spec.id, "pending"))
+        return await self._show(spec.id)
+
+    def _hopeless(self, spec: wire.Submission) -> str | None:
+        """Why a job can never run, or None."""
+        model = self._model
+        index = model.team_index.get(spec.team)
+        if index is None:
+            return "unknown team"
+        need = Resources(spec.cpus, spec.gpus, spec.memory_gb)
+        zones = {spec.zone} if spec.zone is not None else None
+        fits = any(
+            need.fits(model.capacity(name))
+            and (spec.types is None or name in spec.types)
+            and (zones is None or zones & set(entry.zones))
+            for name, entry in model.types.items()
+        )
+        if not fits:
+            return "a task fits no allowed machine type"
+        count = spec.tasks if spec.kind == "standing" else 1
+        total = Resources(need.cpus * count, need.gpus * count, need.memory_gb * count)
+        if not total.fits(model.teams[index].limit):
+            return "more than the limit of the team"
+        return None
+
+    # ---- polls ----
+
+    async def _show(self, job_id: str) -> Reply:
+        model = self._model
+        for _ in range(3):
+            with model.lock:
+                ended = model.ended.get(job_id)
+                job = model.job(job_id)
+                if ended is not None:
+                    return _status(200, _ended(job_id, *ended))
+                view = None if job is None else (job.version, _open(job))
+            if view is None:
+                if await self._ledger.read(job_id) is None:
+                    return error_reply(404, "no such job")
+                continue
+            # Another node may have told the user of an end that has not reached us.
+            if await self._confirm.unchanged(job_key(job_id), view[0]):
+                return _status(200, view[1])
+            await self._ledger.read(job_id)
+        return error_reply(503, "changing", RETRY_S)
+
+    async def _abort(self, job_id: str) -> Reply:
+        phase = await self._ledger.cancel(job_id)
+        if phase is None:
+            return error_reply(404, "no such job")
+        name = "done" if phase == Phase.DONE else "withdrawn"
+        return _status(200, wire.JobStatus(job_id, name))
+
+
+def _status(code: int, status: wire.JobStatus) -> Reply:
+    return Reply(code, wire.status_encoder.encode(status))
+
+
+def _ended(job_id: str, phase: Phase, tasks: int) -> wire.JobStatus:
+    if phase == Phase.DONE:
+        return wire.JobStatus(job_id, "done", tasks, 0)
+    return wire.JobStatus(job_id, "withdrawn")
+
+
+def _open(job: Job) -> wire.JobStatus:
+    running = job.running()
+    return wire.JobStatus(job.id, "running" if running else "pending", job.finished, running)
--- /dev/null
+++ b/badgerseam/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Shares, claims, leadership and the other controllers."""
--- /dev/null
+++ b/badgerseam/cluster/member.py
@@ -0,0 +1,263 @@
+"""Membership: the state lease, claims on shares and on the leadership, entitlement."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+
+from badgerseam.model.model import LEADER_KEY, Held, Model, Share, claim_key, node_key
+from badgerseam.settings import Tunables
+from badgerseam.store.client import LeaseLost, Refused, StateClient, Unavailable
+from badgerseam.store.committer import Committer, Dropped, Urgency
+from badgerseam.wire import state as wire
+
+log = logging.getLogger("badgerseam.cluster")
+
+HOME_GRACE_S = 2.5
+"""How long after the start a share that was never held is left to its home controller."""
+STAGGER_S = 0.25
+STEADY_S = 1.5
+"""How long a returned controller has to be alive before it gets its share back."""
+
+
+class Member:
+    """This controller's place among the controllers."""
+
+    def __init__(
+        self,
+        model: Model,
+        state: StateClient,
+        committer: Committer,
+        tunables: Tunables,
+        changed: Callable[[], None],
+    ) -> None:
+        settings = model.settings
+        self._model = model
+        self._state = state
+        self._committer = committer
+        self._clock = model.clock
+        self._changed = changed
+        self._ttl = tunables.claim_ttl_s
+        self.node = settings.node
+        self.order = sorted([settings.node, *(sibling.node for sibling in settings.siblings)])
+        self.lease: int | None = None
+        self.confirmed_at = -1e9
+        """Sending time of the last confirmed renewal."""
+        self._present = False
+        self._claiming: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._started = self._clock.now()
+        self._alive_since: dict[str, float] = {}
+
+    # ---- what others ask ----
+
+    @property
+    def is_leader(self) -> bool:
+        return self._is_mine(self._model.leader) and self.fresh(self._ttl)
+
+    def fresh(self, seconds: float) -> bool:
+        """Whether the state service confirmed our lease that recently."""
+        return self.lease is not None and self._clock.now() - self.confirmed_at < seconds
+
+    def entitled(self, share: Share) -> bool:
+        """Whether reports of the share's workers may be answered.
+
+        Beyond the bound a cancellation made elsewhere could come too late for tasks whose lease
+        we would renew.
+        """
+        return share.owned and self.fresh(self._model.cut_bound_s)
+
+    def home(self, share: Share) -> str:
+        return self.order[share.index % len(self.order)]
+
+    def _is_mine(self, held: Held | None) -> bool:
+        return held is not None and held.claim.node == self.node and held.claim.lease == self.lease
+
+    # ---- the lease ----
+
+    async def keep_lease(self) -> None:
+        """Hold a lease and renew it, for ever."""
+        failures = 0
+        while True:
+            sent = self._clock.now()
+            try:
+                if self.lease is None:
+                    lease = await self._state.grant(self._ttl)
+                    self.lease, self.confirmed_at = lease, sent
+                    self._present = False
+                    log.info("%s holds lease %d", self.node, lease)
+                else:
+                    await self._state.extend(self.lease, self._ttl / 3)
+                    self.confirmed_at = sent
+                failures = 0
+            except LeaseLost:
+                log.info("%s lost its lease", self.node)
+                self._lose_lease()
+                continue
+            except Unavailable as error:
+                failures += 1
+                log.debug("renewal failed: %s", error)
+                await self._state.pause(min(failures, 3))
+                continue
+            if not self._present:
+                await self._announce()
+            await asyncio.sleep(self._ttl / 5)
+
+    def _lose_lease(self) -> None:
+        self.lease = None
+        self._present = False
+        model = self._model
+        with model.lock:
+            for share in model.shares:
+                if share.owned:
+                    log.info("share %d: given up with the lease", share.index)
+                    model.disown(share)
+        self._changed()
+
+    async def _announce(self) -> None:
+        lease = self.lease
+        if lease is None:
+            return
+        write = wire.Write(
+            put=node_key(self.node), value=wire.raw(wire.Claim(self.node, lease)), lease=lease
+        )
+        try:
+            await self._committer.commit(Urgency.CLAIM, {}, [write], 2.0)
+            self._present = True
+        except LeaseLost:
+            self._lose_lease()
+        except (Refused, Unavailable, Dropped):
+            log.debug("not announced yet")
+
+    # ---- claims ----
+
+    def review(self) -> None:
+        """Compare the claims that the replica shows with what we act for and should claim."""
+        model = self._model
+        now = self._clock.now()
+        with model.lock:
+            if not model.loaded:
+                return
+            for name in list(self._alive_since):
+                if name not in model.nodes:
+                    del self._alive_since[name]
+            for name in model.nodes:
+                self._alive_since.setdefault(name, now)
+            for share in model.shares:
+                mine = self._is_mine(share.held)
+                if share.owned and (
+                    not mine or share.held is None or share.held.version != share.term
+                ):
+                    log.info("share %d: claim lost", share.index)
+                    model.disown(share)
+                if not share.owned and mine and share.held is not None and not share.releasing:
+                    log.info("share %d: acting under term %d", share.index, share.held.version)
+                    model.own(share, share.held.version, share.last_holder == self.node)
+            if self.lease is None or not self._present:
+                return
+            for share in model.shares:
+                key = claim_key(share.index)
+                if key not in self._claiming and self._should_claim(share, now):
+                    self._spawn(self._claim(key, share.held))
+                elif share.owned and self._should_return(share, now):
+                    self.resign(share)
+            if LEADER_KEY not in self._claiming and self._should_lead(now):
+                self._spawn(self._claim(LEADER_KEY, model.leader))
+
+    def _should_claim(self, share: Share, now: float) -> bool:
+        held = share.held
+        if held is not None:
+            # Ours from before a restart: the process that held it is certainly gone.
+            return held.claim.node == self.node and held.claim.lease != self.lease
+        home = self.home(share)
+        if home == self.node:
+            return True
+        vacant = now - max(share.vacant_since, self._started)
+        if home in self._model.nodes:
+            return vacant > HOME_GRACE_S + self._turn() * STAGGER_S
+        wait = 0.0 if share.ever_held else HOME_GRACE_S
+        return vacant >= wait + self._turn() * STAGGER_S
+
+    def _turn(self) -> int:
+        """Our turn among the living when something is to be claimed: the least busy first."""
+        load: dict[str, int] = {name: 0 for name in self._model.nodes}
+        for share in self._model.shares:
+            if share.held is not None and share.held.claim.node in load:
+                load[share.held.claim.node] += 1
+        ranked = sorted(load, key=lambda name: (load[name], self.order.index(name)))
+        return ranked.index(self.node) if self.node in ranked else len(ranked)
+
+    def _should_lead(self, now: float) -> bool:
+        held = self._model.leader
+        if held is not None:
+            return held.claim.node == self.node and held.claim.lease != self.lease
+        return now - self._started > self.order.index(self.node) * 0.5
+
+    def _should_return(self, share: Share, now: float) -> bool:
+        home = self.home(share)
+        since = self._alive_since.get(home)
+        return (
+            home != self.node
+            and not share.releasing
+            and since is not None
+            and now - since > STEADY_S
+        )
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _claim(self, key: str, held: Held | None) -> None:
+        lease = self.lease
+        if lease is None or key in self._claiming:
+            return
+        self._claiming.add(key)
+        write = wire.Write(put=key, value=wire.raw(wire.Claim(self.node, lease)), lease=lease)
+        try:
+            await self._committer.commit(
+                Urgency.CLAIM,
+                {key: 0 if held is None else held.version},
+                [write],
+                2.0,
+                wanted=lambda: self.lease == lease,
+            )
+        except LeaseLost:
+            self._lose_lease()
+        except Refused:
+            log.debug("%s: claimed by another", key)
+            await asyncio.sleep(0.2)
+        except (Unavailable, Dropped):
+            log.debug("%s: not claimed", key)
+        finally:
+            # The replica shows the claim before we act for it, with all that was written earlier.
+            self._claiming.discard(key)
+        self._changed()
+
+    def resign(self, share: Share) -> None:
+        """Stop acting for a share at once and give up its claim."""
+        if share.releasing:
+            return
+        log.info("share %d: given up", share.index)
+        held = share.held
+        self._model.disown(share)
+        share.releasing = True
+        self._spawn(self._release(share, held))
+
+    async def _release(self, share: Share, held: Held | None) -> None:
+        key = claim_key(share.index)
+        try:
+            if held is not None:
+                await self._committer.commit(
+                    Urgency.CLAIM, {key: held.version}, [wire.Write(delete=key)], 5.0
+                )
+        except (Refused, Unavailable, Dropped, LeaseLost):
+            log.debug("%s: not released", key)
+        finally:
+            # Even if the deletion failed, acting again takes a claim of a new version.
+            await asyncio.sleep(0.5)
+            share.releasing = False
+            if held is not None and share.held is held:
+                share.held = Held(wire.Claim(self.node, -1), held.version)
+        self._changed()
--- /dev/null
+++ b/badgerseam/cluster/peers.py
@@ -0,0 +1,61 @@
+"""Requests between controllers."""
+
+from __future__ import annotations
+
+import logging
+
+import msgspec
+
+from badgerseam.fleet.manager import Returns
+from badgerseam.http.client import Client, NoResponse
+from badgerseam.http.server import Reply, error_reply
+from badgerseam.model.machine import Machine
+from badgerseam.model.model import Model
+from badgerseam.wire import peers as wire
+
+log = logging.getLogger("badgerseam.cluster")
+
+
+class Peers:
+    """Both ends of what controllers ask of each other."""
+
+    def __init__(self, model: Model, http: Client, returns: Returns) -> None:
+        settings = model.settings
+        self._model = model
+        self._http = http
+        self._returns = returns
+        self._node = settings.node
+        self._addresses = {sibling.node: sibling.peer_addr for sibling in settings.siblings}
+
+    async def handle(self, method: str, path: str, body: bytes) -> Reply:
+        """A sibling's request."""
+        if path != "/give" or method != "POST":
+            return error_reply(404, "no such path")
+        try:
+            give = wire.give_decoder.decode(body)
+        except msgspec.DecodeError:
+            return error_reply(400, "not a request to give")
+        machine = self._model.machine(give.machine)
+        if machine is None or not 0 <= give.share < len(self._model.shares):
+            return Reply(200, wire.encode(wire.Given(False)))
+        done = await self._returns.give(machine, give.share)
+        return Reply(200, wire.encode(wire.Given(done)))
+
+    async def give(self, machine: Machine, share: int) -> bool:
+        """Have the owner of a machine pass it on."""
+        held = self._model.shares[machine.share].held
+        if held is None:
+            return False
+        if held.claim.node == self._node:
+            return await self._returns.give(machine, share)
+        address = self._addresses.get(held.claim.node)
+        if address is None:
+            return False
+        try:
+            response = await self._http.request(
+                address, "POST", "/give", wire.encode(wire.Give(machine.name, share)), 3.0
+            )
+            return response.status == 200 and wire.given_decoder.decode(response.body).done
+        except (NoResponse, msgspec.DecodeError) as error:
+            log.debug("%s: no answer to a request to give: %s", held.claim.node, error)
+            return False
--- /dev/null
+++ b/badgerseam/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Renting, returning and moving machines."""
--- /dev/null
+++ b/badgerseam/fleet/cloud.py
@@ -0,0 +1,85 @@
+"""Requests to the cloud, within its rate."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from badgerseam.clock import Clock
+from badgerseam.http.budget import Budget
+from badgerseam.http.client import Client, NoResponse
+from badgerseam.wire import cloud as wire
+
+
+class CloudTrouble(Exception):
+    """Not executed, or no response."""
+
+
+class NoCapacity(Exception):
+    """None of this type, zone and kind is to be had now."""
+
+
+class Cloud:
+    """One method a request of the protocol. Only the leader uses more than the types."""
+
+    def __init__(self, clock: Clock, http: Client, address: str, rps: float) -> None:
+        self._http = http
+        self._address = address
+        self.budget = Budget(clock, 0.85 * rps)
+
+    async def _call(self, method: str, path: str, body: bytes | None) -> tuple[int, bytes]:
+        while not self.budget.take():
+            await asyncio.sleep(self.budget.wait_s() + 0.01)
+        try:
+            response = await self._http.request(self._address, method, path, body, 4.0)
+        except NoResponse as error:
+            raise CloudTrouble(str(error)) from error
+        if response.status == 429:
+            self.budget.penalize(1.0)
+            raise CloudTrouble("429")
+        return response.status, response.body
+
+    async def types(self) -> list[wire.MachineType]:
+        status, body = await self._call("GET", "/flavors", None)
+        if status != 200:
+            raise CloudTrouble(f"types: {status}")
+        try:
+            return wire.types_decoder.decode(body).types
+        except msgspec.DecodeError as error:
+            raise CloudTrouble(f"types: {error}") from error
+
+    async def rent(self, request: wire.Rent) -> list[str]:
+        """The machines rented; NoCapacity, or CloudTrouble when the request is to be repeated."""
+        status, body = await self._call("POST", "/machines", wire.encode(request))
+        if status == 200:
+            try:
+                return wire.names_decoder.decode(body).machines
+            except msgspec.DecodeError as error:
+                raise CloudTrouble(f"rent: {error}") from error
+        if status == 400 or (status == 503 and b"no capacity" in body):
+            raise NoCapacity(f"{request.type} in {request.zone}: {status}")
+        raise CloudTrouble(f"rent: {status}")
+
+    async def release(self, names: list[str]) -> None:
+        """Delete machines; they and all that is on them are gone when this returns."""
+        status, _ = await self._call("POST", "/machines/release", wire.encode(wire.Names(names)))
+        if status != 200:
+            raise CloudTrouble(f"release: {status}")
+
+    async def machines(self) -> list[wire.Listed]:
+        """The whole list, as old as it may be."""
+        listed: list[wire.Listed] = []
+        after = ""
+        while True:
+            status, body = await self._call("GET", f"/machines?from={after}&limit=500", None)
+            if status != 200:
+                raise CloudTrouble(f"list: {status}")
+            try:
+                page = wire.page_decoder.decode(body)
+            except msgspec.DecodeError as error:
+                raise CloudTrouble(f"list: {error}") from error
+            listed += page.machines
+            if not page.more or not page.machines:
+                return listed
+            after = page.machines[-1].id
--- /dev/null
+++ b/badgerseam/fleet/demand.py
@@ -0,0 +1,161 @@
+"""How many machines are missing, and of which kind: pure functions over a snapshot."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from badgerseam.model.resources import Resources
+from badgerseam.sched import pts
+from badgerseam.wire.cloud import MachineType
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """What can be asked of the cloud."""
+
+    type: str
+    zone: str
+    spot: bool
+
+
+@dataclass(slots=True)
+class Option:
+    offer: Offer
+    total: Resources
+    price: float
+
+
+def options(types: dict[str, MachineType], blocked: set[Offer]) -> list[Option]:
+    """All that may be rented now, at present prices."""
+    found = []
+    for entry in types.values():
+        total = Resources(entry.cpus, entry.gpus, entry.memory_gb)
+        for zone in entry.zones:
+            for spot in (True, False):
+                offer = Offer(entry.name, zone, spot)
+                if offer not in blocked and (not spot or entry.spot_price > 0):
+                    price = entry.spot_price if spot else entry.price
+                    found.append(Option(offer, total, price))
+    return found
+
+
+def shortfall(
+    snapshot: pts.Snapshot, choices: list[Option], most: int
+) -> list[tuple[Offer, set[int]]]:
+    """What to rent for the requests of a snapshot that find no room, with the jobs it is for.
+
+    The snapshot's machines include those that are on their way. New ones are chosen by the price
+    of a slot that will be used.
+    """
+    rented: list[tuple[Offer, set[int]]] = []
+    added = 0
+    for _ in range(most):
+        trial = _copy(snapshot)
+        result = pts.plan(trial)
+        if not result.waiting:
+            break
+        by_job = {request.job: request for request in trial.requests}
+        wanted = [(by_job[job], count) for job, count in result.waiting.items()]
+        wanted.sort(key=lambda item: (-item[0].rank, item[0].order))
+        best: tuple[float, int, Option] | None = None
+        for request, _count in wanted:
+            for position, option in enumerate(choices):
+                node = _virtual(option, -1)
+                if not pts.allowed(request, node):
+                    continue
+                each = request.need.times_in(option.total)
+                same = sum(count for other, count in wanted if pts.allowed(other, node))
+                used = min(each, same)
+                if used <= 0:
+                    continue
+                crowd = request.zones.get(option.offer.zone, 0) if request.zone_limit else 0
+                key = (option.price / used * (1 + 0.02 * crowd), position, option)
+                if best is None or key[:2] < best[:2]:
+                    best = key
+            if best is not None:
+                break
+        if best is None:
+            break
+        added += 1
+        node = _virtual(best[2], -1 - added)
+        snapshot.nodes.append(node)
+        jobs = {request.job for request, _ in wanted if pts.allowed(request, node)}
+        rented.append((best[2].offer, jobs))
+    return rented
+
+
+def _virtual(option: Option, index: int) -> pts.Node:
+    offer = option.offer
+    return pts.Node(
+        index,
+        offer.type,
+        offer.zone,
+        offer.spot,
+        option.total,
+        option.total,
+        0.0,
+        0.0,
+        0,
+        set(),
+    )
+
+
+def virtual_node(types: dict[str, MachineType], offer: Offer, index: int) -> pts.Node | None:
+    """A machine that was asked for, as if it were there."""
+    entry = types.get(offer.type)
+    if entry is None:
+        return None
+    total = Resources(entry.cpus, entry.gpus, entry.memory_gb)
+    return _virtual(Option(offer, total, entry.price), index)
+
+
+def _copy(snapshot: pts.Snapshot) -> pts.Snapshot:
+    nodes = [
+        pts.Node(
+            node.index,
+            node.type,
+            node.zone,
+            node.spot,
+            node.total,
+            node.free,
+            node.high,
+            node.low,
+            node.evictions,
+            node.images,
+        )
+        for node in snapshot.nodes
+    ]
+    requests = []
+    for request in snapshot.requests:
+        requests.append(
+            pts.Request(
+                request.job,
+                request.count,
+                request.need,
+                request.rank,
+                request.high,
+                request.team,
+                request.types,
+                request.zone,
+                request.one_zone,
+                request.zone_limit,
+                request.spot,
+                request.image,
+                dict(request.zones),
+                request.shunned,
+                request.order,
+            )
+        )
+    teams = {
+        index: pts.TeamUse(team.used, team.guarantee, team.limit)
+        for index, team in snapshot.teams.items()
+    }
+    return pts.Snapshot(
+        nodes,
+        requests,
+        teams,
+        snapshot.finished,
+        snapshot.evicted,
+        snapshot.beta,
+        snapshot.window_s,
+    )
--- /dev/null
+++ b/badgerseam/fleet/manager.py
@@ -0,0 +1,560 @@
+"""The leader's work: machine types, renting, returning, and moving machines between shares."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from badgerseam.cluster.member import Member
+from badgerseam.fleet.cloud import Cloud, CloudTrouble, NoCapacity
+from badgerseam.fleet.demand import Offer, options, shortfall, virtual_node
+from badgerseam.model.machine import Machine
+from badgerseam.model.model import (
+    LEADER_KEY,
+    TYPES_KEY,
+    Model,
+    Share,
+    claim_key,
+    hire_key,
+    machine_key,
+)
+from badgerseam.sched import pts
+from badgerseam.sched.planner import Planner
+from badgerseam.settings import Tunables
+from badgerseam.store.client import LeaseLost, Refused, Unavailable
+from badgerseam.store.committer import Committer, Dropped, Urgency
+from badgerseam.wire import cloud as cloud_wire
+from badgerseam.wire import state as wire
+
+log = logging.getLogger("badgerseam.fleet")
+
+ROUND_S = 0.5
+TYPES_S = 20.0
+NO_CAPACITY_S = 10.0
+MOST_AT_ONCE = 12
+NOT_WRITTEN = (Refused, Unavailable, Dropped, LeaseLost)
+
+Mover = Callable[[Machine, int], Awaitable[bool]]
+
+
+class Fleet:
+    """Keeps the machines in line with the work, while this controller leads."""
+
+    def __init__(
+        self,
+        model: Model,
+        member: Member,
+        committer: Committer,
+        cloud: Cloud,
+        planner: Planner,
+        tunables: Tunables,
+        random: Random,
+        mover: Mover,
+        changed: Callable[[], None],
+    ) -> None:
+        self._model = model
+        self._member = member
+        self._committer = committer
+        self._cloud = cloud
+        self._planner = planner
+        self._tunables = tunables
+        self._random = random
+        self._mover = mover
+        self._changed = changed
+        self._clock = model.clock
+        self._blocked: dict[Offer, float] = {}
+        self._hiring: set[str] = set()
+        self._releasing: set[str] = set()
+        self._moving: set[str] = set()
+        self._missing: dict[str, int] = {}
+        self._adopting: dict[str, tuple[int, float]] = {}
+        self._asking: dict[str, tuple[wire.StoredHire, float]] = {}
+        self._serial = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._moved_at = -1e9
+
+    def _spawn(self, work: Awaitable[object]) -> None:
+        async def guarded() -> None:
+            try:
+                await work
+            except Exception:
+                log.exception("fleet work failed")
+
+        task = asyncio.ensure_future(guarded())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # ---- loops ----
+
+    async def keep_types(self) -> None:
+        """Fetch the machine types and prices, and share them by the state service."""
+        while True:
+            pause = 1.0
+            if self._member.is_leader or not self._model.types:
+                try:
+                    types = await self._cloud.types()
+                    await self._publish(types)
+                    pause = TYPES_S
+                except CloudTrouble as error:
+                    log.debug("machine types: %s", error)
+            await asyncio.sleep(pause * (0.8 + 0.4 * self._random.random()))
+
+    async def _publish(self, types: list[cloud_wire.MachineType]) -> None:
+        model = self._model
+        held = model.leader
+        if {entry.name: entry for entry in types} == model.types:
+            return
+        value = wire.raw(types)
+        if held is None or not self._member.is_leader:
+            with model.lock:
+                if not model.types:
+                    model.set_types(types)
+            self._changed()
+            return
+        try:
+            revision = await self._committer.commit(
+                Urgency.UPKEEP if model.types else Urgency.CLAIM,
+                {LEADER_KEY: held.version},
+                [wire.Write(put=TYPES_KEY, value=value)],
+                5.0,
+            )
+        except NOT_WRITTEN:
+            return
+        with model.lock:
+            model.apply(TYPES_KEY, value, revision)
+        self._changed()
+
+    async def keep_list(self) -> None:
+        """Compare the cloud's list with our records."""
+        params = self._model.settings.params.cloud
+        pause = max(1.5, 3.0 / params.rps)
+        while True:
+            if self._member.is_leader and self._model.loaded:
+                asked = self._clock.wall()
+                try:
+                    listed = await self._cloud.machines()
+                except CloudTrouble as error:
+                    log.debug("machine list: %s", error)
+                else:
+                    if self._member.is_leader:
+                        self._compare(listed, asked)
+            await asyncio.sleep(pause)
+
+    async def keep_fleet(self) -> None:
+        """Rent, move and release, a few times a second."""
+        while True:
+            await asyncio.sleep(ROUND_S)
+            if not self._member.is_leader or not self._model.loaded:
+                continue
+            try:
+                self._round()
+            except Exception:
+                log.exception("fleet round failed")
+
+    # ---- the list ----
+
+    def _compare(self, listed: list[cloud_wire.Listed], asked: float) -> None:
+        model = self._model
+        lag = model.settings.params.cloud.list_lag_s
+        release: list[str] = []
+        present = set()
+        with model.lock:
+            for entry in listed:
+                present.add(entry.id)
+                machine = model.machine(entry.id)
+                if machine is None:
+                    if entry.id not in model.gone:
+                        self._adopt(
+                            entry.id,
+                            entry.type,
+                            entry.zone,
+                            entry.spot,
+                            entry.addr,
+                            entry.age_s,
+                        )
+                    continue
+                if entry.state == "failed":
+                    log.info("%s has failed", entry.id)
+                    release.append(entry.id)
+                elif entry.state == "booting" and machine.session == 0:
+                    boot = model.types.get(entry.type)
+                    limit = 30.0 + 3.0 * (boot.boot_s if boot else 60.0)
+                    if entry.age_s > limit and not machine.attempts:
+                        log.info("%s never came up", entry.id)
+                        release.append(entry.id)
+            for machine in model.machines.values():
+                if machine.name in present:
+                    self._missing.pop(machine.name, None)
+                elif asked - machine.rented > 2 * lag + 5.0:
+                    missed = self._missing.get(machine.name, 0) + 1
+                    self._missing[machine.name] = missed
+                    # A list may be older than the one before, by up to twice the lag.
+                    if missed * 1.5 > lag:
+                        log.info("%s is not listed any more", machine.name)
+                        release.append(machine.name)
+        self._release(release)
+
+    def _adopt(
+        self, name: str, type_name: str, zone: str, spot: bool, addr: str, age_s: float
+    ) -> None:
+        """Take a machine that we have no record of into the share with the fewest for its work."""
+        model = self._model
+        counts = [0.0] * len(model.shares)
+        for machine in model.machines.values():
+            counts[machine.share] += machine.total.cpus or 1.0
+        for share, hint in self._adopting.values():
+            counts[share] += hint
+        work = [self._work(share) for share in range(len(counts))]
+        share = max(range(len(counts)), key=lambda index: (work[index] + 1) / (counts[index] + 1))
+        if name in self._adopting:
+            return
+        self._adopting[name] = (share, model.capacity(type_name).cpus or 1.0)
+        record = wire.StoredMachine(
+            share, type_name, zone, spot, addr, round(self._clock.wall() - age_s, 1)
+        )
+        log.info("adopting %s for share %d", name, share)
+        self._spawn(self._record({name: record}, None))
+
+    def _work(self, share: int) -> float:
+        total = 0.0
+        for job in self._model.open_jobs[share].values():
+            total += pts.slots_of(job.need) * (job.waiting() + len(job.attempts))
+        for team in self._model.teams:
+            if team.share == share:
+                total += 0.05 * (team.guarantee.cpus + team.guarantee.gpus)
+        return total
+
+    async def _record(
+        self,
+        records: dict[str, wire.StoredMachine],
+        hire: str | None,
+    ) -> bool:
+        """Write records of machines, and delete the hire that brought them with the last."""
+        model = self._model
+        names = list(records)
+        most = max(1, model.settings.params.state.txn_ops - 1)
+        try:
+            for first in range(0, max(len(names), 1), most):
+                part = names[first : first + most]
+                held = model.leader
+                if held is None:
+                    return False
+                values = {name: wire.raw(records[name]) for name in part}
+                writes = [wire.Write(put=machine_key(n), value=v) for n, v in values.items()]
+                if hire is not None and first + most >= len(names):
+                    writes.append(wire.Write(delete=hire_key(hire)))
+                revision = await self._committer.commit(
+                    Urgency.PLACE,
+                    {LEADER_KEY: held.version, **{machine_key(name): 0 for name in part}},
+                    writes,
+                    wanted=lambda: self._member.is_leader,
+                )
+                with model.lock:
+                    for name, value in values.items():
+                        model.apply(machine_key(name), value, revision)
+                    if hire is not None and first + most >= len(names):
+                        model.apply(hire_key(hire), None, revision)
+        except NOT_WRITTEN as error:
+            log.debug("machines not recorded: %r", error)
+            return False
+        finally:
+            for name in names:
+                self._adopting.pop(name, None)
+            self._changed()
+        return True
+
+    # ---- a round ----
+
+    def _round(self) -> None:
+        model = self._model
+        now = self._clock.now()
+        with model.lock:
+            for name, report in list(model.unknown.items()):
+                del model.unknown[name]
+                if name not in model.gone and model.machine(name) is None:
+                    self._adopt(name, report.type, report.zone, report.spot, report.addr, 0.0)
+            if not model.types:
+                return
+            for name, (hire, _) in list(model.hires.items()):
+                if name not in self._hiring:
+                    self._hiring.add(name)
+                    self._spawn(self._hire(name, hire))
+            self._release([m.name for m in model.machines.values() if m.dropped])
+            snapshots = [self._snapshot(share, now) for share in model.shares]
+            blocked = {offer for offer, until in self._blocked.items() if until > now}
+            choices = options(model.types, blocked)
+            for share, snapshot in zip(model.shares, snapshots, strict=True):
+                if not snapshot.requests or self._starting(share):
+                    continue
+                rents = shortfall(snapshot, choices, MOST_AT_ONCE)
+                if not rents:
+                    continue
+                rents = rents[: self._moves(share, snapshots, rents, now)]
+                grouped: dict[Offer, int] = {}
+                for offer, _ in rents:
+                    grouped[offer] = grouped.get(offer, 0) + 1
+                for offer, count in grouped.items():
+                    self._ask(share, offer, count, now)
+
+    def _starting(self, share: Share) -> bool:
+        return any(hire.share == share.index for hire, _ in self._asking.values())
+
+    def _snapshot(self, share: Share, now: float) -> pts.Snapshot:
+        """A share's machines as the records have them, those on their way included."""
+        snapshot = self._planner.snapshot(share)
+        known = {node.index for node in snapshot.nodes}
+        model = self._model
+        for machine in model.machines.values():
+            if machine.share != share.index or machine.index in known:
+                continue
+            if machine.dropped or machine.lost or machine.draining:
+                continue
+            if share.owned and machine.session > 0:
+                # Ours, and not usable now.
+                continue
+            snapshot.nodes.append(self._planner.node(machine, now))
+        for hire, _ in model.hires.values():
+            if hire.share == share.index:
+                offer = Offer(hire.type, hire.zone, hire.spot)
+                for _ in range(hire.count):
+                    node = virtual_node(model.types, offer, -1000 - len(snapshot.nodes))
+                    if node is not None:
+                        snapshot.nodes.append(node)
+        for node in snapshot.nodes:
+            node.running.clear()
+        return snapshot
+
+    def _moves(
+        self,
+        share: Share,
+        snapshots: list[pts.Snapshot],
+        rents: list[tuple[Offer, set[int]]],
+        now: float,
+    ) -> int:
+        """Have idle machines of other shares moved here instead; how many rents are left."""
+        if now - self._moved_at < self._tunables.move_s:
+            return len(rents)
+        left = len(rents)
+        for other, snapshot in zip(self._model.shares, snapshots, strict=True):
+            if other is share or snapshot.requests:
+                continue
+            for node in snapshot.nodes:
+                machine = self._model.machines.get(node.index)
+                if left == 0 or machine is None or machine.attempts or machine.name in self._moving:
+                    continue
+                self._moved_at = now
+                left -= 1
+                self._moving.add(machine.name)
+                self._spawn(self._move(machine, share.index))
+        return left
+
+    async def _move(self, machine: Machine, share: int) -> None:
+        try:
+            moved = await self._mover(machine, share)
+            if moved:
+                log.info("%s moved to share %d", machine.name, share)
+        finally:
+            self._moving.discard(machine.name)
+
+    # ---- renting ----
+
+    def _ask(self, share: Share, offer: Offer, count: int, now: float) -> None:
+        lease = self._member.lease
+        held = self._model.leader
+        if lease is None or held is None:
+            return
+        self._serial += 1
+        # The lease's number makes the name one that no other process has used.
+        name = f"{self._member.node}-{lease}-{self._serial}"
+        hire = wire.StoredHire(
+            share.index, offer.type, offer.zone, offer.spot, count, round(self._clock.wall(), 1)
+        )
+        self._asking[name] = (hire, now)
+        self._hiring.add(name)
+        self._spawn(self._persist(name, hire, held.version))
+
+    async def _persist(self, name: str, hire: wire.StoredHire, version: int) -> None:
+        model = self._model
+        value = wire.raw(hire)
+        try:
+            revision = await self._committer.commit(
+                Urgency.PLACE,
+                {LEADER_KEY: version, hire_key(name): 0},
+                [wire.Write(put=hire_key(name), value=value)],
+                wanted=lambda: self._member.is_leader,
+            )
+        except NOT_WRITTEN as error:
+            log.debug("hire %s not persisted: %r", name, error)
+            self._hiring.discard(name)
+            return
+        finally:
+            self._asking.pop(name, None)
+        with model.lock:
+            model.apply(hire_key(name), value, revision)
+        await self._hire(name, hire)
+
+    async def _hire(self, name: str, hire: wire.StoredHire) -> None:
+        """Repeat a persisted request until it is answered."""
+        offer = Offer(hire.type, hire.zone, hire.spot)
+        request = cloud_wire.Rent(name, hire.type, hire.zone, hire.spot, hire.count)
+        pause = 0.5
+        try:
+            while self._member.is_leader:
+                try:
+                    names = await self._cloud.rent(request)
+                    break
+                except NoCapacity:
+                    self._blocked[offer] = self._clock.now() + NO_CAPACITY_S
+                    names = []
+                    break
+                except CloudTrouble as error:
+                    log.debug("hire %s: %s", name, error)
+                    await asyncio.sleep(pause)
+                    pause = min(pause * 2, 4.0)
+            else:
+                return
+            log.info(
+                "hire %s: %d of %d %s in %s%s for share %d",
+                name,
+                len(names),
+                hire.count,
+                hire.type,
+                hire.zone,
+                " (spot)" if hire.spot else "",
+                hire.share,
+            )
+            if len(names) < hire.count:
+                self._blocked[offer] = self._clock.now() + NO_CAPACITY_S
+            record = wire.StoredMachine(hire.share, hire.type, hire.zone, hire.spot, "", hire.at)
+            while self._member.is_leader:
+                # Some may have been adopted already, from a report or the list. Their records must
+                # not be overwritten: work may have been placed on them.
+                with self._model.lock:
+                    fresh = [n for n in names if self._model.machine(n) is None]
+                if await self._record({n: record for n in fresh}, name):
+                    break
+                await asyncio.sleep(0.3)
+        finally:
+            self._hiring.discard(name)
+
+    # ---- releasing ----
+
+    def _release(self, names: list[str]) -> None:
+        names = [name for name in names if name not in self._releasing][:100]
+        if names:
+            self._releasing.update(names)
+            self._spawn(self._return(names))
+
+    async def _return(self, names: list[str]) -> None:
+        model = self._model
+        try:
+            await self._cloud.release(names)
+            log.info("released %s", " ".join(names))
+            held = model.leader
+            most = model.settings.params.state.txn_ops
+            for first in range(0, len(names), most):
+                part = names[first : first + most]
+                if held is None:
+                    return
+                revision = await self._committer.commit(
+                    Urgency.PLACE,
+                    {LEADER_KEY: held.version},
+                    [wire.Write(delete=machine_key(name)) for name in part],
+                    wanted=lambda: self._member.is_leader,
+                )
+                with model.lock:
+                    for name in part:
+                        model.apply(machine_key(name), None, revision)
+            self._changed()
+        except (*NOT_WRITTEN, CloudTrouble) as error:
+            log.debug("release: %r", error)
+            await asyncio.sleep(0.5)
+        finally:
+            self._releasing.difference_update(names)
+
+
+class Returns:
+    """An owner's part: giving up machines of its shares, or passing them on."""
+
+    def __init__(
+        self, model: Model, committer: Committer, planner: Planner, tunables: Tunables
+    ) -> None:
+        self._model = model
+        self._committer = committer
+        self._planner = planner
+        self._tunables = tunables
+
+    async def rewrite(self, machine: Machine, share: int, dropped: bool) -> bool:
+        """Write a machine's record anew, on condition that we still own its share."""
+        model = self._model
+        owner = model.shares[machine.share]
+        record = wire.StoredMachine(
+            share,
+            machine.type,
+            machine.zone,
+            machine.spot,
+            machine.addr,
+            machine.rented,
+            dropped,
+        )
+        value = wire.raw(record)
+        key = machine_key(machine.name)
+        term = owner.term
+        try:
+            revision = await self._committer.commit(
+                Urgency.PLACE,
+                {claim_key(owner.index): term, key: machine.version},
+                [wire.Write(put=key, value=value)],
+                wanted=lambda: owner.owned and owner.term == term,
+            )
+        except NOT_WRITTEN as error:
+            log.debug("%s not rewritten: %r", machine.name, error)
+            return False
+        with model.lock:
+            model.apply(key, value, revision)
+        return True
+
+    async def give(self, machine: Machine, share: int) -> bool:
+        """Pass an empty machine on to another share."""
+        with self._model.lock:
+            if not self._empty(machine):
+                return False
+            machine.draining = True
+        done = await self.rewrite(machine, share, dropped=False)
+        if not done:
+            machine.draining = False
+        return done
+
+    def _empty(self, machine: Machine) -> bool:
+        return (
+            self._model.shares[machine.share].owned
+            and not machine.draining
+            and not machine.dropped
+            and (machine.session == 0 or machine.clear)
+            and self._planner.free_of_work(machine)
+        )
+
+    def idle(self, waiting: dict[int, dict[int, int]]) -> list[Machine]:
+        """Machines of owned shares to be returned: unused for long, or drained."""
+        model = self._model
+        now = model.clock.now()
+        found = []
+        for machine in model.machines.values():
+            if not model.shares[machine.share].owned or machine.dropped or machine.returning:
+                continue
+            if machine.lost:
+                found.append(machine)
+                continue
+            if not self._planner.free_of_work(machine):
+                continue
+            if machine.draining:
+                if machine.recall_at is None and machine.session > 0:
+                    found.append(machine)
+                continue
+            if machine.session == 0:
+                continue
+            if not waiting.get(machine.share) and now - machine.idle_since > self._tunables.idle_s:
+                found.append(machine)
+        return found
--- /dev/null
+++ b/badgerseam/http/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP server and the pooled client, both tornado's."""
--- /dev/null
+++ b/badgerseam/http/client.py
@@ -0,0 +1,129 @@
+"""A pooled keep-alive client on tornado's HTTP1Connection.
+
+tornado's simple client opens a connection for each request; on half a core that costs more than
+the requests do, so the connections are kept here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+
+class NoResponse(Exception):
+    """Nothing is known: the request may have been executed, or may be executed later."""
+
+
+class NotSent(NoResponse):
+    """The connection could not be made, so the request was never sent."""
+
+
+class Response:
+    __slots__ = ("body", "status")
+
+    def __init__(self, status: int, body: bytes) -> None:
+        self.status = status
+        self.body = body
+
+
+class _Collector(HTTPMessageDelegate):
+    def __init__(self) -> None:
+        self.status = 0
+        self.chunks: list[bytes] = []
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        if isinstance(start_line, ResponseStartLine):
+            self.status = start_line.code
+
+    def data_received(self, chunk: bytes) -> None:
+        self.chunks.append(chunk)
+
+
+_PARAMS = HTTP1ConnectionParameters(max_body_size=64 * 1024 * 1024, max_header_size=16384)
+
+
+class Client:
+    """Requests to any number of addresses over kept connections."""
+
+    def __init__(self, connect_s: float = 1.5, keep: int = 4) -> None:
+        self._tcp = TCPClient()
+        self._idle: dict[str, deque[IOStream]] = {}
+        self._connect_s = connect_s
+        self._keep = keep
+
+    async def request(
+        self, address: str, method: str, path: str, body: bytes | None, deadline_s: float
+    ) -> Response:
+        """Send one request; NoResponse if none came within deadline_s."""
+        stream: IOStream | None = None
+        try:
+            async with asyncio.timeout(deadline_s):
+                stream = await self._stream(address, deadline_s)
+                collector = _Collector()
+                connection = HTTP1Connection(stream, True, _PARAMS)
+                headers = HTTPHeaders({"Host": address})
+                if body is not None:
+                    headers["Content-Length"] = str(len(body))
+                    headers["Content-Type"] = "application/json"
+                # write_headers returns a future that fails when the stream closes; the read
+                # below reports that as well.
+                written = connection.write_headers(
+                    RequestStartLine(method, path, "HTTP/1.1"), headers, body
+                )
+                written.add_done_callback(_observe)
+                connection.finish()
+                await connection.read_response(collector)
+        except (TimeoutError, StreamClosedError, HTTPInputError, OSError) as error:
+            if stream is None:
+                raise NotSent(f"{address}: {error!r}") from error
+            stream.close()
+            raise NoResponse(f"{address}{path}: {error!r}") from error
+        except BaseException:
+            if stream is not None:
+                stream.close()
+            raise
+        if collector.status == 0:
+            stream.close()
+            raise NoResponse(f"{address}{path}: closed before a response")
+        if not stream.closed():
+            pool = self._idle.setdefault(address, deque())
+            if len(pool) < self._keep:
+                pool.append(stream)
+            else:
+                stream.close()
+        return Response(collector.status, b"".join(collector.chunks))
+
+    async def _stream(self, address: str, deadline_s: float) -> IOStream:
+        pool = self._idle.get(address)
+        while pool:
+            kept = pool.pop()
+            if not kept.closed():
+                return kept
+        host, _, port = address.rpartition(":")
+        async with asyncio.timeout(min(self._connect_s, deadline_s)):
+            stream = await self._tcp.connect(host, int(port))
+        stream.set_nodelay(True)
+        return stream
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to an address that is gone."""
+        for stream in self._idle.pop(address, ()):
+            stream.close()
+
+
+def _observe(future: asyncio.Future[None]) -> None:
+    if not future.cancelled():
+        future.exception()
--- /dev/null
+++ b/badgerseam/http/server.py
@@ -0,0 +1,102 @@
+"""The HTTP server: tornado's, with one handler a listening address."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from http.client import responses
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.iostream import StreamClosedError
+
+log = logging.getLogger("badgerseam.http")
+
+MAX_BODY = 64 * 1024
+"""The protocols' limit. Larger bodies are read up to SWALLOW so that they get a clean answer."""
+SWALLOW = 1024 * 1024
+
+
+@dataclass(slots=True)
+class Reply:
+    status: int
+    body: bytes = b"{}"
+    retry_after_s: int | None = None
+
+
+Handler = Callable[[str, str, bytes], Awaitable[Reply] | Reply]
+
+
+def error_reply(status: int, text: str, retry_after_s: int | None = None) -> Reply:
+    """A reply whose body says what was wrong; text must need no escaping."""
+    return Reply(status, b'{"error":"%s"}' % text.encode(), retry_after_s)
+
+
+class Server:
+    """Serves one address with one handler of (method, path, body)."""
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server = HTTPServer(
+            self._request,
+            max_buffer_size=2 * SWALLOW,
+            max_body_size=SWALLOW,
+            max_header_size=16384,
+            body_timeout=10.0,
+            idle_connection_timeout=120.0,
+        )
+
+    def listen(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._server.listen(int(port), host, backlog=512)
+
+    def stop(self) -> None:
+        self._server.stop()
+
+    def _request(self, request: HTTPServerRequest) -> None:
+        if len(request.body) > MAX_BODY:
+            self._send(request, error_reply(400, "body over 64 KiB"))
+            return
+        try:
+            outcome = self._handler(request.method or "", request.path, request.body)
+        except Exception:
+            log.exception("request %s %s failed", request.method, request.path)
+            outcome = error_reply(503, "internal error", 1)
+        if isinstance(outcome, Reply):
+            self._send(request, outcome)
+        else:
+            task = asyncio.ensure_future(self._later(request, outcome))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _later(self, request: HTTPServerRequest, outcome: Awaitable[Reply]) -> None:
+        try:
+            reply = await outcome
+        except Exception:
+            log.exception("request %s %s failed", request.method, request.path)
+            reply = error_reply(503, "internal error", 1)
+        self._send(request, reply)
+
+    def _send(self, request: HTTPServerRequest, reply: Reply) -> None:
+        connection = request.connection
+        if connection is None:
+            return
+        headers = HTTPHeaders(
+            {"Content-Type": "application/json", "Content-Length": str(len(reply.body))}
+        )
+        if reply.retry_after_s is not None:
+            headers["Retry-After"] = str(reply.retry_after_s)
+        line = ResponseStartLine("HTTP/1.1", reply.status, responses.get(reply.status, "Unknown"))
+        try:
+            connection.write_headers(line, headers, reply.body).add_done_callback(_observe)
+            connection.finish()
+        except (StreamClosedError, OSError):
+            log.debug("%s %s: the peer is gone", request.method, request.path)
+
+
+def _observe(future: asyncio.Future[None]) -> None:
+    if not future.cancelled():
+        future.exception()
--- /dev/null
+++ b/badgerseam/model/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs, tasks and machines on dense indices."""
--- /dev/null
+++ b/badgerseam/model/machine.py
@@ -0,0 +1,116 @@
+"""Machines as the controllers know them."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from badgerseam.model.job import Attempt, Stage
+from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.wire.workers import TaskReport
+
+BUMP_BITS = 24
+
+
+@dataclass(slots=True, eq=False)
+class Machine:
+    """A machine with a record in the state service."""
+
+    name: str
+    index: int
+    share: int
+    version: int
+    type: str
+    zone: str
+    spot: bool
+    addr: str
+    rented: float
+    """Time of day of the rental."""
+    total: Resources
+    dropped: bool = False
+    attempts: dict[tuple[int, int], Attempt] = field(default_factory=dict)
+    images: set[str] = field(default_factory=set)
+    evictions: deque[float] = field(default_factory=deque)
+
+    # What the owner of the share knows; forgotten when the share changes hands.
+    term: int = 0
+    bump: int = 0
+    session: int = 0
+    seq: int = 0
+    shown_token: int = 0
+    doubt: int = -1
+    """Highest token of a command that may still be in flight on `/do`."""
+    heard_at: float = -1e9
+    """When the latest report came."""
+    answered_at: float = -1e9
+    """Until when its lease may have been renewed, as far as this owner knows."""
+    recall_at: float | None = None
+    shown: dict[str, TaskReport] = field(default_factory=dict)
+    strays: Resources = NOTHING
+    busy: bool = False
+    """A direct command is on its way."""
+    push_after: float = 0.0
+    failures: int = 0
+    failed_jobs: set[int] = field(default_factory=set)
+    draining: bool = False
+    idle_since: float = 0.0
+    returning: bool = False
+    """Its record is being rewritten so that it is released."""
+    lost: bool = False
+    """Its lease has certainly ended; reports are not answered any more."""
+    response_open: bool = False
+    """A response with launches may still be on its way to the worker."""
+
+    def take_over(self, term: int, safe_at: float) -> None:
+        """Start anew as the owner's machine under a term.
+
+        Whatever an earlier owner sent carries a lower term, so that it may be in flight until the
+        worker has shown this one; until safe_at some earlier owner may renew the lease.
+        """
+        self.term = max(term, self.version)
+        self.bump = 0
+        self.session = 0
+        self.seq = 0
+        self.shown_token = 0
+        self.doubt = (self.term << BUMP_BITS) - 1
+        self.heard_at = -1e9
+        self.answered_at = safe_at
+        self.recall_at = None
+        self.shown = {}
+        self.strays = NOTHING
+        self.busy = False
+        self.push_after = 0.0
+        self.failures = 0
+        self.failed_jobs.clear()
+        self.draining = False
+        self.lost = False
+        self.response_open = False
+
+    @property
+    def token(self) -> int:
+        return (self.term << BUMP_BITS) + self.bump
+
+    @property
+    def clear(self) -> bool:
+        """No earlier direct command can still be executed."""
+        return self.shown_token > self.doubt
+
+    def planned_use(self) -> Resources:
+        """What the attempts take that are to stay."""
+        total = self.strays
+        for attempt in self.attempts.values():
+            if not attempt.stopping and not attempt.finishing:
+                total = total.plus(attempt.job.need)
+        return total
+
+    def live_use(self) -> Resources:
+        """What may really be taken now: all that was launched and has not been seen to end."""
+        total = self.strays
+        for attempt in self.attempts.values():
+            if not attempt.finishing and (attempt.sent or attempt.stage >= Stage.FETCHING):
+                total = total.plus(attempt.job.need)
+        return total
+
+    def holds_anything(self) -> bool:
+        """Whether a task is, or may be, on the machine."""
+        return bool(self.attempts) or any(task.state != "exited" for task in self.shown.values())
--- /dev/null
+++ b/badgerseam/node.py
@@ -0,0 +1,156 @@
+"""One controller: its parts put together, and the loops that drive them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Coroutine
+from random import Random
+from typing import cast
+
+from badgerseam.api.users import Api
+from badgerseam.clock import Clock
+from badgerseam.cluster.member import Member
+from badgerseam.cluster.peers import Peers
+from badgerseam.fleet.cloud import Cloud
+from badgerseam.fleet.manager import Fleet, Returns
+from badgerseam.http.client import Client
+from badgerseam.http.server import Handler, Server
+from badgerseam.model.machine import Machine
+from badgerseam.model.model import Model
+from badgerseam.sched.planner import Planner
+from badgerseam.settings import Settings, Tunables
+from badgerseam.store.client import StateClient
+from badgerseam.store.committer import Committer
+from badgerseam.store.ledger import Ledger
+from badgerseam.store.replica import Replica
+from badgerseam.workers.control import Control
+
+log = logging.getLogger("badgerseam")
+
+TICK_S = 0.2
+PLAN_DELAY_S = 0.004
+"""Gathers what arrives together before it is planned."""
+
+
+class Node:
+    """Builds the parts; `run` drives them until cancelled."""
+
+    def __init__(
+        self, settings: Settings, tunables: Tunables, clock: Clock, random: Random
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.tunables = tunables
+        params = settings.params
+        http = Client()
+        self.model = Model(settings, clock)
+        self.state = StateClient(
+            clock,
+            http,
+            settings.outside.state,
+            params.state,
+            1 + len(settings.siblings),
+            random,
+        )
+        self.committer = Committer(clock, self.state)
+        self.member = Member(self.model, self.state, self.committer, tunables, self.pulse)
+        self.planner = Planner(self.model, tunables)
+        self.ledger = Ledger(self.model, self.state, self.committer, self.pulse, self.member.resign)
+        self.control = Control(self.model, self.member, http, tunables, self.pulse)
+        self.returns = Returns(self.model, self.committer, self.planner, tunables)
+        self.peers = Peers(self.model, http, self.returns)
+        self.fleet = Fleet(
+            self.model,
+            self.member,
+            self.committer,
+            Cloud(clock, http, settings.outside.cloud, params.cloud.rps),
+            self.planner,
+            tunables,
+            random,
+            self.peers.give,
+            self.pulse,
+        )
+        self.replica = Replica(self.model, self.state, self.pulse)
+        self.api = Api(self.model, self.state, self.ledger, self.member, self.control)
+        self._pulse_at: asyncio.TimerHandle | None = None
+        self._waiting: dict[int, dict[int, int]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    # ---- driving ----
+
+    def pulse(self) -> None:
+        """Something has changed; look at what it calls for, soon and once."""
+        if self._pulse_at is None:
+            loop = asyncio.get_running_loop()
+            self._pulse_at = loop.call_later(PLAN_DELAY_S, self._step)
+
+    def _step(self) -> None:
+        self._pulse_at = None
+        model = self.model
+        self.member.review()
+        with model.lock:
+            kicks, model.kicks = model.kicks, set()
+            for index in kicks:
+                share = model.shares[index]
+                if share.owned and not share.releasing and self.member.fresh(5.0):
+                    self._waiting[index] = self.planner.run(share)
+        self.ledger.flush()
+        with model.lock:
+            pushes, model.pushes = model.pushes, set()
+            for index in pushes:
+                machine = model.machines.get(index)
+                if machine is not None:
+                    self.control.push(machine)
+
+    async def _tick(self) -> None:
+        """What time alone calls for."""
+        rounds = 0
+        while True:
+            await asyncio.sleep(TICK_S)
+            rounds += 1
+            model = self.model
+            with model.lock:
+                for share in model.shares:
+                    if share.owned:
+                        model.kicks.add(share.index)
+                self.control.watch()
+                self.control.drain()
+                for machine in model.machines.values():
+                    if model.shares[machine.share].owned:
+                        model.pushes.add(machine.index)
+                if rounds % 5 == 0:
+                    for machine in self.returns.idle(self._waiting):
+                        machine.returning = True
+                        self._spawn(self._drop(machine))
+                if rounds % max(1, round(self.tunables.counts_s / TICK_S)) == 0:
+                    for share in model.shares:
+                        if share.owned:
+                            self._spawn(self.ledger.write_counts(share))
+            self.pulse()
+
+    async def _drop(self, machine: Machine) -> None:
+        try:
+            await self.returns.rewrite(machine, machine.share, dropped=True)
+        finally:
+            machine.returning = False
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def run(self) -> None:
+        """Serve until cancelled; a loop that fails ends the process."""
+        api = Server(cast(Handler, self.api.dispatch))
+        api.listen(self.settings.api_addr)
+        peers = Server(self.peers.handle)
+        peers.listen(self.settings.cluster_listen)
+        log.info("%s serves on %s", self.settings.node, self.settings.api_addr)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.replica.run())
+            group.create_task(self.member.keep_lease())
+            group.create_task(self.fleet.keep_types())
+            group.create_task(self.fleet.keep_list())
+            group.create_task(self.fleet.keep_fleet())
+            group.create_task(self._tick())
--- /dev/null
+++ b/badgerseam/sched/__init__.py
@@ -0,0 +1,1 @@
+"""PTS, the paper's preemptive task scheduler, as pure functions."""
--- /dev/null
+++ b/badgerseam/sched/pts.py
@@ -0,0 +1,251 @@
+"""PTS of the GFS paper: a snapshot goes in, a plan comes out.
+
+Non-preemptive placement ranks the fitting machines by fullness (Score 1), then by the share of the
+task's own class (Score 2), then by recent evictions (Score 3). What is high-priority towards some
+running work and fits nowhere evicts the least costly victims (Algorithm 2 and the cost of
+Equation 14 of the paper).
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from badgerseam.model.resources import NOTHING, Resources
+
+
+@dataclass(slots=True)
+class Running:
+    """Work on a machine that may be a victim."""
+
+    key: tuple[int, int]
+    need: Resources
+    rank: int
+    team: int
+    waste: float
+    evictable: bool
+
+
+@dataclass(slots=True)
+class Node:
+    """A machine that takes tasks."""
+
+    index: int
+    type: str
+    zone: str
+    spot: bool
+    total: Resources
+    free: Resources
+    high: float
+    """Slots of high-priority work."""
+    low: float
+    evictions: int
+    images: set[str]
+    running: list[Running] = field(default_factory=list)
+
+    @property
+    def slots(self) -> float:
+        return self.total.gpus or self.total.cpus
+
+    @property
+    def idle_slots(self) -> float:
+        return self.free.gpus if self.total.gpus else self.free.cpus
+
+
+@dataclass(slots=True)
+class Request:
+    """Tasks of one job to be placed; each is a task of one pod."""
+
+    job: int
+    count: int
+    need: Resources
+    rank: int
+    high: bool
+    team: int
+    types: frozenset[str] | None
+    zone: str | None
+    one_zone: bool
+    zone_limit: int | None
+    """Most tasks of the job that may be in one zone."""
+    spot: bool
+    image: str
+    zones: dict[str, int]
+    """Where tasks of the job are, or may be."""
+    shunned: set[int]
+    order: float
+    """Less goes first within a rank."""
+
+
+@dataclass(slots=True)
+class TeamUse:
+    used: Resources
+    guarantee: Resources
+    limit: Resources
+
+
+@dataclass(slots=True)
+class Snapshot:
+    nodes: list[Node]
+    requests: list[Request]
+    teams: dict[int, TeamUse]
+    finished: int
+    evicted: int
+    beta: float
+    window_s: float
+
+
+@dataclass(slots=True)
+class Start:
+    job: int
+    node: int
+
+
+@dataclass(slots=True)
+class Plan:
+    starts: list[Start] = field(default_factory=list)
+    stops: list[tuple[tuple[int, int], float]] = field(default_factory=list)
+    """Victims, with their share of the cost."""
+    waiting: dict[int, int] = field(default_factory=dict)
+    """Tasks a job that found no room (those over a team's limit are not counted)."""
+
+
+def slots_of(need: Resources) -> float:
+    """What a task counts in the paper's slots: accelerators if it takes any, else processors."""
+    return need.gpus or need.cpus
+
+
+def plan(snapshot: Snapshot) -> Plan:
+    """Place what fits, and evict where the rules of priority allow it."""
+    result = Plan()
+    total_slots = sum(node.slots for node in snapshot.nodes) or 1.0
+    ordered = sorted(
+        snapshot.requests,
+        key=lambda request: (
+            -request.rank,
+            request.order,
+            -slots_of(request.need),
+            request.job,
+        ),
+    )
+    for request in ordered:
+        team = snapshot.teams[request.team]
+        for placed in range(request.count):
+            if not team.used.plus(request.need).fits(team.limit):
+                break
+            node = _best(snapshot, request)
+            victims: list[tuple[Running, float]] = []
+            if node is None:
+                node, victims = _cheapest(snapshot, request, total_slots)
+            if node is None:
+                result.waiting[request.job] = request.count - placed
+                break
+            for victim, cost in victims:
+                node.running.remove(victim)
+                node.free = node.free.plus(victim.need)
+                node.low = max(0.0, node.low - slots_of(victim.need))
+                node.evictions += 1
+                other = snapshot.teams[victim.team]
+                other.used = other.used.minus(victim.need)
+                snapshot.evicted += 1
+                result.stops.append((victim.key, cost))
+            _take(node, request)
+            team.used = team.used.plus(request.need)
+            result.starts.append(Start(request.job, node.index))
+    return result
+
+
+def _take(node: Node, request: Request) -> None:
+    node.free = node.free.minus(request.need)
+    if request.high:
+        node.high += slots_of(request.need)
+    else:
+        node.low += slots_of(request.need)
+    request.zones[node.zone] = request.zones.get(node.zone, 0) + 1
+
+
+def allowed(request: Request, node: Node) -> bool:
+    """Whether the job's own rules let a task of it start on the machine."""
+    if request.types is not None and node.type not in request.types:
+        return False
+    if request.zone is not None and node.zone != request.zone:
+        return False
+    if node.spot and not request.spot:
+        return False
+    if request.one_zone and request.zones and node.zone not in request.zones:
+        return False
+    return request.zone_limit is None or request.zones.get(node.zone, 0) < request.zone_limit
+
+
+def _best(snapshot: Snapshot, request: Request) -> Node | None:
+    best: Node | None = None
+    best_score: tuple[float, ...] = ()
+    for node in snapshot.nodes:
+        if not request.need.fits(node.free):
+            continue
+        if node.index in request.shunned or not allowed(request, node):
+            continue
+        slots = node.slots or 1.0
+        score = (
+            1.0 - node.idle_slots / slots,
+            (node.high if request.high else node.low) / slots,
+            float(node.evictions if request.high else -node.evictions),
+            # Left open by the design: the image is there, then spread over zones.
+            1.0 if request.image in node.images else 0.0,
+            float(-request.zones.get(node.zone, 0)),
+        )
+        if best is None or score > best_score:
+            best, best_score = node, score
+    return best
+
+
+def may_evict(snapshot: Snapshot, request: Request, victim: Running, freed: Resources) -> bool:
+    """HP and LP are relative: a lower rank, or borrowed room when a team claims its own."""
+    if not victim.evictable:
+        return False
+    if victim.rank < request.rank and request.high:
+        return True
+    if victim.team == request.team:
+        return False
+    own, other = snapshot.teams[request.team], snapshot.teams[victim.team]
+    if not own.used.plus(request.need).fits(own.guarantee):
+        return False
+    # The other team has to stay beyond its guarantee up to this victim.
+    return not other.used.minus(freed).fits(other.guarantee)
+
+
+def _cheapest(
+    snapshot: Snapshot, request: Request, total_slots: float
+) -> tuple[Node | None, list[tuple[Running, float]]]:
+    """The machine on which room costs least, and the victims there."""
+    best: Node | None = None
+    best_cost = 0.0
+    best_victims: list[Running] = []
+    for node in snapshot.nodes:
+        if node.index in request.shunned or not allowed(request, node):
+            continue
+        victims: list[Running] = []
+        freed: dict[int, Resources] = {}
+        room = node.free
+        for candidate in node.running:
+            gone = freed.get(candidate.team, NOTHING)
+            if may_evict(snapshot, request, candidate, gone):
+                freed[candidate.team] = gone.plus(candidate.need)
+                victims.append(candidate)
+                room = room.plus(candidate.need)
+        if not victims or not request.need.fits(room):
+            continue
+        # Spare victims, the greatest waste first, while the room suffices.
+        for candidate in sorted(victims, key=lambda victim: -victim.waste):
+            if request.need.fits(room.minus(candidate.need)):
+                room = room.minus(candidate.need)
+                victims.remove(candidate)
+        cost = _cost(snapshot, victims, total_slots)
+        if best is None or cost < best_cost:
+            best, best_cost, best_victims = node, cost, victims
+    return best, [(victim, best_cost) for victim in best_victims]
+
+
+def _cost(snapshot: Snapshot, victims: list[Running], total_slots: float) -> float:
+    evicted = snapshot.evicted + len(victims)
+    rate = evicted / (snapshot.finished + evicted)
+    waste = sum(victim.waste for victim in victims)
+    return rate + snapshot.beta * waste / (total_slots * snapshot.window_s)
--- /dev/null
+++ b/badgerseam/settings.py
@@ -0,0 +1,143 @@
+"""The settings file the platform hands over, and the operators' own tunables."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+Positive = Annotated[float, Meta(gt=0)]
+Amount = Annotated[float, Meta(ge=0)]
+Count = Annotated[int, Meta(ge=1)]
+Address = Annotated[str, Meta(pattern=r"^[^:\s]+:[0-9]{1,5}$")]
+Name = Annotated[str, Meta(min_length=1)]
+
+
+class SettingsError(Exception):
+    """The settings cannot be used; the message names the field."""
+
+
+class Sibling(Struct, frozen=True):
+    node: Name
+    zone: str
+    peer_addr: Address
+
+
+class Outside(Struct, frozen=True):
+    cloud: Address
+    state: Address
+
+
+class Team(Struct, frozen=True):
+    name: Name
+    cpus: Amount
+    cpus_max: Amount
+    gpus: Amount = 0.0
+    gpus_max: Amount = 0.0
+
+
+class Objective(Struct, frozen=True):
+    kind: str
+    job_class: str | None = field(default=None, name="class")
+    share: float | None = None
+    within_s: float | None = None
+    times: float | None = None
+
+
+class WorkerParams(Struct, frozen=True):
+    report_s: Positive
+    lease_s: Positive
+    cancel_s: Positive
+
+
+class StateParams(Struct, frozen=True):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Count
+
+
+class CloudParams(Struct, frozen=True):
+    rps: Positive
+    list_lag_s: Amount
+
+
+class Params(Struct, frozen=True):
+    initial_size: Count
+    teams: list[Team]
+    workers: WorkerParams
+    state: StateParams
+    cloud: CloudParams
+    zones: list[str] = field(default_factory=list)
+    objectives: list[Objective] = field(default_factory=list)
+    time_bound_ms: Amount = 0.0
+
+
+class Settings(Struct, frozen=True):
+    node: Name
+    zone: str
+    api_addr: Address
+    cluster_listen: Address
+    outside: Outside
+    params: Params
+    siblings: list[Sibling] = field(default_factory=list)
+
+
+class Tunables(Struct, frozen=True, forbid_unknown_fields=True):
+    """Operators' own settings. Times are in seconds unless the name says otherwise."""
+
+    claim_ttl_s: Annotated[float, Meta(ge=1, le=60, description="state lease of a controller")] = (
+        4.0
+    )
+    beta: Annotated[float, Meta(ge=0, description="weight of waste in the eviction cost")] = 0.5
+    window_s: Annotated[float, Meta(gt=0, description="window of waste and evictions")] = 60.0
+    move_s: Annotated[float, Meta(gt=0, description="interval of moves between shares")] = 30.0
+    counts_s: Annotated[float, Meta(gt=0, description="interval of writing G and F")] = 10.0
+    done_delay_s: Annotated[
+        float, Meta(ge=0, le=2, description="how long finished tasks are gathered for one write")
+    ] = 0.7
+    idle_s: Annotated[float, Meta(ge=0, description="idle time before a machine is returned")] = (
+        20.0
+    )
+    margin_s: Annotated[float, Meta(ge=0.5, description="slack on every safety bound")] = 2.0
+    headroom: Annotated[
+        float, Meta(ge=0, le=1, description="share of the used slots kept free for arrivals")
+    ] = 0.15
+
+
+def load_settings(path: str) -> Settings:
+    """Read and check the settings file."""
+    try:
+        settings = msgspec.toml.decode(Path(path).read_bytes(), type=Settings)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except msgspec.DecodeError as error:
+        raise SettingsError(f"{path}: {error}") from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"{path}: not UTF-8: {error.reason}") from error
+    names = [team.name for team in settings.params.teams]
+    if len(set(names)) != len(names):
+        raise SettingsError(f"{path}: params.teams: a name is given twice")
+    workers = settings.params.workers
+    if workers.cancel_s <= workers.lease_s + 2 * workers.report_s:
+        raise SettingsError(f"{path}: params.workers.cancel_s: must be well above lease_s")
+    return settings
+
+
+def load_tunables(path: str | None) -> Tunables:
+    """Read the operators' JSON, or give the defaults."""
+    if path is None:
+        return Tunables()
+    try:
+        return msgspec.json.decode(Path(path).read_bytes(), type=Tunables)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except msgspec.DecodeError as error:
+        raise SettingsError(f"{path}: {error}") from error
+
+
+def tunables_schema() -> dict[str, Any]:
+    """The JSON Schema of the operators' settings."""
+    return msgspec.json.schema(Tunables)
--- /dev/null
+++ b/badgerseam/store/client.py
@@ -0,0 +1,152 @@
+"""Requests to the state service, with deadlines, backoff and the process's budget."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from random import Random
+from typing import TypeVar
+
+import msgspec
+
+from badgerseam.clock import Clock
+from badgerseam.http.budget import Budget
+from badgerseam.http.client import Client, NoResponse
+from badgerseam.settings import StateParams
+from badgerseam.wire import state as wire
+
+log = logging.getLogger("badgerseam.store")
+
+_T = TypeVar("_T")
+
+
+class Unavailable(Exception):
+    """The state service did not execute the request, or did not answer."""
+
+
+class Unknown(Unavailable):
+    """No response: the request may have been executed, or may be later."""
+
+
+class Refused(Exception):
+    """A condition failed; `failed` names the keys."""
+
+    def __init__(self, failed: list[str]) -> None:
+        super().__init__(", ".join(failed))
+        self.failed = failed
+
+
+class LeaseLost(Exception):
+    """The state service no longer knows the lease."""
+
+
+class TooOld(Exception):
+    """The revision to follow from is no longer kept."""
+
+
+class StateClient:
+    """One method a request of the protocol."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        http: Client,
+        address: str,
+        params: StateParams,
+        nodes: int,
+        random: Random,
+    ) -> None:
+        self._clock = clock
+        self._http = http
+        self._address = address
+        self._random = random
+        self.params = params
+        # A tenth is left over, since clocks and bursts of the siblings differ.
+        self.requests = Budget(clock, 0.9 * params.rps / nodes)
+        self.writes = Budget(clock, 0.95 * params.write_rps / nodes)
+        self.confirmed_at = -1e9
+        """Sending time of the latest request that was answered."""
+
+    async def _call(
+        self, method: str, path: str, body: bytes | None, deadline_s: float
+    ) -> tuple[int, bytes]:
+        while not self.requests.take():
+            await asyncio.sleep(self.requests.wait_s() + 0.002)
+        sent = self._clock.now()
+        try:
+            response = await self._http.request(self._address, method, path, body, deadline_s)
+        except NoResponse as error:
+            raise Unknown(str(error)) from error
+        if response.status == 429:
+            self.requests.penalize(0.1)
+            raise Unavailable("429")
+        if response.status >= 500:
+            raise Unavailable(str(response.status))
+        self.confirmed_at = max(self.confirmed_at, sent)
+        return response.status, response.body
+
+    async def get(self, key: str, deadline_s: float = 2.0) -> wire.Entry | None:
+        """The entry of a key, or None if the key does not exist."""
+        status, body = await self._call("GET", f"/keys/{key}", None, deadline_s)
+        if status == 404:
+            return None
+        return _decode(wire.entry_decoder, status, body)
+
+    async def page(self, prefix: str, after: str | None) -> wire.KeyPage:
+        """One page of the keys below a prefix."""
+        path = f"/keys?under={prefix}&limit=1000"
+        if after is not None:
+            path += f"&from={after}"
+        status, body = await self._call("GET", path, None, 5.0)
+        return _decode(wire.key_page_decoder, status, body)
+
+    async def transact(
+        self, conditions: list[wire.Condition], then: list[wire.Write], deadline_s: float = 2.0
+    ) -> int:
+        """Commit, and give the revision; Refused, Unavailable, Unknown or LeaseLost otherwise.
+
+        The caller has taken the writes from the budget.
+        """
+        body = wire.encode(wire.Transaction(conditions, then))
+        status, reply = await self._call("POST", "/txn", body, deadline_s)
+        if status == 409:
+            raise Refused(_decode(wire.committed_decoder, 200, reply).failed)
+        if status == 400 and any(write.lease is not None for write in then):
+            raise LeaseLost("transaction")
+        return _decode(wire.committed_decoder, status, reply).revision
+
+    async def grant(self, ttl_s: float) -> int:
+        """A new lease."""
+        body = b'{"ttlMs":%d}' % round(ttl_s * 1000)
+        status, reply = await self._call("POST", "/leases", body, 1.5)
+        return _decode(wire.lease_decoder, status, reply).lease
+
+    async def extend(self, lease: int, deadline_s: float) -> None:
+        """Renew a lease; LeaseLost if it has ended."""
+        status, _ = await self._call("POST", f"/leases/{lease}/extend", b"{}", deadline_s)
+        if status == 404:
+            raise LeaseLost(str(lease))
+        if status != 200:
+            raise Unavailable(f"extend: {status}")
+
+    async def follow(self, prefix: str, revision: int, wait_s: float) -> wire.Changes:
+        """The changes after a revision; TooOld if they are not kept any more."""
+        path = f"/follow?under={prefix}&from={revision}&waitMs={round(wait_s * 1000)}"
+        status, body = await self._call("GET", path, None, wait_s + 3.0)
+        if status == 410:
+            raise TooOld(str(revision))
+        return _decode(wire.changes_decoder, status, body)
+
+    async def pause(self, failures: int) -> None:
+        """Back off after that many failures in a row."""
+        base = min(0.05 * 2 ** min(failures, 5), 1.0)
+        await asyncio.sleep(base * (0.5 + self._random.random()))
+
+
+def _decode(decoder: msgspec.json.Decoder[_T], status: int, body: bytes) -> _T:
+    if status != 200:
+        raise Unavailable(f"{status}: {body[:200]!r}")
+    try:
+        return decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise Unavailable(f"undecodable: {error}") from error
--- /dev/null
+++ b/badgerseam/store/committer.py
@@ -0,0 +1,226 @@
+"""Group commit: proposals from all over the process, put into as few transactions as fit."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from badgerseam.clock import Clock
+from badgerseam.store.client import LeaseLost, Refused, StateClient, Unavailable, Unknown
+from badgerseam.wire.state import Condition, Transaction, Write, encode
+
+log = logging.getLogger("badgerseam.store")
+
+MOST_BYTES = 56 * 1024
+IN_FLIGHT = 3
+
+
+class Urgency(IntEnum):
+    """What goes first, and what leaves a part of the write budget to the others."""
+
+    CLAIM = 0
+    USER = 1
+    PLACE = 2
+    DONE = 3
+    UPKEEP = 4
+
+
+RESERVE = {
+    Urgency.CLAIM: 0.0,
+    Urgency.USER: 0.0,
+    Urgency.PLACE: 0.0,
+    Urgency.DONE: 0.15,
+    Urgency.UPKEEP: 0.4,
+}
+"""Part of the burst that an urgency leaves alone."""
+
+
+class Dropped(Exception):
+    """The proposal was no longer wanted before it was known to be committed."""
+
+
+@dataclass(slots=True, eq=False)
+class Proposal:
+    """Writes that go together, on conditions."""
+
+    urgency: Urgency
+    conditions: dict[str, int]
+    writes: list[Write]
+    future: asyncio.Future[int]
+    deadline: float | None = None
+    wanted: Callable[[], bool] | None = None
+    uncertain: bool = False
+    """Sent once without a response: a refusal may mean that it was applied."""
+    size: int = 0
+    keys: frozenset[str] = field(default_factory=frozenset)
+
+
+class Committer:
+    """Sends proposals, in order of urgency, within the write budget."""
+
+    def __init__(self, clock: Clock, state: StateClient) -> None:
+        self._clock = clock
+        self._state = state
+        self._queue: list[tuple[int, int, Proposal]] = []
+        self._order = itertools.count()
+        self._in_flight = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._failures = 0
+        self._not_before = 0.0
+
+    async def commit(
+        self,
+        urgency: Urgency,
+        conditions: dict[str, int],
+        writes: list[Write],
+        deadline_s: float | None = None,
+        wanted: Callable[[], bool] | None = None,
+    ) -> int:
+        """The revision at which the writes were applied.
+
+        Refused if a condition failed (its `uncertain` attribute tells that an earlier sending got
+        no response), Unavailable after the deadline, Dropped when no longer wanted.
+        """
+        loop = asyncio.get_running_loop()
+        proposal = Proposal(
+            urgency,
+            conditions,
+            writes,
+            loop.create_future(),
+            None if deadline_s is None else self._clock.now() + deadline_s,
+            wanted,
+        )
+        proposal.size = len(
+            encode(Transaction([Condition(k, v) for k, v in conditions.items()], writes))
+        )
+        proposal.keys = frozenset(write.put or write.delete or "" for write in writes)
+        self._push(proposal)
+        self._pump()
+        return await proposal.future
+
+    def _push(self, proposal: Proposal) -> None:
+        heapq.heappush(self._queue, (int(proposal.urgency), next(self._order), proposal))
+
+    def _pump(self) -> None:
+        while self._queue and self._in_flight < IN_FLIGHT:
+            now = self._clock.now()
+            batch = self._gather(now)
+            if not batch:
+                break
+            self._in_flight += 1
+            task = asyncio.ensure_future(self._send(batch))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        if self._queue and self._timer is None and self._in_flight < IN_FLIGHT:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(self._wait_s(), self._tick)
+
+    def _wait_s(self) -> float:
+        pause = self._not_before - self._clock.now()
+        head = self._queue[0][2]
+        budget = self._state.writes
+        need = budget.wait_s(len(head.writes), self._reserve(head.urgency))
+        return max(0.005, min(max(pause, need), 0.5))
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._pump()
+
+    def _reserve(self, urgency: Urgency) -> float:
+        return RESERVE[urgency] * self._state.writes.per_s
+
+    def _gather(self, now: float) -> list[Proposal]:
+        """Take the most urgent proposals that fit together into one transaction."""
+        params = self._state.params
+        batch: list[Proposal] = []
+        conditions: dict[str, int] = {}
+        keys: set[str] = set()
+        operations = size = 0
+        left: list[tuple[int, int, Proposal]] = []
+        while self._queue:
+            item = heapq.heappop(self._queue)
+            proposal = item[2]
+            if proposal.future.done():
+                continue
+            if proposal.wanted is not None and not proposal.wanted():
+                proposal.future.set_exception(Dropped())
+                continue
+            if proposal.deadline is not None and now >= proposal.deadline:
+                proposal.future.set_exception(Unavailable("deadline"))
+                continue
+            if now < self._not_before:
+                left.append(item)
+                continue
+            merged = conditions | proposal.conditions
+            fits = (
+                operations + len(proposal.writes) <= params.txn_ops
+                and len(merged) <= 4 * params.txn_ops
+                and size + proposal.size <= MOST_BYTES
+                and not keys & proposal.keys
+                and all(conditions.get(k, v) == v for k, v in proposal.conditions.items())
+                # A lease that has ended fails the whole transaction, so it is asked alone.
+                and not (batch and any(write.lease for write in proposal.writes))
+            )
+            if not fits or not self._state.writes.take(
+                len(proposal.writes), self._reserve(proposal.urgency)
+            ):
+                left.append(item)
+                if not fits and len(left) < 8:
+                    continue
+                break
+            batch.append(proposal)
+            conditions = merged
+            keys |= proposal.keys
+            operations += len(proposal.writes)
+            size += proposal.size
+            if any(write.lease for write in proposal.writes):
+                break
+        for item in left:
+            heapq.heappush(self._queue, item)
+        return batch
+
+    async def _send(self, batch: list[Proposal]) -> None:
+        conditions: dict[str, int] = {}
+        for proposal in batch:
+            conditions |= proposal.conditions
+        then = [write for proposal in batch for write in proposal.writes]
+        try:
+            revision = await self._state.transact(
+                [Condition(key, version) for key, version in conditions.items()], then
+            )
+        except Refused as refusal:
+            self._failures = 0
+            for proposal in batch:
+                failed = [key for key in refusal.failed if key in proposal.conditions]
+                if proposal.future.done():
+                    continue
+                if failed:
+                    proposal.future.set_exception(Refused(failed))
+                else:
+                    self._push(proposal)
+        except LeaseLost as error:
+            for proposal in batch:
+                if not proposal.future.done():
+                    proposal.future.set_exception(error)
+        except Unavailable as error:
+            for proposal in batch:
+                proposal.uncertain = proposal.uncertain or isinstance(error, Unknown)
+                self._push(proposal)
+            self._failures += 1
+            if str(error) == "429":
+                self._state.writes.penalize(0.2)
+            self._not_before = self._clock.now() + min(0.05 * 2 ** min(self._failures, 5), 1.0)
+        else:
+            self._failures = 0
+            for proposal in batch:
+                if not proposal.future.done():
+                    proposal.future.set_result(revision)
+        finally:
+            self._in_flight -= 1
+            self._pump()
--- /dev/null
+++ b/badgerseam/wire/peers.py
@@ -0,0 +1,22 @@
+"""What controllers say to one another."""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Struct
+
+
+class Give(Struct, frozen=True):
+    """The leader asks a share's owner to pass an empty machine on."""
+
+    machine: str
+    share: int
+
+
+class Given(Struct, frozen=True):
+    done: bool
+
+
+give_decoder: msgspec.json.Decoder[Give] = msgspec.json.Decoder(Give)
+given_decoder: msgspec.json.Decoder[Given] = msgspec.json.Decoder(Given)
+encode = msgspec.json.Encoder().encode
--- /dev/null
+++ b/badgerseam/wire/state.py
@@ -0,0 +1,144 @@
+"""The state service's messages, and the records this project keeps there."""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Raw, Struct, field
+
+from badgerseam.wire.users import Submission
+
+
+class Entry(Struct, frozen=True, rename={"key": "k", "value": "data", "version": "stamp"}):
+    key: str
+    value: Raw
+    version: int
+
+
+class KeyPage(Struct, frozen=True, rename={"items": "entries", "revision": "epoch"}):
+    items: list[Entry]
+    more: bool
+    revision: int
+
+
+class Change(
+    Struct,
+    frozen=True,
+    rename={"put": "set", "delete": "remove", "value": "data", "version": "stamp"},
+):
+    version: int
+    put: str | None = None
+    delete: str | None = None
+    value: Raw = Raw(b"null")
+
+
+class Changes(Struct, frozen=True, rename={"revision": "epoch", "events": "log"}):
+    revision: int
+    events: list[Change] = field(default_factory=list)
+
+
+class Condition(Struct, frozen=True, rename={"key": "k", "version": "stamp"}):
+    key: str
+    version: int
+
+
+class Write(
+    Struct,
+    frozen=True,
+    omit_defaults=True,
+    rename={"put": "set", "delete": "remove", "value": "data", "lease": "grant"},
+):
+    put: str | None = None
+    delete: str | None = None
+    value: Raw | None = None
+    lease: int | None = None
+
+
+class Transaction(Struct, frozen=True, rename={"conditions": "when", "then": "writes"}):
+    conditions: list[Condition]
+    then: list[Write]
+
+
+class Committed(Struct, frozen=True, rename={"revision": "epoch"}):
+    revision: int
+    failed: list[str] = field(default_factory=list)
+
+
+class Lease(Struct, frozen=True, rename={"lease": "grant"}):
+    lease: int
+
+
+# Records of this project. They are arrays on the wire to stay small.
+
+
+class Claim(Struct, frozen=True, array_like=True):
+    """Who holds a share, the leadership, or is simply alive, on which lease."""
+
+    node: str
+    lease: int
+
+
+class StoredJob(Struct, frozen=True, array_like=True):
+    """A job: open with its description, or ended with its number of tasks only."""
+
+    state: str
+    tasks: int
+    at: float
+    spec: Submission | None = None
+
+
+class TaskRow(Struct, frozen=True, array_like=True):
+    """A task that was tried: its number, last attempt, and the machine it may be on."""
+
+    task: int
+    attempt: int
+    machine: str | None
+
+
+class StoredTasks(Struct, frozen=True, array_like=True):
+    """One chunk of a job's tasks: finished ones as a hexadecimal bit set."""
+
+    done: str
+    rows: list[TaskRow]
+
+
+class StoredMachine(Struct, frozen=True, array_like=True):
+    """A machine and the share it serves; dropped ones wait for their release."""
+
+    share: int
+    type: str
+    zone: str
+    spot: bool
+    addr: str
+    rented: float
+    dropped: bool = False
+
+
+class StoredHire(Struct, frozen=True, array_like=True):
+    """A rental request under its unique name, persisted before it is sent."""
+
+    share: int
+    type: str
+    zone: str
+    spot: bool
+    count: int
+    at: float
+
+
+class StoredCounts(Struct, frozen=True, array_like=True):
+    """G and F of a share."""
+
+    finished: int
+    evicted: int
+
+
+encode = msgspec.json.Encoder().encode
+key_page_decoder: msgspec.json.Decoder[KeyPage] = msgspec.json.Decoder(KeyPage)
+changes_decoder: msgspec.json.Decoder[Changes] = msgspec.json.Decoder(Changes)
+committed_decoder: msgspec.json.Decoder[Committed] = msgspec.json.Decoder(Committed)
+entry_decoder: msgspec.json.Decoder[Entry] = msgspec.json.Decoder(Entry)
+lease_decoder: msgspec.json.Decoder[Lease] = msgspec.json.Decoder(Lease)
+
+
+def raw(record: object) -> Raw:
+    """A record encoded once, ready to be put into a transaction."""
+    return Raw(encode(record))
--- /dev/null
+++ b/badgerseam/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Reports, commands and fencing."""
--- /dev/null
+++ b/badgerseam/workers/control.py
@@ -0,0 +1,365 @@
+"""Workers: their reports, the commands they get, and the fencing of commands in flight."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from badgerseam.cluster.member import Member
+from badgerseam.http.client import Client, NoResponse, NotSent
+from badgerseam.http.server import Reply, error_reply
+from badgerseam.model.job import Attempt, Phase, Stage
+from badgerseam.model.machine import Machine
+from badgerseam.model.model import Model
+from badgerseam.model.resources import NOTHING
+from badgerseam.settings import Tunables
+from badgerseam.wire import workers as wire
+
+log = logging.getLogger("badgerseam.workers")
+
+DIRECT_S = 2.0
+RETRY_S = 1.0
+MOST_COMMANDS = 300
+"""Commands in one response; some 90 bytes each, well within a line of 64 KiB."""
+FAULTY_JOBS = 3
+"""A machine on which tasks of so many jobs failed is drained."""
+
+_STAGES = {"fetching": Stage.FETCHING, "running": Stage.RUNNING, "saving": Stage.SAVING}
+
+
+class Control:
+    """Acts for the machines of the shares that this controller owns."""
+
+    def __init__(
+        self,
+        model: Model,
+        member: Member,
+        http: Client,
+        tunables: Tunables,
+        changed: Callable[[], None],
+    ) -> None:
+        self._model = model
+        self._member = member
+        self._http = http
+        self._clock = model.clock
+        self._tunables = tunables
+        self._changed = changed
+        self._tasks: set[asyncio.Task[None]] = set()
+        workers = model.settings.params.workers
+        # Steady clocks differ by up to 0.05 %; the rest of the margin is for slow code.
+        self.lease_bound_s = workers.lease_s * 1.001 + tunables.margin_s
+        self._report_s = workers.report_s
+
+    # ---- reports ----
+
+    def checkin(self, body: bytes) -> Reply:
+        """Answer a worker's report."""
+        try:
+            report = wire.report_decoder.decode(body)
+        except msgspec.DecodeError:
+            return error_reply(400, "not a report")
+        model = self._model
+        with model.lock:
+            if not model.loaded:
+                return error_reply(503, "starting", 1)
+            machine = model.machine(report.machine)
+            if machine is None:
+                model.unknown[report.machine] = report
+                leader = model.leader
+                return self._redirect(None if leader is None else leader.claim.node)
+            share = model.shares[machine.share]
+            if not share.owned:
+                return self._redirect(None if share.held is None else share.held.claim.node)
+            if not self._member.entitled(share):
+                return error_reply(503, "not entitled", 1)
+            if machine.lost:
+                # Its tasks count as gone already; its lease must not be renewed.
+                return error_reply(503, "given up", 1)
+            # A worker sends one report at a time, so that a newer one tells that the commands of
+            # the response before it were either executed or given up.
+            if (report.session, report.seq) > (machine.session, machine.seq):
+                machine.response_open = False
+            fresh = self._apply(machine, report, direct=False)
+            machine.answered_at = max(machine.answered_at, self._clock.now())
+            commands = self._commands(machine, direct=False) if fresh else []
+            reply = Reply(200, wire.encode(wire.Orders(machine.token, commands)))
+        self._changed()
+        return reply
+
+    def _expired(self, machine: Machine) -> bool:
+        return self._clock.now() > machine.answered_at + self.lease_bound_s
+
+    def _redirect(self, node: str | None) -> Reply:
+        if node == self._member.node:
+            node = None
+        return Reply(421, wire.encode(wire.Redirect(node)))
+
+    def _apply(self, machine: Machine, report: wire.Report, direct: bool) -> bool:
+        """Take over a report; False if it is older than what is known.
+
+        `direct`: it came as the response to a direct command, perhaps while the response to a
+        report is still on its way to the worker with launches in it.
+        """
+        mark = (report.session, report.seq)
+        if mark <= (machine.session, machine.seq):
+            # Held back on its way: its task list is as old as it is.
+            return False
+        model = self._model
+        now = self._clock.now()
+        machine.session, machine.seq = mark
+        machine.heard_at = now
+        machine.shown_token = max(machine.shown_token, report.token)
+        machine.addr = report.addr
+        if report.notice_s is None:
+            machine.recall_at = None
+        else:
+            machine.recall_at = now + report.notice_s
+            machine.draining = True
+        current = report.token > machine.doubt
+        shown: dict[str, wire.TaskReport] = {}
+        strays = NOTHING
+        seen: set[tuple[int, int]] = set()
+        for item in report.tasks:
+            shown[item.task] = item
+            found = model.find(item.task)
+            if found is None:
+                continue
+            job, task = found
+            attempt = machine.attempts.get((job.index, task))
+            if attempt is None or attempt.number != item.attempt or attempt.finishing:
+                if item.state != "exited":
+                    strays = strays.plus(job.need)
+                continue
+            seen.add((job.index, task))
+            self._progress(machine, attempt, item, now)
+        machine.shown = shown
+        machine.strays = strays
+        for key, attempt in list(machine.attempts.items()):
+            if key in seen or attempt.finishing or attempt.stage == Stage.PLANNED:
+                continue
+            if attempt.sending or mark <= attempt.sent_mark:
+                continue
+            if direct and machine.response_open:
+                continue
+            # Not on the machine, in a report that is newer than every launch of it.
+            attempt.sent = False
+            if not current:
+                # A launch with an older token may still be in flight.
+                continue
+            if attempt.stage >= Stage.FETCHING:
+                # It was there and is gone without a word: its session has ended.
+                attempt.stage = Stage.PLACED
+            if attempt.stopping or machine.draining:
+                model.unplace(attempt)
+        return True
+
+    def _progress(
+        self, machine: Machine, attempt: Attempt, item: wire.TaskReport, now: float
+    ) -> None:
+        model = self._model
+        job = attempt.job
+        if attempt.stage == Stage.PLANNED:
+            return
+        if item.state != "exited":
+            stage = _STAGES.get(item.state, Stage.RUNNING)
+            if stage == Stage.RUNNING and attempt.stage < Stage.RUNNING:
+                attempt.started_at = now
+                machine.images.add(job.spec.image)
+                job.errors = 0
+            attempt.stage = stage
+            attempt.sent = True
+            return
+        model.kicks.add(machine.share)
+        share = model.shares[machine.share]
+        if item.why == "done":
+            if job.phase != Phase.OPEN:
+                model.unplace(attempt)
+                return
+            if job.rank < 2 and not attempt.finishing:
+                share.finished += 1
+            machine.images.add(job.spec.image)
+            machine.failed_jobs.discard(job.index)
+            model.finish(attempt, now + self._tunables.done_delay_s)
+            return
+        if item.why in ("error", "no_such", "full", "in_use"):
+            job.errors += 1
+            job.retry_at = now + min(0.25 * 2 ** min(job.errors, 7), 30.0)
+            log.debug("%s failed on %s: %s", attempt.name, machine.name, item.why)
+            if item.why == "error":
+                job.shunned.add(machine.index)
+                machine.failed_jobs.add(job.index)
+                if len(machine.failed_jobs) >= FAULTY_JOBS and not machine.draining:
+                    log.info("%s fails the tasks of many jobs: drained", machine.name)
+                    machine.draining = True
+        model.unplace(attempt)
+
+    # ---- commands ----
+
+    def _commands(self, machine: Machine, direct: bool) -> list[wire.Command]:
+        """What the worker should do now. Reaps come first: a task's old attempt is in the way."""
+        if machine.busy:
+            return []
+        model = self._model
+        commands: list[wire.Command] = []
+        mark = (machine.session, machine.seq)
+        halts: list[wire.Command] = []
+        for item in machine.shown.values():
+            found = model.find(item.task)
+            attempt = None
+            if found is not None:
+                attempt = machine.attempts.get((found[0].index, found[1]))
+                if attempt is not None and attempt.number != item.attempt:
+                    attempt = None
+            if attempt is not None and item.state != "exited":
+                continue
+            if item.state == "exited":
+                # A task that is done is reaped when that is durable; any other one when no launch
+                # of it can still be in flight, since it would start once more.
+                if (
+                    (attempt is None or not attempt.finishing)
+                    and machine.clear
+                    and not (direct and machine.response_open)
+                ):
+                    commands.append(wire.Command("reap", item.task, item.attempt))
+            else:
+                halts.append(wire.Command("halt", item.task, item.attempt, 0.0))
+        commands += halts
+        room = machine.total.minus(machine.live_use())
+        starts: list[Attempt] = []
+        for attempt in machine.attempts.values():
+            if attempt.finishing or attempt.stage == Stage.PLANNED:
+                continue
+            if attempt.stopping:
+                if attempt.stage >= Stage.FETCHING and not (attempt.stop_sent and direct):
+                    attempt.stop_sent = True
+                    commands.append(
+                        wire.Command("halt", attempt.name, attempt.number, attempt.grace_s)
+                    )
+                continue
+            if attempt.stage != Stage.PLACED or attempt.sending or attempt.sent:
+                continue
+            if attempt.job.phase == Phase.OPEN:
+                starts.append(attempt)
+        starts.sort(key=lambda attempt: (-attempt.job.rank, attempt.planned_at))
+        for attempt in starts[:MOST_COMMANDS]:
+            if not attempt.job.need.fits(room):
+                # Its victims have not left yet.
+                continue
+            room = room.minus(attempt.job.need)
+            commands.append(wire.Command("launch", attempt.name, attempt.number))
+            attempt.sent = True
+            if direct:
+                attempt.sending = True
+            else:
+                attempt.sent_mark = max(attempt.sent_mark, mark)
+                machine.response_open = True
+        return commands
+
+    def push(self, machine: Machine) -> None:
+        """Send what there is to do straight to the worker, if it can be reached."""
+        now = self._clock.now()
+        if machine.busy or machine.session == 0 or now < machine.push_after:
+            return
+        if not self._member.entitled(self._model.shares[machine.share]):
+            return
+        commands = self._commands(machine, direct=True)
+        if not commands:
+            return
+        machine.busy = True
+        task = asyncio.ensure_future(self._direct(machine, commands))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _direct(self, machine: Machine, commands: list[wire.Command]) -> None:
+        model = self._model
+        token, term, session = machine.token, machine.term, machine.session
+        body = wire.encode(wire.DirectOrders(token, session, commands))
+        report: wire.Report | None = None
+        unanswered = sent = True
+        try:
+            response = await self._http.request(machine.addr, "POST", "/do", body, DIRECT_S)
+            unanswered = False
+            if response.status in (200, 409):
+                report = wire.report_decoder.decode(response.body)
+        except NotSent:
+            unanswered = sent = False
+        except NoResponse:
+            log.debug("%s did not answer a direct command", machine.name)
+        except msgspec.DecodeError:
+            unanswered = True
+        with model.lock:
+            if machine.term != term or not model.shares[machine.share].owned:
+                return
+            machine.busy = False
+            launched = [attempt for attempt in machine.attempts.values() if attempt.sending]
+            for attempt in launched:
+                attempt.sending = False
+            if unanswered:
+                # The command may be executed at any later time. A higher token fences it as soon
+                # as the worker has shown it.
+                machine.doubt = max(machine.doubt, token)
+                machine.bump += 1
+                for attempt in launched:
+                    attempt.sent = False
+            elif not sent or report is None:
+                for attempt in launched:
+                    attempt.sent = False
+            if report is None:
+                machine.failures += 1
+                machine.push_after = self._clock.now() + RETRY_S
+            else:
+                machine.failures = 0
+                mark = (report.session, report.seq)
+                for attempt in launched:
+                    attempt.sent_mark = max(attempt.sent_mark, (report.session, report.seq - 1))
+                for command in commands:
+                    if command.op == "reap":
+                        machine.shown.pop(command.task, None)
+                self._apply(machine, report, direct=True)
+                if mark >= (machine.session, machine.seq):
+                    model.pushes.add(machine.index)
+        self._changed()
+
+    # ---- silence ----
+
+    def watch(self) -> list[Machine]:
+        """Give up machines whose leases have certainly ended; returned are those newly lost."""
+        model = self._model
+        lost = []
+        for machine in model.machines.values():
+            share = model.shares[machine.share]
+            if machine.lost or not share.owned or not self._member.entitled(share):
+                continue
+            if not self._expired(machine) or (machine.session == 0 and not machine.attempts):
+                continue
+            log.info("%s is lost with %d tasks", machine.name, len(machine.attempts))
+            machine.lost = True
+            lost.append(machine)
+            for attempt in list(machine.attempts.values()):
+                if attempt.stage != Stage.PLANNED and not attempt.finishing:
+                    model.unplace(attempt)
+        return lost
+
+    def drain(self) -> None:
+        """Stop what cannot end by itself on machines that are to be given up."""
+        model = self._model
+        now = self._clock.now()
+        for machine in model.machines.values():
+            if not machine.draining or not model.shares[machine.share].owned:
+                continue
+            for attempt in machine.attempts.values():
+                if attempt.stopping or attempt.finishing or attempt.stage == Stage.PLANNED:
+                    continue
+                spec = attempt.job.spec
+                if attempt.stage == Stage.RUNNING and machine.recall_at is not None:
+                    left = attempt.started_at + spec.estimate_s - now
+                    stays = not attempt.job.service and spec.checkpoint_s == 0
+                    if stays and now + max(left, 0.0) < machine.recall_at:
+                        continue
+                attempt.stopping = True
+                attempt.stop_sent = False
+                attempt.grace_s = spec.save_s + 1.0 if spec.checkpoint_s > 0 else 0.0
+                model.pushes.add(machine.index)
