--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import re
 
 import msgspec
@@ -18,6 +19,8 @@
 from badgerseam.wire.state import Condition
 from badgerseam.workers.control import Control
 
+log = logging.getLogger("badgerseam.api")
+
 JOB_ID = re.compile(r"job-[0-9]{1,18}")
 ROOT = "/submissions"
 GATHER_S = 0.004
@@ -138,6 +141,7 @@
         try:
             spec = wire.submission_decoder.decode(body)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            log.info("refused a submission: %s", error)
             return Reply(400, wire.status_encoder.encode({"error": str(error)[:300]}))
         model = self._model
         with model.lock:
@@ -176,7 +180,7 @@
         )
         if not fits:
             return "a task fits no allowed machine type"
-        count = spec.tasks if spec.kind == "standing" else 1
+        count = 1 if spec.kind == "sweep" else spec.tasks
         total = Resources(need.cpus * count, need.gpus * count, need.memory_gb * count)
         if not total.fits(model.teams[index].limit):
             return "more than the limit of the team"
--- a/badgerseam/fleet/demand.py
+++ b/badgerseam/fleet/demand.py
@@ -144,6 +144,7 @@
                 dict(request.zones),
                 request.shunned,
                 request.order,
+                request.gang,
             )
         )
     teams = {
--- a/badgerseam/model/job.py
+++ b/badgerseam/model/job.py
@@ -129,6 +129,11 @@
     def service(self) -> bool:
         return self.spec.kind == "standing"
 
+    @property
+    def gang(self) -> bool:
+        """Its tasks run only together."""
+        return self.spec.kind == "group"
+
     def reset(self) -> None:
         """Forget all that is not durable, before `apply` of each chunk."""
         for attempt in self.attempts.values():
@@ -153,9 +158,9 @@
         return sum(1 for attempt in self.attempts.values() if attempt.finishing)
 
     def running(self) -> int:
-        return sum(
-            1 for attempt in self.attempts.values() if attempt.stage >= Stage.RUNNING
-        ) or sum(1 for attempt in self.attempts.values() if attempt.stage == Stage.PLACED)
+        """Tasks seen running; controllers that don't own the share see placements only."""
+        stages = [attempt.stage for attempt in self.attempts.values() if not attempt.finishing]
+        return sum(stage >= Stage.RUNNING for stage in stages) or stages.count(Stage.PLACED)
 
     def next_idle(self) -> int | None:
         """A task to place, lowest number first, or None."""
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -123,7 +123,7 @@
         count = job.waiting()
         if job.errors >= 6:
             # Fails wherever it runs: one task at a time tells when that changes.
-            count = min(count, 1) if not job.attempts else 0
+            count = min(count, count if job.gang else 1) if not job.attempts else 0
         if count <= 0:
             return None
         spec = job.spec
@@ -137,7 +137,7 @@
         order = job.submitted if job.rank >= HIGH_RANK else min(deadline, job.submitted + 1e6)
         return pts.Request(
             job.index,
-            min(count, MOST_STARTS),
+            count if job.gang else min(count, MOST_STARTS),
             job.need,
             job.rank,
             job.rank >= HIGH_RANK,
@@ -151,6 +151,7 @@
             zones,
             job.shunned if len(job.shunned) < 4 else set(),
             order,
+            job.gang,
         )
 
     def run(self, share: Share) -> dict[int, int]:
--- a/badgerseam/sched/pts.py
+++ b/badgerseam/sched/pts.py
@@ -73,6 +73,8 @@
     shunned: set[int]
     order: float
     """Less goes first within a rank."""
+    gang: bool = False
+    """All of its tasks are placed, or none."""
 
 
 @dataclass(slots=True)
@@ -127,39 +129,86 @@
         ),
     )
     for request in ordered:
-        team = snapshot.teams[request.team]
-        for placed in range(request.count):
-            if not team.used.plus(request.need).fits(team.limit):
-                break
-            node = _best(snapshot, request)
-            victims: list[tuple[Running, float]] = []
-            if node is None:
-                node, victims = _cheapest(snapshot, request, total_slots)
-            if node is None:
-                result.waiting[request.job] = request.count - placed
-                break
-            for victim, cost in victims:
-                node.running.remove(victim)
-                node.free = node.free.plus(victim.need)
-                node.low = max(0.0, node.low - slots_of(victim.need))
-                node.evictions += 1
-                other = snapshot.teams[victim.team]
-                other.used = other.used.minus(victim.need)
-                snapshot.evicted += 1
-                result.stops.append((victim.key, cost))
-            _take(node, request)
-            team.used = team.used.plus(request.need)
-            result.starts.append(Start(request.job, node.index))
+        placed = _place(snapshot, request, total_slots, result)
+        if placed < request.count and _within_limit(snapshot, request):
+            result.waiting[request.job] = request.count - placed
     return result
 
 
-def _take(node: Node, request: Request) -> None:
-    node.free = node.free.minus(request.need)
+def _within_limit(snapshot: Snapshot, request: Request) -> bool:
+    team = snapshot.teams[request.team]
+    return team.used.plus(request.need).fits(team.limit)
+
+
+@dataclass(slots=True)
+class _Step:
+    """One task placed, so that a gang that does not fit whole can be taken back."""
+
+    node: Node
+    victims: list[tuple[Running, float]]
+
+
+def _place(snapshot: Snapshot, request: Request, total_slots: float, result: Plan) -> int:
+    """Place as many tasks of a request as fit; of a gang, all or none."""
+    steps: list[_Step] = []
+    team = snapshot.teams[request.team]
+    while len(steps) < request.count and _within_limit(snapshot, request):
+        node = _best(snapshot, request)
+        victims: list[tuple[Running, float]] = []
+        if node is None:
+            node, victims = _cheapest(snapshot, request, total_slots)
+        if node is None:
+            break
+        for victim, _ in victims:
+            _evict(snapshot, node, victim, 1)
+        _take(node, request, 1)
+        team.used = team.used.plus(request.need)
+        steps.append(_Step(node, victims))
+    if request.gang and len(steps) < request.count:
+        # All pods are planned before any stop; one that fails leaves everything as it was.
+        for step in reversed(steps):
+            team.used = team.used.minus(request.need)
+            _take(step.node, request, -1)
+            for victim, _ in reversed(step.victims):
+                _evict(snapshot, step.node, victim, -1)
+        return 0
+    for step in steps:
+        result.stops += [(victim.key, cost) for victim, cost in step.victims]
+        result.starts.append(Start(request.job, step.node.index))
+    return len(steps)
+
+
+def _evict(snapshot: Snapshot, node: Node, victim: Running, sign: int) -> None:
+    """Pretend that a victim has left its machine, or (-1) that it came back."""
+    other = snapshot.teams[victim.team]
+    if sign > 0:
+        node.running.remove(victim)
+        node.free = node.free.plus(victim.need)
+        other.used = other.used.minus(victim.need)
+    else:
+        node.running.append(victim)
+        node.free = node.free.minus(victim.need)
+        other.used = other.used.plus(victim.need)
+    node.low -= sign * slots_of(victim.need)
+    node.evictions += sign
+    snapshot.evicted += sign
+
+
+def _take(node: Node, request: Request, sign: int) -> None:
+    """Pretend that a task of the request is on a machine, or (-1) that it is not."""
+    if sign > 0:
+        node.free = node.free.minus(request.need)
+    else:
+        node.free = node.free.plus(request.need)
     if request.high:
-        node.high += slots_of(request.need)
+        node.high += sign * slots_of(request.need)
+    else:
+        node.low += sign * slots_of(request.need)
+    count = request.zones.get(node.zone, 0) + sign
+    if count:
+        request.zones[node.zone] = count
     else:
-        node.low += slots_of(request.need)
-    request.zones[node.zone] = request.zones.get(node.zone, 0) + 1
+        del request.zones[node.zone]
 
 
 def allowed(request: Request, node: Node) -> bool:
--- a/badgerseam/wire/users.py
+++ b/badgerseam/wire/users.py
@@ -39,7 +39,7 @@
     id: JobId
     job_class: Text
     team: Text
-    kind: Literal["sweep", "standing"]
+    kind: Literal["sweep", "standing", "group"]
     priority: Literal["production", "high", "standard", "best_effort"]
     tasks: Annotated[int, Meta(ge=1, le=100_000)]
     cpus: Amount
