--- /dev/null
+++ b/tests/test_fencing.py
@@ -0,0 +1,257 @@
+"""Rules towards workers: each test fails when the guard it names is taken out."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from badgerseam.model.job import IDLE, Phase, Stage
+from badgerseam.wire import state as wire
+from tests.stand_ins import Rig, Worker, refused, silent, verbs
+
+TASK = "job-000001/0"
+
+
+def ready() -> tuple[Rig, Worker]:
+    """A share of ours with one machine that has reported under our token."""
+    rig = Rig()
+    rig.own()
+    rig.machine()
+    worker = Worker()
+    rig.report(worker)
+    rig.report(worker)
+    return rig, worker
+
+
+def test_nothing_is_launched_before_its_placement_is_durable() -> None:
+    rig, worker = ready()
+    rig.job(pieces=1)
+    rig.plan()
+    assert verbs(rig.report(worker)) == []
+    asyncio.run(rig.settle())
+    assert verbs(rig.report(worker)) == [("launch", TASK)]
+
+
+def test_a_launch_without_an_answer_is_fenced_before_its_task_goes_elsewhere() -> None:
+    rig, worker = ready()
+    machine = rig.model.machines[0]
+    job = rig.job(pieces=1)
+    attempt = rig.model.place(job, 0, 1, machine, Stage.PLACED)
+    before = machine.token
+    rig.http.script = [silent]
+    asyncio.run(rig.push(machine))
+    late = rig.http.sent[0][2]
+    attempt.stopping = True
+    # The worker does not show the task, but the launch may still arrive.
+    response = rig.checkin(worker.body())
+    assert response["warrant"] > before
+    assert job.attempts, "the launch can still be executed"
+    worker.obey(response)
+    assert not worker.obey(late), "the worker has shown the higher token"
+    rig.report(worker)
+    assert not job.attempts
+
+
+def test_a_refused_connection_leaves_no_doubt() -> None:
+    rig, _ = ready()
+    machine = rig.model.machines[0]
+    rig.model.place(rig.job(pieces=1), 0, 1, machine, Stage.PLACED)
+    token = machine.token
+    rig.http.script = [refused]
+    asyncio.run(rig.push(machine))
+    assert machine.token == token
+    assert machine.clear
+
+
+def test_an_older_report_never_undoes_a_newer_one() -> None:
+    rig, worker = ready()
+    machine = rig.model.machines[0]
+    job = rig.job(pieces=1)
+    old = worker.body()
+    attempt = rig.running(job, 0, machine, worker)
+    rig.report(worker)
+    attempt.stopping = True
+    assert verbs(rig.checkin(old)) == []
+    assert job.attempts[0] is attempt
+    assert attempt.stage == Stage.RUNNING
+
+
+def test_absence_in_a_direct_answer_does_not_count_while_a_response_is_on_its_way() -> None:
+    # The response with the launch may take its time, while a direct command is answered: what
+    # that answer does not show may still be started.
+    rig, worker = ready()
+    machine = rig.model.machines[0]
+    job = rig.job(pieces=1)
+    attempt = rig.model.place(job, 0, 1, machine, Stage.PLACED)
+    held = rig.checkin(worker.body())
+    assert verbs(held) == [("launch", TASK)]
+    attempt.stopping = True
+    machine.shown["job-000009/0"] = msgspec.convert(
+        {"piece": "job-000009/0", "try": 1, "phase": "running"},
+        type=type(next(iter(machine.shown.values()), None)) if machine.shown else _task_report(),
+    )
+    rig.http.script = [worker.do]
+    asyncio.run(rig.push(machine))
+    assert rig.http.sent
+    assert job.attempts, "the response with the launch is still on its way"
+    worker.obey(held)
+    assert TASK in worker.tasks
+
+
+def _task_report() -> type:
+    from badgerseam.wire.workers import TaskReport
+
+    return TaskReport
+
+
+def test_done_is_durable_before_the_worker_may_reap() -> None:
+    rig, worker = ready()
+    machine = rig.model.machines[0]
+    job = rig.job(pieces=2)
+    rig.running(job, 0, machine, worker)
+    rig.report(worker)
+    worker.finish(TASK)
+    assert verbs(rig.report(worker)) == []
+    rig.clock.time += 5
+    asyncio.run(rig.settle())
+    assert verbs(rig.report(worker)) == [("reap", TASK)]
+
+
+def test_nothing_is_reaped_while_a_launch_may_be_in_flight() -> None:
+    # After a reap the worker no longer knows the attempt: a late launch would start it once more.
+    rig, worker = ready()
+    machine = rig.model.machines[0]
+    job = rig.job(pieces=2)
+    rig.running(job, 0, machine, worker)
+    worker.finish(TASK)
+    rig.report(worker)
+    rig.clock.time += 5
+    asyncio.run(rig.settle())
+    machine.doubt = machine.token
+    machine.bump += 1
+    assert verbs(rig.report(worker)) == []
+    assert verbs(rig.report(worker)) == [("reap", TASK)]
+
+
+def test_a_new_owner_does_not_believe_in_absence_before_its_token_is_shown() -> None:
+    rig = Rig()
+    machine = rig.machine()
+    job = rig.job(pieces=1)
+    rig.set(f"bs/p/{job.id}/0", wire.StoredTasks("0", [wire.TaskRow(0, 1, "m-1")]))
+    rig.claim(node="n-1", lease=9)
+    term = rig.own()
+    assert machine.token >> 24 == term
+    worker = Worker(token=5)
+    attempt = job.attempts[0]
+    attempt.stopping = True
+    rig.report(worker)
+    assert job.attempts, "a command of the owner before may still be executed"
+    rig.report(worker)
+    assert not job.attempts
+
+
+def test_a_machine_is_lost_only_after_its_lease() -> None:
+    rig, worker = ready()
+    machine = rig.model.machines[0]
+    job = rig.job(pieces=1)
+    rig.running(job, 0, machine, worker)
+    rig.report(worker)
+    rig.clock.time += 14.0
+    rig.lease()
+    assert rig.control.watch() == []
+    rig.clock.time += 3.0
+    rig.lease()
+    assert rig.control.watch() == [machine]
+    assert job.status[0] == IDLE
+    # It resumes: what it holds counts as gone, so that its lease must not be renewed.
+    assert rig.control.checkin(worker.body()).status == 503
+
+
+def test_a_new_owner_counts_the_time_an_owner_that_was_cut_off_may_go_on() -> None:
+    rig = Rig()
+    machine = rig.machine()
+    job = rig.job(pieces=1)
+    rig.set(f"bs/p/{job.id}/0", wire.StoredTasks("0", [wire.TaskRow(0, 1, "m-1")]))
+    rig.claim(node="n-1", lease=9)
+    rig.own()
+    rig.clock.time += 14.0 + rig.model.cut_bound_s
+    rig.lease()
+    assert rig.control.watch() == []
+    rig.clock.time += 3.0
+    rig.lease()
+    assert rig.control.watch() == [machine]
+
+
+def test_an_owner_that_is_cut_off_stops_answering_reports() -> None:
+    rig, worker = ready()
+    workers = rig.settings.params.workers
+    bound = rig.model.cut_bound_s
+    assert bound + workers.lease_s + 2 < workers.cancel_s
+    rig.clock.time += bound - 0.1
+    assert rig.control.checkin(worker.body()).status == 200
+    rig.clock.time += 0.2
+    assert rig.control.checkin(worker.body()).status == 503
+
+
+def test_a_moved_machine_gets_a_higher_term() -> None:
+    rig = Rig(shares=2)
+    rig.own(0)
+    rig.own(1)
+    machine = rig.machine(share=0)
+    before = machine.token
+    record = wire.StoredMachine(1, "c8", "a", False, "10.1.0.1:9000", 0.0)
+    version = rig.set("bs/m/m-1", record)
+    assert machine.share == 1
+    assert machine.token > before
+    assert machine.token >> 24 == version
+
+
+def test_a_cancelled_task_is_halted_and_counts_until_it_is_gone() -> None:
+    rig, worker = ready()
+    machine = rig.model.machines[0]
+    job = rig.job(pieces=1)
+    rig.running(job, 0, machine, worker)
+    rig.report(worker)
+    assert asyncio.run(rig.ledger.cancel(job.id)) == Phase.WITHDRAWN
+    assert rig.model.usage(job.team).cpus == 2.0
+    response = rig.report(worker)
+    assert verbs(response) == [("halt", TASK)]
+    assert rig.model.usage(job.team).cpus == 2.0
+    rig.report(worker)
+    assert rig.model.usage(job.team).cpus == 0.0
+    assert rig.model.job(job.id) is None
+
+
+def test_unknown_tasks_on_a_machine_are_halted_and_take_room() -> None:
+    rig, worker = ready()
+    machine = rig.model.machines[0]
+    job = rig.job(pieces=1)
+    worker.tasks[TASK] = {"piece": TASK, "try": 7, "phase": "running"}
+    response = rig.checkin(worker.body())
+    assert verbs(response) == [("halt", TASK)]
+    assert machine.planned_use() == job.need
+
+
+def test_a_report_to_the_wrong_node_is_redirected() -> None:
+    rig = Rig(shares=2)
+    rig.claim(1, node="n-1", lease=4)
+    rig.machine(share=1)
+    reply = rig.control.checkin(Worker().body())
+    assert (reply.status, reply.body) == (421, b'{"overseer":"n-1"}')
+
+
+def test_a_direct_command_waits_for_the_room_its_victims_leave() -> None:
+    rig, worker = ready()
+    machine = rig.model.machines[0]
+    low = rig.job(pieces=4)
+    for task in range(4):
+        rig.running(low, task, machine, worker)
+    rig.report(worker)
+    high = rig.job(job_id="job-000002", pieces=1, rank="high", cpus=4.0)
+    rig.plan()
+    asyncio.run(rig.settle())
+    assert len(high.attempts) == 1
+    response = rig.report(worker)
+    assert [verb for verb, _ in verbs(response)] == ["halt", "halt"]
+    assert ("launch", "job-000002/0") in verbs(rig.report(worker))
