--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -543,8 +543,9 @@
         """
         share.term = term
         share.releasing = False
-        self._reload(share)
+        # Owned first: cancelled jobs that linger are settled by their owner, who stops their tasks.
         share.owned = True
+        self._reload(share)
         for machine in self.machines.values():
             if machine.share == share.index:
                 self.adopt(machine, fresh=alone)
@@ -558,8 +559,12 @@
     def _reload(self, share: Share) -> None:
         for job in list(self.open_jobs[share.index].values()):
             job.reset()
-            for number in list(job.chunks):
-                self._load_chunk(job, number)
+            for number, chunk in list(job.chunks.items()):
+                if chunk.stored is None:
+                    # Its first write is on its way; if it is applied, the replica will show it.
+                    del job.chunks[number]
+                else:
+                    self._load_chunk(job, number)
             if job.finished == job.tasks and job.phase == Phase.OPEN and not job.service:
                 job.ending = True
                 self.dirty.add(job.index)
--- a/badgerseam/wire/users.py
+++ b/badgerseam/wire/users.py
@@ -8,7 +8,7 @@
 from msgspec import Meta, Struct
 
 Amount = Annotated[float, Meta(ge=0, le=1e9)]
-JobId = Annotated[str, Meta(pattern=r"^job-[0-9]{1,18}$")]
+JobId = Annotated[str, Meta(pattern=r"\Ajob-[0-9]{1,18}\Z")]
 Text = Annotated[str, Meta(min_length=1, max_length=200)]
 
 JOB_NAMES = {
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -36,6 +36,8 @@
 from badgerseam.wire.users import Submission
 from badgerseam.workers.control import Control
 
+T = TypeVar("T")
+
 TYPES = [{"sku": "c8", "cpus": 8, "memGb": 64, "price": 1.0, "spotPrice": 0.3, "setts": ["a", "b"]}]
 
 
@@ -176,7 +178,7 @@
 
     def deliver(self) -> list[list[str]]:
         """Execute the transactions that were held back; the failed keys of each."""
-        outcomes = []
+        outcomes: list[list[str]] = []
         for conditions, then in self.late:
             try:
                 self.execute(conditions, then)
@@ -205,6 +207,24 @@
         return self.script.pop(0)(message)
 
 
+def drive(clock: FakeClock, work: Coroutine[Any, Any, T], rounds: int = 3000) -> T:
+    """Run to the end while the fake clock goes on; an error if that takes too many rounds."""
+
+    async def run() -> T:
+        task = asyncio.ensure_future(work)
+        for _ in range(rounds):
+            for _ in range(5):
+                await asyncio.sleep(0)
+            if task.done():
+                return task.result()
+            await asyncio.sleep(0.001)
+            clock.time += 0.003
+        task.cancel()
+        raise AssertionError("came to no end")
+
+    return asyncio.run(run())
+
+
 def silent(message: dict[str, Any]) -> Response:
     raise NoResponse("silent")
 
@@ -253,9 +273,7 @@
                 self.tasks[name] = {"piece": name, "try": order["try"], "phase": "running"}
             elif order["verb"] == "halt" and held is not None and held["try"] == order["try"]:
                 held.update(phase="exited", cause="halted")
-            elif (
-                order["verb"] == "reap" and held is not None and held["phase"] == "exited"
-            ):
+            elif order["verb"] == "reap" and held is not None and held["phase"] == "exited":
                 del self.tasks[name]
         return True
 
@@ -365,6 +383,9 @@
     def plan(self, share: int = 0) -> dict[int, int]:
         return self.planner.run(self.model.shares[share])
 
+    def run(self, work: Coroutine[Any, Any, T]) -> T:
+        return drive(self.clock, work)
+
     async def settle(self, rounds: int = 12) -> None:
         """Let the writes that are due come to their end."""
         for _ in range(rounds):
--- /dev/null
+++ b/tests/test_api.py
@@ -0,0 +1,133 @@
+"""What users are told."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from badgerseam.api.users import Api
+from badgerseam.http.server import Reply
+from badgerseam.wire import state as wire
+from badgerseam.wire.users import Submission
+from tests.stand_ins import Rig, submission
+
+
+def api(rig: Rig) -> Api:
+    return Api(
+        rig.model,
+        rig.state,  # type: ignore[arg-type]
+        rig.ledger,
+        rig.member,
+        rig.control,
+    )
+
+
+def ask(rig: Rig, method: str, path: str, body: bytes = b"") -> tuple[int, dict[str, Any]]:
+    reply: Reply = rig.run(api(rig).handle(method, path, body))
+    return reply.status, msgspec.json.decode(reply.body)
+
+
+def encoded(spec: Submission, **changes: Any) -> bytes:
+    fields = msgspec.to_builtins(spec)
+    fields.update(changes)
+    return msgspec.json.encode({k: v for k, v in fields.items() if v != "absent"})
+
+
+def test_submit_poll_cancel() -> None:
+    rig = Rig()
+    body = encoded(submission())
+    assert ask(rig, "POST", "/submissions", body) == (201, {"id": "job-000001", "phase": "pending"})
+    assert ask(rig, "POST", "/submissions", body)[0] == 200
+    assert ask(rig, "GET", "/submissions/job-000001")[1]["phase"] == "pending"
+    answer = ask(rig, "POST", "/submissions/job-000001/abort")
+    assert answer == (200, {"id": "job-000001", "phase": "withdrawn"})
+    assert ask(rig, "POST", "/submissions", body)[1]["phase"] == "withdrawn"
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"nonsense",
+        b"[1]",
+        b"[" * 50_000,
+        b'{"id":1e999}',
+        encoded(submission(), pieces=0),
+        encoded(submission(), pieces=100_001),
+        encoded(submission(), pieces=10**30),
+        encoded(submission(), cpus="2"),
+        encoded(submission(), cpus=-1.0),
+        encoded(submission(), cpus=True),
+        encoded(submission(), id="job-1/2"),
+        encoded(submission(), id="job-000001\n"),
+        encoded(submission(), owner="absent"),
+        encoded(submission(), rank="urgent"),
+        encoded(submission(), oneZone=None),
+        encoded(submission()).replace(b'"cpus":2.0', b'"cpus":NaN'),
+        b'\xff\xfe{"id":',
+    ],
+    ids=range(18),
+)
+def test_malformed_submissions(body: bytes) -> None:
+    assert ask(Rig(), "POST", "/submissions", body)[0] == 400
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"owner": "nobody"},
+        {"cpus": 9.0},
+        {"breeds": ["other"]},
+        {"sett": "z"},
+        {"accelerators": 1.0},
+        {"shape": "standing", "pieces": 13},
+    ],
+)
+def test_submissions_that_can_never_run(changes: dict[str, Any]) -> None:
+    rig = Rig()
+    assert ask(rig, "POST", "/submissions", encoded(submission(**changes)))[0] == 422
+
+
+def test_unknown_fields_are_ignored_and_null_equals_omitted() -> None:
+    body = encoded(submission(), sett="absent", dueS=None, colour={"deep": [1]})
+    assert ask(Rig(), "POST", "/submissions", body)[0] == 201
+
+
+def test_nothing_is_decided_before_the_machine_types_are_known() -> None:
+    rig = Rig()
+    rig.model.types = {}
+    assert ask(rig, "POST", "/submissions", encoded(submission()))[0] == 503
+
+
+def test_unknown_is_said_only_after_asking_the_state_service() -> None:
+    rig = Rig()
+    assert ask(rig, "GET", "/submissions/job-000009")[0] == 404
+    rig.state.put("bs/j/job-000009", wire.StoredJob("open", 4, 0.0, submission("job-000009")))
+    assert ask(rig, "GET", "/submissions/job-000009")[0] == 200
+    rig.state.down = True
+    assert ask(rig, "GET", "/submissions/job-000010")[0] == 503
+
+
+def test_a_node_that_lags_gives_no_older_answer_than_another() -> None:
+    rig = Rig()
+    rig.job()
+    rig.state.put("bs/j/job-000001", wire.StoredJob("done", 4, 0.0))
+    # The replica has not seen it yet.
+    assert ask(rig, "GET", "/submissions/job-000001")[1]["phase"] == "done"
+
+
+def test_a_node_that_cannot_confirm_gives_no_answer() -> None:
+    rig = Rig()
+    rig.job()
+    rig.state.down = True
+    assert ask(rig, "GET", "/submissions/job-000001")[0] == 503
+    assert ask(rig, "POST", "/submissions/job-000001/abort")[0] == 503
+
+
+def test_an_accepted_job_gets_its_state_even_if_it_would_be_refused_today() -> None:
+    rig = Rig()
+    body = encoded(submission(cpus=9.0))
+    rig.state.put("bs/j/job-000001", wire.StoredJob("open", 4, 0.0, submission(cpus=9.0)))
+    assert ask(rig, "POST", "/submissions", body)[0] == 200
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -8,7 +8,7 @@
 
 from badgerseam.model.job import IDLE, Phase, Stage
 from badgerseam.wire import state as wire
-from tests.stand_ins import Rig, Worker, refused, silent, verbs
+from tests.stand_ins import Rig, Worker, refused, silent, submission, verbs
 
 TASK = "job-000001/0"
 
@@ -223,6 +223,22 @@
     assert rig.model.job(job.id) is None
 
 
+def test_a_new_owner_halts_what_was_cancelled_before_it_came() -> None:
+    # Found by a hunt: a cancellation just before a restart was read at the start, and its tasks
+    # ran on.
+    rig = Rig()
+    rig.machine()
+    spec = submission(pieces=1)
+    rig.model.begin_load()
+    rig.set("bs/j/job-000001", wire.StoredJob("withdrawn", 1, 0.0, spec))
+    rig.set("bs/p/job-000001/0", wire.StoredTasks("0", [wire.TaskRow(0, 1, "m-1")]))
+    rig.model.end_load(rig.state.revision, set(rig.state.data))
+    rig.own()
+    worker = Worker()
+    worker.tasks[TASK] = {"piece": TASK, "try": 1, "phase": "running"}
+    assert verbs(rig.report(worker)) == [("halt", TASK)]
+
+
 def test_unknown_tasks_on_a_machine_are_halted_and_take_room() -> None:
     rig, worker = ready()
     machine = rig.model.machines[0]
--- /dev/null
+++ b/tests/test_pts.py
@@ -0,0 +1,151 @@
+"""PTS against the paper's criteria, on snapshots written by hand."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.sched import pts
+
+INF = float("inf")
+
+
+def node(index: int, total: float = 8, used: float = 0, **fields: Any) -> pts.Node:
+    size = Resources(total, 0, 64)
+    given: dict[str, Any] = {
+        "type": "c8",
+        "zone": "a",
+        "spot": False,
+        "high": 0.0,
+        "low": 0.0,
+        "evictions": 0,
+        "images": set(),
+        **fields,
+    }
+    return pts.Node(index, total=size, free=size.minus(Resources(used, 0, 0)), **given)
+
+
+def request(
+    job: int = 0, count: int = 1, cpus: float = 2, high: bool = True, **fields: Any
+) -> pts.Request:
+    given: dict[str, Any] = {
+        "rank": 2 if high else 1,
+        "team": 0,
+        "types": None,
+        "zone": None,
+        "one_zone": False,
+        "zone_limit": None,
+        "spot": True,
+        "image": "img",
+        "zones": {},
+        "shunned": set(),
+        "order": float(job),
+        **fields,
+    }
+    return pts.Request(job, count, Resources(cpus, 0, 1), high=high, **given)
+
+
+def victim(task: int, waste: float, cpus: float = 2, **fields: Any) -> pts.Running:
+    given: dict[str, Any] = {"rank": 1, "team": 0, "evictable": True, **fields}
+    return pts.Running((9, task), Resources(cpus, 0, 1), waste=waste, **given)
+
+
+def snapshot(nodes: list[pts.Node], *requests: pts.Request, **fields: Any) -> pts.Snapshot:
+    room = Resources(INF, INF, INF)
+    teams = fields.pop("teams", {0: pts.TeamUse(NOTHING, room, room)})
+    given: dict[str, Any] = {
+        "finished": 10,
+        "evicted": 0,
+        "beta": 0.5,
+        "window_s": 60.0,
+        **fields,
+    }
+    return pts.Snapshot(nodes, list(requests), teams, **given)
+
+
+def placed(plan: pts.Plan) -> list[int]:
+    return [start.node for start in plan.starts]
+
+
+def test_the_fullest_machine_that_fits_goes_first() -> None:
+    nodes = [node(0, used=2), node(1, used=5), node(2, used=7)]
+    assert placed(pts.plan(snapshot(nodes, request()))) == [1]
+
+
+def test_equal_fullness_falls_to_the_class_share_then_to_evictions() -> None:
+    nodes = [node(0, used=4, low=4), node(1, used=4, high=4)]
+    assert placed(pts.plan(snapshot(nodes, request(high=True)))) == [1]
+    nodes = [node(0, used=4, low=4), node(1, used=4, high=4)]
+    assert placed(pts.plan(snapshot(nodes, request(high=False)))) == [0]
+    nodes = [node(0, used=4, evictions=1), node(1, used=4, evictions=3)]
+    assert placed(pts.plan(snapshot(nodes, request(high=True)))) == [1]
+    nodes = [node(0, used=4, evictions=1), node(1, used=4, evictions=3)]
+    assert placed(pts.plan(snapshot(nodes, request(high=False)))) == [0]
+
+
+def test_an_image_breaks_a_tie_that_the_design_leaves_open() -> None:
+    nodes = [node(0), node(1, images={"img"})]
+    assert placed(pts.plan(snapshot(nodes, request()))) == [1]
+
+
+def test_low_priority_waits_and_never_evicts_its_own_team() -> None:
+    full = node(0, used=8, low=8, running=[victim(0, 1.0, rank=0)])
+    result = pts.plan(snapshot([full], request(high=False, rank=1)))
+    assert (result.starts, result.stops, result.waiting) == ([], [], {0: 1})
+
+
+def test_high_priority_evicts_where_it_costs_least_and_spares_the_greatest_waste() -> None:
+    cheap = node(0, used=8, low=8, running=[victim(0, 50.0), victim(1, 4.0), victim(2, 6.0)])
+    dear = node(1, used=8, low=8, running=[victim(3, 20.0), victim(4, 30.0)])
+    result = pts.plan(snapshot([dear, cheap], request(cpus=4)))
+    assert placed(result) == [0]
+    assert sorted(key for key, _ in result.stops) == [(9, 1), (9, 2)]
+
+
+def test_the_cost_is_the_papers() -> None:
+    full = node(0, total=10, used=10, low=10, running=[victim(0, 12.0)])
+    result = pts.plan(snapshot([full], request(), finished=6, evicted=2))
+    [(_, cost)] = result.stops
+    assert abs(cost - (3 / 9 + 0.5 * 12.0 / (10 * 60.0))) < 1e-9
+
+
+def test_a_gang_is_planned_whole_or_not_at_all() -> None:
+    full = node(0, used=8, low=8, running=[victim(0, 1.0), victim(1, 1.0)])
+    gang = request(count=3, gang=True)
+    result = pts.plan(snapshot([full], gang))
+    assert (result.starts, result.stops) == ([], [])
+    assert result.waiting == {0: 3}
+    assert len(full.running) == 2
+    assert full.idle_slots == 0
+
+
+def test_a_team_gets_its_guarantee_back_from_one_that_borrows() -> None:
+    teams = {
+        0: pts.TeamUse(NOTHING, Resources(4, 0, INF), Resources(8, 0, INF)),
+        1: pts.TeamUse(Resources(8, 0, 8), Resources(6, 0, INF), Resources(8, 0, INF)),
+    }
+    lender = node(0, used=8, low=8, running=[victim(t, 1.0, team=1, rank=3) for t in range(4)])
+    result = pts.plan(snapshot([lender], request(count=3, high=False, rank=0), teams=teams))
+    # Only what the other team has beyond its own guarantee is given back.
+    assert len(result.stops) == 1
+    assert len(result.starts) == 1
+
+
+def test_a_teams_limit_holds_whatever_the_room() -> None:
+    teams = {0: pts.TeamUse(Resources(5, 0, 0), NOTHING, Resources(9, 0, INF))}
+    result = pts.plan(snapshot([node(0, total=100)], request(count=10), teams=teams))
+    assert len(result.starts) == 2
+    assert result.waiting == {}
+
+
+def test_zones_types_and_spot_permission_are_kept() -> None:
+    nodes = [node(0, zone="a"), node(1, zone="b", spot=True), node(2, zone="b", type="big")]
+    assert placed(pts.plan(snapshot(nodes, request(zone="b", spot=False)))) == [2]
+    spread = request(count=4, zone_limit=2)
+    zones = [nodes[index].zone for index in placed(pts.plan(snapshot(nodes[:2], spread)))]
+    assert sorted(zones) == ["a", "a", "b", "b"]
+    nodes = [node(0, total=4, zone="a"), node(1, total=4, zone="b")]
+    one = request(count=4, one_zone=True)
+    assert len({nodes[index].zone for index in placed(pts.plan(snapshot(nodes, one)))}) == 1
+    only = request(types=frozenset({"big"}))
+    assert placed(pts.plan(snapshot([node(0), node(1, type="big")], only))) == [1]
