--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -34,6 +34,7 @@
 TYPES_S = 20.0
 NO_CAPACITY_S = 10.0
 MOST_AT_ONCE = 12
+MOST_HOSTS = 50
 NOT_WRITTEN = (Refused, Unavailable, Dropped, LeaseLost)
 
 Mover = Callable[[Machine, int], Awaitable[bool]]
@@ -70,10 +71,11 @@
         self._moving: set[str] = set()
         self._missing: dict[str, int] = {}
         self._adopting: dict[str, tuple[int, float]] = {}
-        self._asking: dict[str, tuple[wire.StoredHire, float]] = {}
+        self._asking: dict[str, wire.StoredHire] = {}
         self._serial = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._moved_at = -1e9
+        self._list_pause_s = 1.5
 
     def _spawn(self, work: Awaitable[object]) -> None:
         async def guarded() -> None:
@@ -129,7 +131,9 @@
     async def keep_list(self) -> None:
         """Compare the cloud's list with our records."""
         params = self._model.settings.params.cloud
-        pause = max(1.5, 3.0 / params.rps)
+        # Renting needs the calls more than a list that lags behind anyway.
+        pause = max(1.5, params.list_lag_s, 4.0 / params.rps)
+        self._list_pause_s = pause
         while True:
             if self._member.is_leader and self._model.loaded:
                 asked = self._clock.wall()
@@ -191,7 +195,7 @@
                     missed = self._missing.get(machine.name, 0) + 1
                     self._missing[machine.name] = missed
                     # A list may be older than the one before, by up to twice the lag.
-                    if missed * 1.5 > lag:
+                    if missed * self._list_pause_s > 2 * lag:
                         log.info("%s is not listed any more", machine.name)
                         release.append(machine.name)
         self._release(release)
@@ -285,21 +289,21 @@
             snapshots = [self._snapshot(share, now) for share in model.shares]
             blocked = {offer for offer, until in self._blocked.items() if until > now}
             choices = options(model.types, blocked)
+            asked: dict[Offer, list[int]] = {}
             for share, snapshot in zip(model.shares, snapshots, strict=True):
                 if not snapshot.requests or self._starting(share):
                     continue
                 rents = shortfall(snapshot, choices, MOST_AT_ONCE)
                 if not rents:
                     continue
-                rents = rents[: self._moves(share, snapshots, rents, now)]
-                grouped: dict[Offer, int] = {}
-                for offer, _ in rents:
-                    grouped[offer] = grouped.get(offer, 0) + 1
-                for offer, count in grouped.items():
-                    self._ask(share, offer, count, now)
+                for offer, _ in rents[: self._moves(share, snapshots, rents, now)]:
+                    asked.setdefault(offer, []).append(share.index)
+            # One request an offer for all shares: the cloud allows few.
+            for offer, shares in asked.items():
+                self._ask(shares[:MOST_HOSTS], offer)
 
     def _starting(self, share: Share) -> bool:
-        return any(hire.share == share.index for hire, _ in self._asking.values())
+        return any(share.index in hire.shares for hire in self._asking.values())
 
     def _snapshot(self, share: Share, now: float) -> pts.Snapshot:
         """A share's machines as the records have them, those on their way included."""
@@ -316,12 +320,11 @@
                 continue
             snapshot.nodes.append(self._planner.node(machine, now))
         for hire, _ in model.hires.values():
-            if hire.share == share.index:
-                offer = Offer(hire.type, hire.zone, hire.spot)
-                for _ in range(hire.count):
-                    node = virtual_node(model.types, offer, -1000 - len(snapshot.nodes))
-                    if node is not None:
-                        snapshot.nodes.append(node)
+            offer = Offer(hire.type, hire.zone, hire.spot)
+            for _ in range(hire.shares.count(share.index)):
+                node = virtual_node(model.types, offer, -1000 - len(snapshot.nodes))
+                if node is not None:
+                    snapshot.nodes.append(node)
         for node in snapshot.nodes:
             node.running.clear()
         return snapshot
@@ -360,7 +363,7 @@
 
     # ---- renting ----
 
-    def _ask(self, share: Share, offer: Offer, count: int, now: float) -> None:
+    def _ask(self, shares: list[int], offer: Offer) -> None:
         lease = self._member.lease
         held = self._model.leader
         if lease is None or held is None:
@@ -369,9 +372,9 @@
         # The lease's number makes the name one that no other process has used.
         name = f"{self._member.node}-{lease}-{self._serial}"
         hire = wire.StoredHire(
-            share.index, offer.type, offer.zone, offer.spot, count, round(self._clock.wall(), 1)
+            shares, offer.type, offer.zone, offer.spot, round(self._clock.wall(), 1)
         )
-        self._asking[name] = (hire, now)
+        self._asking[name] = hire
         self._hiring.add(name)
         self._spawn(self._persist(name, hire, held.version))
 
@@ -398,7 +401,8 @@
     async def _hire(self, name: str, hire: wire.StoredHire) -> None:
         """Repeat a persisted request until it is answered."""
         offer = Offer(hire.type, hire.zone, hire.spot)
-        request = cloud_wire.Rent(name, hire.type, hire.zone, hire.spot, hire.count)
+        count = len(hire.shares)
+        request = cloud_wire.Rent(name, hire.type, hire.zone, hire.spot, count)
         pause = 0.5
         try:
             while self._member.is_leader:
@@ -416,24 +420,27 @@
             else:
                 return
             log.info(
-                "hire %s: %d of %d %s in %s%s for share %d",
+                "hire %s: %d of %d %s in %s%s for shares %s",
                 name,
                 len(names),
-                hire.count,
+                count,
                 hire.type,
                 hire.zone,
                 " (spot)" if hire.spot else "",
-                hire.share,
+                hire.shares,
             )
-            if len(names) < hire.count:
+            if len(names) < count:
                 self._blocked[offer] = self._clock.now() + NO_CAPACITY_S
-            record = wire.StoredMachine(hire.share, hire.type, hire.zone, hire.spot, "", hire.at)
+            records = {
+                machine: wire.StoredMachine(share, hire.type, hire.zone, hire.spot, "", hire.at)
+                for machine, share in zip(names, hire.shares, strict=False)
+            }
             while self._member.is_leader:
                 # Some may have been adopted already, from a report or the list. Their records must
                 # not be overwritten: work may have been placed on them.
                 with self._model.lock:
-                    fresh = [n for n in names if self._model.machine(n) is None]
-                if await self._record({n: record for n in fresh}, name):
+                    fresh = {n: r for n, r in records.items() if self._model.machine(n) is None}
+                if await self._record(fresh, name):
                     break
                 await asyncio.sleep(0.3)
         finally:
--- a/badgerseam/wire/state.py
+++ b/badgerseam/wire/state.py
@@ -116,11 +116,11 @@
 class StoredHire(Struct, frozen=True, array_like=True):
     """A rental request under its unique name, persisted before it is sent."""
 
-    share: int
+    shares: list[int]
+    """The share each machine is meant for, the most urgent first."""
     type: str
     zone: str
     spot: bool
-    count: int
     at: float
 
 
