The leader pools empty machines, moves them at once, and keeps a reserve learned from arrivals

Now moves go out each 0.2 s (an open parameter), a new owner inspects a machine at once, and free room of one standard deviation of the arrivals during a boot is kept for classes that should start sooner than a boot.

--- a/badgerseam/cluster/peers.py
+++ b/badgerseam/cluster/peers.py
@@ -36,7 +36,7 @@
         except msgspec.DecodeError:
             return error_reply(400, "not a request to give")
         machine = self._model.machine(give.machine)
-        if machine is None or not 0 <= give.share < len(self._model.shares):
+        if machine is None or not -1 <= give.share < len(self._model.shares):
             return Reply(200, wire.encode(wire.Given(False)))
         done = await self._returns.give(machine, give.share)
         return Reply(200, wire.encode(wire.Given(done)))
--- a/badgerseam/fleet/demand.py
+++ b/badgerseam/fleet/demand.py
@@ -39,18 +39,16 @@
     return found
 
 
-def shortfall(
-    snapshot: pts.Snapshot, choices: list[Option], most: int
-) -> list[tuple[Offer, set[int]]]:
-    """What to rent for the requests of a snapshot that find no room, with the jobs it is for.
+def shortfall(snapshot: pts.Snapshot, choices: list[Option], most: int) -> list[Offer]:
+    """What to rent for the requests of a snapshot that find no room; it is added to the snapshot.
 
     The snapshot's machines include those that are on their way. New ones are chosen by the price
     of a slot that will be used.
     """
-    rented: list[tuple[Offer, set[int]]] = []
+    rented: list[Offer] = []
     added = 0
     for _ in range(most):
-        trial = _copy(snapshot)
+        trial = copy_snapshot(snapshot)
         result = pts.plan(trial)
         if not result.waiting:
             break
@@ -79,8 +77,7 @@
         added += 1
         node = _virtual(best[2], -1 - added)
         snapshot.nodes.append(node)
-        jobs = {request.job for request, _ in wanted if pts.allowed(request, node)}
-        rented.append((best[2].offer, jobs))
+        rented.append(best[2].offer)
     return rented
 
 
@@ -109,7 +106,7 @@
     return _virtual(Option(offer, total, entry.price), index)
 
 
-def _copy(snapshot: pts.Snapshot) -> pts.Snapshot:
+def copy_snapshot(snapshot: pts.Snapshot) -> pts.Snapshot:
     """A snapshot to plan on without changing the original; nobody is evicted on it."""
     return replace(
         snapshot,
--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -8,8 +8,9 @@
 from random import Random
 
 from badgerseam.cluster.member import Member
+from badgerseam.fleet import policy
 from badgerseam.fleet.cloud import Cloud, CloudTrouble, NoCapacity
-from badgerseam.fleet.demand import Offer, options, shortfall, virtual_node
+from badgerseam.fleet.demand import Offer, options, virtual_node
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import (
     LEADER_KEY,
@@ -30,7 +31,13 @@
 
 log = logging.getLogger("badgerseam.fleet")
 
-ROUND_S = 0.5
+ROUND_S = 0.25
+MINIMUM_S = 60.0
+"""The least that a machine is charged for."""
+BOOT_SPREAD = 1.5
+"""How much longer than stated a boot usually takes at most."""
+DROP = -1
+"""Where a machine is moved that is to be released."""
 TYPES_S = 20.0
 NO_CAPACITY_S = 10.0
 MOST_AT_ONCE = 12
@@ -75,6 +82,13 @@
         self._serial = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._moved_at = -1e9
+        self._waits = {
+            objective.job_class: objective.within_s
+            for objective in model.settings.params.objectives
+            if objective.kind == "wait"
+            and objective.job_class is not None
+            and objective.within_s is not None
+        }
         self._list_pause_s = 1.5
 
     def _spawn(self, work: Awaitable[object]) -> None:
@@ -286,24 +300,49 @@
                     self._hiring.add(name)
                     self._spawn(self._hire(name, hire))
             self._release([m.name for m in model.machines.values() if m.dropped])
-            snapshots = [self._snapshot(share, now) for share in model.shares]
-            blocked = {offer for offer, until in self._blocked.items() if until > now}
-            choices = options(model.types, blocked)
-            asked: dict[Offer, list[int]] = {}
-            for share, snapshot in zip(model.shares, snapshots, strict=True):
-                if not snapshot.requests or self._starting(share):
-                    continue
-                rents = shortfall(snapshot, choices, MOST_AT_ONCE)
-                if not rents:
-                    continue
-                for offer, _ in rents[: self._moves(share, snapshots, rents, now)]:
-                    asked.setdefault(offer, []).append(share.index)
-            # One request an offer for all shares: the cloud allows few.
-            for offer, shares in asked.items():
-                self._ask(shares[:MOST_HOSTS], offer)
+            self._decide(now)
 
-    def _starting(self, share: Share) -> bool:
-        return any(share.index in hire.shares for hire in self._asking.values())
+    def _decide(self, now: float) -> None:
+        model = self._model
+        tunables = self._tunables
+        snapshots = [self._snapshot(share, now) for share in model.shares]
+        empty = set()
+        idle = set()
+        for machine in model.machines.values():
+            if machine.attempts or machine.name in self._moving:
+                continue
+            empty.add(machine.index)
+            # The first minute is paid for in any case.
+            old = self._clock.wall() - machine.rented >= MINIMUM_S
+            if old and now - machine.idle_since >= tunables.idle_s:
+                idle.add(machine.index)
+        boot_s = BOOT_SPREAD * max((entry.boot_s for entry in model.types.values()), default=30.0)
+        kept = policy.reserves(
+            model.arrivals,
+            self._waits,
+            boot_s,
+            now,
+            tunables.arrivals_s,
+            tunables.reserve_spread,
+        )
+        blocked = {offer for offer, until in self._blocked.items() if until > now}
+        choices = options(model.types, blocked)
+        if now - self._moved_at < tunables.move_s:
+            empty.clear()
+        decisions = policy.decide(snapshots, empty, idle, kept, choices, MOST_AT_ONCE)
+        for index, share in decisions.moves:
+            self._moved_at = now
+            self._start_move(model.machines[index], share)
+        for index in decisions.surplus:
+            machine = model.machines[index]
+            if not machine.dropped:
+                self._start_move(machine, DROP)
+        asked: dict[Offer, list[int]] = {}
+        for offer, share in decisions.rents:
+            asked.setdefault(offer, []).append(share)
+        # One request an offer for all shares: the cloud allows few.
+        for offer, shares in asked.items():
+            self._ask(shares[:MOST_HOSTS], offer)
 
     def _snapshot(self, share: Share, now: float) -> pts.Snapshot:
         """A share's machines as the records have them, those on their way included."""
@@ -313,50 +352,31 @@
         for machine in model.machines.values():
             if machine.share != share.index or machine.index in known:
                 continue
-            if machine.dropped or machine.lost or machine.draining:
+            if machine.dropped or machine.lost or machine.draining or machine.name in self._moving:
                 continue
             if share.owned and machine.session > 0:
                 # Ours, and not usable now.
                 continue
             snapshot.nodes.append(self._planner.node(machine, now))
-        for hire, _ in model.hires.values():
+        hires = {name: hire for name, (hire, _) in model.hires.items()} | self._asking
+        for hire in hires.values():
             offer = Offer(hire.type, hire.zone, hire.spot)
             for _ in range(hire.shares.count(share.index)):
                 node = virtual_node(model.types, offer, -1000 - len(snapshot.nodes))
                 if node is not None:
                     snapshot.nodes.append(node)
-        for node in snapshot.nodes:
-            node.running.clear()
         return snapshot
 
-    def _moves(
-        self,
-        share: Share,
-        snapshots: list[pts.Snapshot],
-        rents: list[tuple[Offer, set[int]]],
-        now: float,
-    ) -> int:
-        """Have idle machines of other shares moved here instead; how many rents are left."""
-        if now - self._moved_at < self._tunables.move_s:
-            return len(rents)
-        left = len(rents)
-        for other, snapshot in zip(self._model.shares, snapshots, strict=True):
-            if other is share or snapshot.requests:
-                continue
-            for node in snapshot.nodes:
-                machine = self._model.machines.get(node.index)
-                if left == 0 or machine is None or machine.attempts or machine.name in self._moving:
-                    continue
-                self._moved_at = now
-                left -= 1
-                self._moving.add(machine.name)
-                self._spawn(self._move(machine, share.index))
-        return left
+    def _start_move(self, machine: Machine, share: int) -> None:
+        self._moving.add(machine.name)
+        self._spawn(self._move(machine, share))
 
     async def _move(self, machine: Machine, share: int) -> None:
         try:
-            moved = await self._mover(machine, share)
-            if moved:
+            if not await self._mover(machine, share):
+                # Not empty, or its owner does not answer; seen anew after a while.
+                await asyncio.sleep(2.0)
+            elif share != DROP:
                 log.info("%s moved to share %d", machine.name, share)
         finally:
             self._moving.discard(machine.name)
@@ -485,13 +505,10 @@
 class Returns:
     """An owner's part: giving up machines of its shares, or passing them on."""
 
-    def __init__(
-        self, model: Model, committer: Committer, planner: Planner, tunables: Tunables
-    ) -> None:
+    def __init__(self, model: Model, committer: Committer, planner: Planner) -> None:
         self._model = model
         self._committer = committer
         self._planner = planner
-        self._tunables = tunables
 
     async def rewrite(self, machine: Machine, share: int, dropped: bool) -> bool:
         """Write a machine's record anew, on condition that we still own its share."""
@@ -528,8 +545,10 @@
         with self._model.lock:
             if not self._empty(machine):
                 return False
-            machine.draining = True
-        done = await self.rewrite(machine, share, dropped=False)
+            machine.draining = machine.giving = True
+        drop = share == DROP
+        done = await self.rewrite(machine, machine.share if drop else share, dropped=drop)
+        machine.giving = False
         if not done:
             machine.draining = False
         return done
@@ -543,25 +562,23 @@
             and self._planner.free_of_work(machine)
         )
 
-    def idle(self, waiting: dict[int, dict[int, int]]) -> list[Machine]:
-        """Machines of owned shares to be returned: unused for long, or drained."""
+    def finished(self) -> list[Machine]:
+        """Machines of owned shares that are to be released: lost, or drained and empty."""
         model = self._model
-        now = model.clock.now()
-        found = []
-        for machine in model.machines.values():
-            if not model.shares[machine.share].owned or machine.dropped or machine.returning:
-                continue
-            if machine.lost:
-                found.append(machine)
-                continue
-            if not self._planner.free_of_work(machine):
-                continue
-            if machine.draining:
-                if machine.recall_at is None and machine.session > 0:
-                    found.append(machine)
-                continue
-            if machine.session == 0:
-                continue
-            if not waiting.get(machine.share) and now - machine.idle_since > self._tunables.idle_s:
-                found.append(machine)
-        return found
+        return [
+            machine
+            for machine in model.machines.values()
+            if model.shares[machine.share].owned
+            and not machine.dropped
+            and not machine.returning
+            and (
+                machine.lost
+                or (
+                    machine.draining
+                    and machine.recall_at is None
+                    and machine.session > 0
+                    and not machine.giving
+                    and self._planner.free_of_work(machine)
+                )
+            )
+        ]
--- /dev/null
+++ b/badgerseam/fleet/policy.py
@@ -0,0 +1,200 @@
+"""What the leader should do about the machines: a pure function over the shares' snapshots."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from dataclasses import dataclass, field, replace
+
+from badgerseam.fleet.demand import Offer, Option, copy_snapshot, shortfall
+from badgerseam.model.model import Arrival
+from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.sched import pts
+
+ENDLESS = Resources(math.inf, math.inf, math.inf)
+
+
+@dataclass(slots=True)
+class Reserve:
+    """Room to be kept for a class whose tasks should start sooner than a machine boots."""
+
+    tasks: int
+    need: Resources
+    rank: int
+    spot: bool
+    share: int
+    """Where most of the class arrives."""
+
+
+@dataclass(slots=True)
+class Decisions:
+    moves: list[tuple[int, int]] = field(default_factory=list)
+    """Machines to be passed on, with the share that needs them."""
+    rents: list[tuple[Offer, int]] = field(default_factory=list)
+    surplus: list[int] = field(default_factory=list)
+    """Empty machines that nothing needs."""
+
+
+def reserves(
+    arrivals: deque[Arrival],
+    waits: dict[str, float],
+    boot_s: float,
+    now: float,
+    window_s: float,
+    spread: float,
+) -> list[Reserve]:
+    """How much room the arrivals of the last while call for, by class.
+
+    Departures make up for the mean of the arrivals; what is kept is `spread` standard deviations
+    of the tasks that arrive while a machine boots, as if jobs came at random.
+    """
+    found = []
+    for job_class, wait_s in waits.items():
+        if wait_s >= boot_s:
+            continue
+        recent = [a for a in arrivals if a.job_class == job_class and now - a.at <= window_s]
+        if not recent:
+            continue
+        squares = sum(arrival.tasks**2 for arrival in recent)
+        deviation = math.sqrt(squares * boot_s / window_s)
+        by_share: dict[int, int] = {}
+        for arrival in recent:
+            by_share[arrival.share] = by_share.get(arrival.share, 0) + arrival.tasks
+        last = recent[-1]
+        found.append(
+            Reserve(
+                math.ceil(spread * deviation),
+                last.need,
+                last.rank,
+                last.spot,
+                max(by_share, key=lambda share: by_share[share]),
+            )
+        )
+    return found
+
+
+def decide(
+    snapshots: list[pts.Snapshot],
+    empty: set[int],
+    idle: set[int],
+    kept: list[Reserve],
+    choices: list[Option],
+    most: int,
+) -> Decisions:
+    """Moves first, then rents for waiting work, then the reserve; what is left over is surplus.
+
+    `empty`: machines with nothing on them; `idle`: those that have been so for long enough.
+    """
+    result = Decisions()
+    trials = []
+    for snapshot in snapshots:
+        trial = copy_snapshot(snapshot)
+        trials.append((trial, pts.plan(trial).waiting))
+    spare = _spare(snapshots, trials, empty)
+    order = sorted(
+        range(len(snapshots)),
+        key=lambda index: -max((request.rank for request in snapshots[index].requests), default=-1),
+    )
+    for index in order:
+        snapshot = snapshots[index]
+        if not trials[index][1]:
+            continue
+        for node, origin in list(spare.items()):
+            trial, waiting = trials[index]
+            if origin[0] == index or len(result.moves) >= most:
+                continue
+            wanted = [r for r in trial.requests if r.job in waiting and pts.allowed(r, origin[1])]
+            if not wanted:
+                continue
+            del spare[node]
+            snapshots[origin[0]].nodes.remove(origin[1])
+            snapshot.nodes.append(origin[1])
+            result.moves.append((node, index))
+            trial = copy_snapshot(snapshot)
+            trials[index] = (trial, pts.plan(trial).waiting)
+            if not trials[index][1]:
+                break
+        if trials[index][1]:
+            added = shortfall(snapshot, choices, most)
+            result.rents += [(offer, index) for offer in added]
+            trial = copy_snapshot(snapshot)
+            pts.plan(trial)
+            trials[index] = (trial, {})
+    _reserve(result, snapshots, trials, idle, kept, choices, most)
+    return result
+
+
+Trials = list[tuple[pts.Snapshot, dict[int, int]]]
+
+
+def _spare(
+    snapshots: list[pts.Snapshot], trials: Trials, empty: set[int]
+) -> dict[int, tuple[int, pts.Node]]:
+    """Empty machines that their own share's waiting work does not take."""
+    spare = {}
+    for index, (trial, _) in enumerate(trials):
+        for before, after in zip(snapshots[index].nodes, trial.nodes, strict=True):
+            if before.index in empty and after.free == before.free:
+                spare[before.index] = (index, before)
+    return spare
+
+
+def _reserve(
+    result: Decisions,
+    snapshots: list[pts.Snapshot],
+    trials: Trials,
+    idle: set[int],
+    kept: list[Reserve],
+    choices: list[Option],
+    most: int,
+) -> None:
+    """Rent what the reserve lacks, and find the empty machines that nothing needs."""
+    nodes = [replace(node, running=[]) for trial, _ in trials for node in trial.nodes]
+    before = {node.index: node.free for node in nodes}
+    running = [node for snapshot in snapshots for node in snapshot.nodes]
+    requests = []
+    for position, reserve in enumerate(kept):
+        request = pts.Request(
+            -1 - position,
+            0,
+            reserve.need,
+            -1,
+            False,
+            0,
+            None,
+            None,
+            False,
+            None,
+            reserve.spot,
+            "",
+            {},
+            set(),
+            float(position),
+        )
+        evictable = sum(
+            pts.slots_of(victim.need)
+            for node in running
+            if pts.allowed(request, node)
+            for victim in node.running
+            if victim.rank < reserve.rank
+        )
+        request.count = reserve.tasks - int(evictable / (pts.slots_of(reserve.need) or 1.0))
+        if request.count > 0:
+            requests.append(request)
+    teams = {0: pts.TeamUse(NOTHING, ENDLESS, ENDLESS)}
+    pool = pts.Snapshot(nodes, requests, teams, 1, 0, 0.0, 1.0)
+    room = copy_snapshot(pool)
+    waiting = pts.plan(room).waiting
+    for request in requests:
+        if request.job not in waiting:
+            continue
+        reserve = kept[-1 - request.job]
+        # Dear machines are not kept idle for work that may run on cheap ones.
+        offers = [option for option in choices if option.offer.spot == reserve.spot]
+        alone = replace(pool, requests=[replace(request, count=waiting[request.job])], nodes=[])
+        result.rents += [(offer, reserve.share) for offer in shortfall(alone, offers, most)]
+    for node in room.nodes:
+        if node.index in idle and node.free == before[node.index] and node.free == node.total:
+            moved = any(node.index == machine for machine, _ in result.moves)
+            if not moved:
+                result.surplus.append(node.index)
--- a/badgerseam/model/machine.py
+++ b/badgerseam/model/machine.py
@@ -56,6 +56,8 @@
     idle_since: float = 0.0
     returning: bool = False
     """Its record is being rewritten so that it is released."""
+    giving: bool = False
+    """Its record is being rewritten for another share, or for its release."""
     lost: bool = False
     """Its lease has certainly ended; reports are not answered any more."""
     response_open: bool = False
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections import deque
 from dataclasses import dataclass, field
 
 import msgspec
@@ -63,6 +64,19 @@
 TYPES_KEY = f"{PREFIX}f"
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A job as it came, for what the next ones may need."""
+
+    at: float
+    job_class: str
+    share: int
+    tasks: int
+    need: Resources
+    rank: int
+    spot: bool
+
+
 @dataclass(slots=True)
 class TeamState:
     name: str
@@ -129,6 +143,7 @@
     revision: int = 0
     loaded: bool = False
     loading: bool = False
+    arrivals: deque[Arrival] = field(default_factory=lambda: deque(maxlen=500))
     kicks: set[int] = field(default_factory=set)
     """Shares whose waiting work should be looked at."""
     pushes: set[int] = field(default_factory=set)
@@ -271,6 +286,18 @@
         self.job_index[job_id] = index
         self.open_jobs[share][index] = job
         self.kicks.add(share)
+        age = max(0.0, self.clock.wall() - stored.at)
+        self.arrivals.append(
+            Arrival(
+                job.seen_at - age,
+                spec.job_class,
+                share,
+                spec.tasks,
+                job.need,
+                job.rank,
+                spec.spot,
+            )
+        )
 
     def _apply_chunk(self, name: str, value: msgspec.Raw | None, version: int) -> None:
         job_id, _, number = name.partition("/")
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -58,7 +58,7 @@
         self.planner = Planner(self.model, tunables)
         self.ledger = Ledger(self.model, self.state, self.committer, self.pulse, self.member.resign)
         self.control = Control(self.model, self.member, http, tunables, self.pulse)
-        self.returns = Returns(self.model, self.committer, self.planner, tunables)
+        self.returns = Returns(self.model, self.committer, self.planner)
         self.peers = Peers(self.model, http, self.returns)
         self.fleet = Fleet(
             self.model,
@@ -74,7 +74,6 @@
         self.replica = Replica(self.model, self.state, self.pulse)
         self.api = Api(self.model, self.state, self.ledger, self.member, self.control)
         self._pulse_at: asyncio.TimerHandle | None = None
-        self._waiting: dict[int, dict[int, int]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     # ---- driving ----
@@ -94,7 +93,7 @@
             for index in kicks:
                 share = model.shares[index]
                 if share.owned and not share.releasing and self.member.fresh(5.0):
-                    self._waiting[index] = self.planner.run(share)
+                    self.planner.run(share)
         self.ledger.flush()
         with model.lock:
             pushes, model.pushes = model.pushes, set()
@@ -120,7 +119,7 @@
                     if model.shares[machine.share].owned:
                         model.pushes.add(machine.index)
                 if rounds % 5 == 0:
-                    for machine in self.returns.idle(self._waiting):
+                    for machine in self.returns.finished():
                         machine.returning = True
                         self._spawn(self._drop(machine))
                 if rounds % max(1, round(self.tunables.counts_s / TICK_S)) == 0:
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -15,6 +15,8 @@
 
 log = logging.getLogger("badgerseam.sched")
 
+SAVE_SLACK_S = 1.5
+"""Between the end of a save and the start of the next task: a report, a launch, an image."""
 MOST_STARTS = 400
 """Tasks planned at once; more are planned in the next round."""
 
@@ -203,7 +205,7 @@
         spec = attempt.job.spec
         attempt.stopping = True
         attempt.stop_sent = False
-        saves = spec.checkpoint_s > 0 and (wait_s is None or spec.save_s + 0.5 < wait_s)
+        saves = spec.checkpoint_s > 0 and (wait_s is None or spec.save_s + SAVE_SLACK_S < wait_s)
         attempt.grace_s = spec.save_s + 1.0 if saves else 0.0
         self._model.pushes.add(attempt.machine.index)
 
--- a/badgerseam/settings.py
+++ b/badgerseam/settings.py
@@ -93,7 +93,7 @@
     )
     beta: Annotated[float, Meta(ge=0, description="weight of waste in the eviction cost")] = 0.5
     window_s: Annotated[float, Meta(gt=0, description="window of waste and evictions")] = 60.0
-    move_s: Annotated[float, Meta(gt=0, description="interval of moves between shares")] = 30.0
+    move_s: Annotated[float, Meta(gt=0, description="interval of moves between shares")] = 0.2
     counts_s: Annotated[float, Meta(gt=0, description="interval of writing G and F")] = 10.0
     done_delay_s: Annotated[
         float, Meta(ge=0, le=2, description="how long finished tasks are gathered for one write")
@@ -102,9 +102,17 @@
         20.0
     )
     margin_s: Annotated[float, Meta(ge=0.5, description="slack on every safety bound")] = 2.0
-    headroom: Annotated[
-        float, Meta(ge=0, le=1, description="share of the used slots kept free for arrivals")
-    ] = 0.15
+    arrivals_s: Annotated[
+        float, Meta(gt=0, description="how long arrivals count for the reserve")
+    ] = 180.0
+    reserve_spread: Annotated[
+        float,
+        Meta(
+            ge=0,
+            description="standard deviations of arrivals during a boot that are kept as free room "
+            "for classes that should start sooner than a machine boots",
+        ),
+    ] = 1.0
 
 
 def load_settings(path: str) -> Settings:
--- a/badgerseam/wire/peers.py
+++ b/badgerseam/wire/peers.py
@@ -7,7 +7,7 @@
 
 
 class Give(Struct, frozen=True):
-    """The leader asks a share's owner to pass an empty machine on."""
+    """The leader asks a share's owner to pass an empty machine on, or (-1) to drop it."""
 
     machine: str
     share: int
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 import msgspec
 
@@ -72,6 +72,7 @@
                 return self._redirect(None if leader is None else leader.claim.node)
             share = model.shares[machine.share]
             if not share.owned:
+                machine.addr = report.addr
                 return self._redirect(None if share.held is None else share.held.claim.node)
             if not self._member.entitled(share):
                 return error_reply(503, "not entitled", 1)
@@ -167,6 +168,14 @@
             stage = _STAGES.get(item.state, Stage.RUNNING)
             if stage == Stage.RUNNING and attempt.stage < Stage.RUNNING:
                 attempt.started_at = now
+                log.debug(
+                    "%s (%s) runs on %s: seen %.2f s ago, planned %.2f s ago",
+                    attempt.name,
+                    job.spec.job_class,
+                    machine.name,
+                    now - job.seen_at,
+                    now - attempt.planned_at,
+                )
                 machine.images.add(job.spec.image)
                 job.errors = 0
             attempt.stage = stage
@@ -261,18 +270,48 @@
     def push(self, machine: Machine) -> None:
         """Send what there is to do straight to the worker, if it can be reached."""
         now = self._clock.now()
-        if machine.busy or machine.session == 0 or now < machine.push_after:
+        if machine.busy or now < machine.push_after:
             return
         if not self._member.entitled(self._model.shares[machine.share]):
             return
+        if machine.session == 0:
+            if machine.addr:
+                # Just taken over: asked for its state, it can be used before its next report.
+                machine.busy = True
+                self._spawn(self._inspect(machine))
+            return
         commands = self._commands(machine, direct=True)
         if not commands:
             return
         machine.busy = True
-        task = asyncio.ensure_future(self._direct(machine, commands))
+        self._spawn(self._direct(machine, commands))
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _inspect(self, machine: Machine) -> None:
+        term = machine.term
+        report: wire.Report | None = None
+        try:
+            response = await self._http.request(machine.addr, "GET", "/inspect", None, 1.0)
+            if response.status == 200:
+                report = wire.report_decoder.decode(response.body)
+        except (NoResponse, msgspec.DecodeError):
+            log.debug("%s cannot be inspected yet", machine.name)
+        with self._model.lock:
+            if machine.term != term or not self._model.shares[machine.share].owned:
+                return
+            machine.busy = False
+            if report is None or report.machine != machine.name:
+                machine.push_after = self._clock.now() + RETRY_S
+            else:
+                self._apply(machine, report, direct=True)
+                self._model.kicks.add(machine.share)
+                self._model.pushes.add(machine.index)
+        self._changed()
+
     async def _direct(self, machine: Machine, commands: list[wire.Command]) -> None:
         model = self._model
         token, term, session = machine.token, machine.term, machine.session
