Greet workers at a takeover, send them away when superseded, stay ready in a shared outage

Cause: after a takeover a worker stayed with the old owner until its lease ran out, and a shared outage made all nodes unready for longer than it lasted.

--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import re
+from collections.abc import Callable
 
 import msgspec
 
@@ -87,8 +88,10 @@
         ledger: Ledger,
         member: Member,
         control: Control,
+        alone: Callable[[], bool],
     ) -> None:
         self._model = model
+        self._alone = alone
         self._ledger = ledger
         self._member = member
         self._control = control
@@ -112,7 +115,9 @@
         return self.handle(method, path, body)
 
     def _ready(self) -> Reply:
-        if self._model.loaded and self._model.types and self._member.fresh(6.0):
+        # In an outage that all share, no node is better than this one, and a removal from the
+        # load balancer would outlast it.
+        if self._model.loaded and self._model.types and not self._alone():
             return Reply(200, b'{"ready":true}')
         return error_reply(503, "not ready", RETRY_S)
 
--- a/badgerseam/cluster/peers.py
+++ b/badgerseam/cluster/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 
 import msgspec
@@ -11,16 +12,23 @@
 from badgerseam.http.server import Reply, error_reply
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
+from badgerseam.store.client import StateClient
 from badgerseam.wire import peers as wire
 
 log = logging.getLogger("badgerseam.cluster")
 
+STALE_S = 3.0
+"""Without an answer of the state service for so long, something is wrong."""
+HEALTH_S = 0.7
+
 
 class Peers:
     """Both ends of what controllers ask of each other."""
 
-    def __init__(self, model: Model, http: Client, returns: Returns) -> None:
+    def __init__(self, model: Model, http: Client, returns: Returns, state: StateClient) -> None:
         settings = model.settings
+        self._state = state
+        self._served_at = -1e9
         self._model = model
         self._http = http
         self._returns = returns
@@ -29,6 +37,8 @@
 
     async def handle(self, method: str, path: str, body: bytes) -> Reply:
         """A sibling's request."""
+        if path == "/health" and method == "GET":
+            return Reply(200, wire.encode(wire.Health(self._state_age_s())))
         if path != "/give" or method != "POST":
             return error_reply(404, "no such path")
         try:
@@ -41,6 +51,32 @@
         done = await self._returns.give(machine, give.share)
         return Reply(200, wire.encode(wire.Given(done)))
 
+    def _state_age_s(self) -> float:
+        return self._model.clock.now() - self._state.confirmed_at
+
+    def alone(self) -> bool:
+        """Whether the state service serves a sibling, but not us."""
+        return (
+            self._state_age_s() > STALE_S
+            and self._model.clock.now() - self._served_at < 3 * HEALTH_S
+        )
+
+    async def keep_health(self) -> None:
+        """While the state service does not answer us, ask the siblings whether it answers them."""
+        while True:
+            await asyncio.sleep(HEALTH_S)
+            if self._state_age_s() > STALE_S / 2:
+                await asyncio.gather(*(self._ask_health(a) for a in self._addresses.values()))
+
+    async def _ask_health(self, address: str) -> None:
+        try:
+            response = await self._http.request(address, "GET", "/health", None, HEALTH_S)
+            health = wire.health_decoder.decode(response.body)
+        except (NoResponse, msgspec.DecodeError):
+            return
+        if response.status == 200 and health.state_age_s < STALE_S / 2:
+            self._served_at = self._model.clock.now()
+
     async def give(self, machine: Machine, share: int) -> bool:
         """Have the owner of a machine pass it on."""
         held = self._model.shares[machine.share].held
--- a/badgerseam/model/machine.py
+++ b/badgerseam/model/machine.py
@@ -49,6 +49,8 @@
     strays: Resources = NOTHING
     busy: bool = False
     """A direct command is on its way."""
+    greeted: bool = False
+    """The token was sent directly since the share or the machine changed hands."""
     push_after: float = 0.0
     failures: int = 0
     failed_jobs: set[int] = field(default_factory=set)
@@ -81,6 +83,7 @@
         self.shown = {}
         self.strays = NOTHING
         self.busy = False
+        self.greeted = False
         self.push_after = 0.0
         self.failures = 0
         self.failed_jobs.clear()
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -59,7 +59,7 @@
         self.ledger = Ledger(self.model, self.state, self.committer, self.pulse, self.member.resign)
         self.control = Control(self.model, self.member, http, tunables, self.pulse)
         self.returns = Returns(self.model, self.committer, self.planner)
-        self.peers = Peers(self.model, http, self.returns)
+        self.peers = Peers(self.model, http, self.returns, self.state)
         self.fleet = Fleet(
             self.model,
             self.member,
@@ -72,7 +72,9 @@
             self.pulse,
         )
         self.replica = Replica(self.model, self.state, self.pulse)
-        self.api = Api(self.model, self.state, self.ledger, self.member, self.control)
+        self.api = Api(
+            self.model, self.state, self.ledger, self.member, self.control, self.peers.alone
+        )
         self._pulse_at: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -152,4 +154,5 @@
             group.create_task(self.fleet.keep_types())
             group.create_task(self.fleet.keep_list())
             group.create_task(self.fleet.keep_fleet())
+            group.create_task(self.peers.keep_health())
             group.create_task(self._tick())
--- a/badgerseam/wire/peers.py
+++ b/badgerseam/wire/peers.py
@@ -17,6 +17,13 @@
     done: bool
 
 
+class Health(Struct, frozen=True):
+    """How a controller stands with the state service."""
+
+    state_age_s: float
+
+
+health_decoder: msgspec.json.Decoder[Health] = msgspec.json.Decoder(Health)
 give_decoder: msgspec.json.Decoder[Give] = msgspec.json.Decoder(Give)
 given_decoder: msgspec.json.Decoder[Given] = msgspec.json.Decoder(Given)
 encode = msgspec.json.Encoder().encode
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -76,6 +76,10 @@
                 return self._redirect(None if share.held is None else share.held.claim.node)
             if not self._member.entitled(share):
                 return error_reply(503, "not entitled", 1)
+            if report.token > machine.token:
+                # A newer owner has reached the worker. A 200 would have to be dropped, and the
+                # worker would stay with us until its lease ends.
+                return self._redirect(None if share.held is None else share.held.claim.node)
             if machine.lost:
                 # Its tasks count as gone already; its lease must not be renewed.
                 return error_reply(503, "given up", 1)
@@ -281,8 +285,11 @@
                 self._spawn(self._inspect(machine))
             return
         commands = self._commands(machine, direct=True)
-        if not commands:
+        if not commands and (machine.greeted or machine.shown_token >= machine.token):
             return
+        # Without commands it shows the worker our token: from then on it drops what an owner
+        # before may still send, and leaves that one for us.
+        machine.greeted = True
         machine.busy = True
         self._spawn(self._direct(machine, commands))
 
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -21,6 +21,7 @@
         rig.ledger,
         rig.member,
         rig.control,
+        lambda: False,
     )
 
 
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from badgerseam.http.client import Response
 from badgerseam.model.job import IDLE, Phase, Stage
 from badgerseam.wire import state as wire
 from tests.stand_ins import Rig, Worker, refused, silent, submission, verbs
@@ -271,3 +272,23 @@
     response = rig.report(worker)
     assert [verb for verb, _ in verbs(response)] == ["halt", "halt"]
     assert ("launch", "job-000002/0") in verbs(rig.report(worker))
+
+
+def test_an_owner_that_was_superseded_sends_the_worker_away() -> None:
+    # With a 200 the worker would stay, drop every response, and lose its lease.
+    rig, worker = ready()
+    worker.token = rig.model.machines[0].token + (1 << 24)
+    assert rig.control.checkin(worker.body()).status == 421
+
+
+def test_a_new_owner_is_known_to_the_worker_before_its_next_report() -> None:
+    rig = Rig()
+    machine = rig.machine()
+    rig.claim(node="n-1", lease=9)
+    rig.own()
+    worker = Worker()
+    rig.http.script = [lambda _: Response(200, worker.body()), worker.do]
+    asyncio.run(rig.push(machine))
+    asyncio.run(rig.push(machine))
+    assert worker.token == machine.token
+    assert machine.clear
