--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -573,6 +573,7 @@
             and not machine.returning
             and (
                 machine.lost
+                or machine.given_up
                 or (
                     machine.draining
                     and machine.recall_at is None
--- a/badgerseam/fleet/policy.py
+++ b/badgerseam/fleet/policy.py
@@ -46,16 +46,19 @@
     """How much room the arrivals of the last while call for, by class.
 
     Departures make up for the mean of the arrivals; what is kept is `spread` standard deviations
-    of the tasks that arrive while a machine boots, as if jobs came at random.
+    of the tasks that arrive while a machine boots, as if jobs came at random. Older arrivals count
+    less, so that the reserve goes when a class falls silent.
     """
     found = []
     for job_class, wait_s in waits.items():
         if wait_s >= boot_s:
             continue
-        recent = [a for a in arrivals if a.job_class == job_class and now - a.at <= window_s]
+        recent = [a for a in arrivals if a.job_class == job_class and now - a.at <= 4 * window_s]
         if not recent:
             continue
-        squares = sum(arrival.tasks**2 for arrival in recent)
+        squares = sum(
+            arrival.tasks**2 * math.exp((arrival.at - now) / window_s) for arrival in recent
+        )
         deviation = math.sqrt(squares * boot_s / window_s)
         by_share: dict[int, int] = {}
         for arrival in recent:
@@ -63,7 +66,7 @@
         last = recent[-1]
         found.append(
             Reserve(
-                math.ceil(spread * deviation),
+                round(spread * deviation),
                 last.need,
                 last.rank,
                 last.spot,
--- a/badgerseam/model/machine.py
+++ b/badgerseam/model/machine.py
@@ -60,6 +60,9 @@
     """Its record is being rewritten so that it is released."""
     giving: bool = False
     """Its record is being rewritten for another share, or for its release."""
+    probing: bool = False
+    given_up: bool = False
+    """Silent, and to be released to be certain that its tasks are gone."""
     lost: bool = False
     """Its lease has certainly ended; reports are not answered any more."""
     response_open: bool = False
@@ -88,6 +91,8 @@
         self.failures = 0
         self.failed_jobs.clear()
         self.draining = False
+        self.probing = False
+        self.given_up = False
         self.lost = False
         self.response_open = False
 
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -116,11 +116,12 @@
                     if share.owned:
                         model.kicks.add(share.index)
                 self.control.watch()
+                self.control.suspect()
                 self.control.drain()
                 for machine in model.machines.values():
                     if model.shares[machine.share].owned:
                         model.pushes.add(machine.index)
-                if rounds % 5 == 0:
+                if rounds % 2 == 0:
                     for machine in self.returns.finished():
                         machine.returning = True
                         self._spawn(self._drop(machine))
--- a/badgerseam/settings.py
+++ b/badgerseam/settings.py
@@ -103,8 +103,8 @@
     )
     margin_s: Annotated[float, Meta(ge=0.5, description="slack on every safety bound")] = 2.0
     arrivals_s: Annotated[
-        float, Meta(gt=0, description="how long arrivals count for the reserve")
-    ] = 180.0
+        float, Meta(gt=0, description="time in which an arrival's weight for the reserve fades")
+    ] = 60.0
     reserve_spread: Annotated[
         float,
         Meta(
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -24,6 +24,8 @@
 RETRY_S = 1.0
 MOST_COMMANDS = 300
 """Commands in one response; some 90 bytes each, well within a line of 64 KiB."""
+SILENT_REPORTS = 3
+"""Report intervals without a report after which a machine is asked."""
 FAULTY_JOBS = 3
 """A machine on which tasks of so many jobs failed is drained."""
 
@@ -389,6 +391,55 @@
                     model.unplace(attempt)
         return lost
 
+    def suspect(self) -> None:
+        """Ask machines that fell silent, and give those up that do not answer.
+
+        Their release makes certain that their tasks are gone, sooner than the end of their lease.
+        If many are silent at once, or a whole zone is, the trouble lies between us and them, and
+        nothing is given up.
+        """
+        model = self._model
+        now = self._clock.now()
+        silent: list[Machine] = []
+        heard: dict[str, int] = {}
+        for machine in model.machines.values():
+            share = model.shares[machine.share]
+            if machine.session == 0 or machine.lost or machine.dropped or not share.owned:
+                continue
+            if now - machine.heard_at > SILENT_REPORTS * self._report_s:
+                silent.append(machine)
+            else:
+                heard[machine.zone] = heard.get(machine.zone, 0) + 1
+        if len(silent) > max(1, sum(heard.values()) // 2):
+            return
+        for machine in silent:
+            if heard.get(machine.zone) and not machine.probing and not machine.given_up:
+                machine.probing = True
+                self._spawn(self._probe(machine))
+
+    async def _probe(self, machine: Machine) -> None:
+        term, heard_at = machine.term, machine.heard_at
+        answered = False
+        try:
+            response = await self._http.request(machine.addr, "GET", "/inspect", None, 1.5)
+            answered = response.status == 200
+        except NoResponse:
+            log.debug("%s is silent and does not answer", machine.name)
+        with self._model.lock:
+            machine.probing = False
+            if machine.term != term or machine.heard_at != heard_at:
+                return
+            if answered:
+                # It lives, and finds no way to us by itself.
+                machine.heard_at = self._clock.now()
+            elif self._member.fresh(2 * self._report_s):
+                log.info(
+                    "%s is silent with %d tasks: given up", machine.name, len(machine.attempts)
+                )
+                machine.given_up = True
+                machine.draining = True
+        self._changed()
+
     def drain(self) -> None:
         """Stop what cannot end by itself on machines that are to be given up."""
         model = self._model
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -292,3 +292,27 @@
     asyncio.run(rig.push(machine))
     assert worker.token == machine.token
     assert machine.clear
+
+
+def test_a_silent_machine_is_given_up_only_if_others_near_it_are_heard() -> None:
+    rig, worker = ready()
+    machine = rig.model.machines[0]
+    job = rig.job(pieces=1)
+    rig.running(job, 0, machine, worker)
+    rig.report(worker)
+
+    async def look() -> None:
+        rig.control.suspect()
+        await rig.settle(6)
+
+    rig.clock.time += 7
+    rig.lease()
+    rig.http.script = [silent]
+    asyncio.run(look())
+    assert not machine.given_up, "we may be the one that is cut off"
+    rig.machine("m-2")
+    rig.report(Worker("m-2"))
+    asyncio.run(look())
+    assert machine.given_up
+    # Its tasks stay where they may be until the release is certain.
+    assert job.attempts[0].machine is machine
