--- a/badgerseam/http/client.py
+++ b/badgerseam/http/client.py
@@ -86,7 +86,7 @@
                 written.add_done_callback(_observe)
                 connection.finish()
                 await connection.read_response(collector)
-        except (TimeoutError, StreamClosedError, HTTPInputError, OSError) as error:
+        except (TimeoutError, StreamClosedError, HTTPInputError, OSError, ValueError) as error:
             if stream is None:
                 raise NotSent(f"{address}: {error!r}") from error
             stream.close()
--- a/badgerseam/model/machine.py
+++ b/badgerseam/model/machine.py
@@ -42,6 +42,8 @@
     """Highest token of a command that may still be in flight on `/do`."""
     heard_at: float = -1e9
     """When the latest report came."""
+    taken_at: float = -1e9
+    """When this controller began to act for it."""
     answered_at: float = -1e9
     """Until when its lease may have been renewed, as far as this owner knows."""
     recall_at: float | None = None
@@ -68,7 +70,7 @@
     response_open: bool = False
     """A response with launches may still be on its way to the worker."""
 
-    def take_over(self, term: int, safe_at: float) -> None:
+    def take_over(self, term: int, now: float, safe_at: float) -> None:
         """Start anew as the owner's machine under a term.
 
         Whatever an earlier owner sent carries a lower term, so that it may be in flight until the
@@ -81,6 +83,7 @@
         self.shown_token = 0
         self.doubt = (self.term << BUMP_BITS) - 1
         self.heard_at = -1e9
+        self.taken_at = now
         self.answered_at = safe_at
         self.recall_at = None
         self.shown = {}
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -410,7 +410,7 @@
         share = self.shares[machine.share]
         if share.owned:
             now = self.clock.now()
-            machine.take_over(share.term, now if fresh else now + self.cut_bound_s)
+            machine.take_over(share.term, now, now if fresh else now + self.cut_bound_s)
             machine.idle_since = now
             self.kicks.add(machine.share)
 
--- a/badgerseam/settings.py
+++ b/badgerseam/settings.py
@@ -112,7 +112,7 @@
             description="standard deviations of arrivals during a boot that are kept as free room "
             "for classes that should start sooner than a machine boots",
         ),
-    ] = 1.0
+    ] = 1.5
 
 
 def load_settings(path: str) -> Settings:
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -404,10 +404,15 @@
         heard: dict[str, int] = {}
         for machine in model.machines.values():
             share = model.shares[machine.share]
-            if machine.session == 0 or machine.lost or machine.dropped or not share.owned:
+            if machine.lost or machine.dropped or not share.owned:
+                continue
+            # One that has not been heard since a takeover is missed as well, if it held work.
+            heard_at = max(machine.heard_at, machine.taken_at)
+            if now - heard_at > SILENT_REPORTS * self._report_s:
+                if machine.session > 0 or machine.attempts:
+                    silent.append(machine)
+            elif machine.session == 0:
                 continue
-            if now - machine.heard_at > SILENT_REPORTS * self._report_s:
-                silent.append(machine)
             else:
                 heard[machine.zone] = heard.get(machine.zone, 0) + 1
         if len(silent) > max(1, sum(heard.values()) // 2):
