--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -88,7 +88,7 @@
         ledger: Ledger,
         member: Member,
         control: Control,
-        alone: Callable[[], bool],
+        alone: Callable[[], str | None],
     ) -> None:
         self._model = model
         self._alone = alone
@@ -117,7 +117,7 @@
     def _ready(self) -> Reply:
         # In an outage that all share, no node is better than this one, and a removal from the
         # load balancer would outlast it.
-        if self._model.loaded and self._model.types and not self._alone():
+        if self._model.loaded and self._model.types and self._alone() is None:
             return Reply(200, b'{"ready":true}')
         return error_reply(503, "not ready", RETRY_S)
 
--- a/badgerseam/cluster/peers.py
+++ b/badgerseam/cluster/peers.py
@@ -28,6 +28,7 @@
     def __init__(self, model: Model, http: Client, returns: Returns, state: StateClient) -> None:
         settings = model.settings
         self._state = state
+        self._served: str | None = None
         self._served_at = -1e9
         self._model = model
         self._http = http
@@ -54,28 +55,26 @@
     def _state_age_s(self) -> float:
         return self._model.clock.now() - self._state.confirmed_at
 
-    def alone(self) -> bool:
-        """Whether the state service serves a sibling, but not us."""
-        return (
-            self._state_age_s() > STALE_S
-            and self._model.clock.now() - self._served_at < 3 * HEALTH_S
-        )
+    def alone(self) -> str | None:
+        """The sibling that the state service serves while it does not serve us, if there is one."""
+        recent = self._model.clock.now() - self._served_at < 3 * HEALTH_S
+        return self._served if recent and self._state_age_s() > STALE_S else None
 
     async def keep_health(self) -> None:
         """While the state service does not answer us, ask the siblings whether it answers them."""
         while True:
             await asyncio.sleep(HEALTH_S)
             if self._state_age_s() > STALE_S / 2:
-                await asyncio.gather(*(self._ask_health(a) for a in self._addresses.values()))
+                await asyncio.gather(*(self._ask_health(*item) for item in self._addresses.items()))
 
-    async def _ask_health(self, address: str) -> None:
+    async def _ask_health(self, node: str, address: str) -> None:
         try:
             response = await self._http.request(address, "GET", "/health", None, HEALTH_S)
             health = wire.health_decoder.decode(response.body)
         except (NoResponse, msgspec.DecodeError):
             return
         if response.status == 200 and health.state_age_s < STALE_S / 2:
-            self._served_at = self._model.clock.now()
+            self._served, self._served_at = node, self._model.clock.now()
 
     async def give(self, machine: Machine, share: int) -> bool:
         """Have the owner of a machine pass it on."""
--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -42,6 +42,8 @@
 NO_CAPACITY_S = 10.0
 MOST_AT_ONCE = 12
 MOST_HOSTS = 50
+ADDRESSES_S = 2.5
+"""Between requests for the addresses of machines that were taken over."""
 NOT_WRITTEN = (Refused, Unavailable, Dropped, LeaseLost)
 
 Mover = Callable[[Machine, int], Awaitable[bool]]
@@ -80,6 +82,7 @@
         self._adopting: dict[str, tuple[int, float]] = {}
         self._asking: dict[str, wire.StoredHire] = {}
         self._serial = 0
+        self._learnt_at = -1e9
         self._tasks: set[asyncio.Task[None]] = set()
         self._moved_at = -1e9
         self._waits = {
@@ -173,6 +176,27 @@
 
     # ---- the list ----
 
+    def learn_addresses(self) -> None:
+        """Ask the cloud where machines are that were taken over, at most once at a time."""
+        now = self._clock.now()
+        if now - self._learnt_at > ADDRESSES_S:
+            self._learnt_at = now
+            self._spawn(self._learn())
+
+    async def _learn(self) -> None:
+        try:
+            listed = await self._cloud.machines()
+        except CloudTrouble as error:
+            log.debug("addresses: %s", error)
+            return
+        with self._model.lock:
+            for entry in listed:
+                machine = self._model.machine(entry.id)
+                if machine is not None and not machine.addr:
+                    machine.addr = entry.addr
+                    self._model.pushes.add(machine.index)
+        self._changed()
+
     def _compare(self, listed: list[cloud_wire.Listed], asked: float) -> None:
         model = self._model
         lag = model.settings.params.cloud.list_lag_s
@@ -193,6 +217,7 @@
                             entry.age_s,
                         )
                     continue
+                machine.addr = machine.addr or entry.addr
                 if entry.state == "failed":
                     log.info("%s has failed", entry.id)
                     release.append(entry.id)
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -57,7 +57,9 @@
         self.member = Member(self.model, self.state, self.committer, tunables, self.pulse)
         self.planner = Planner(self.model, tunables)
         self.ledger = Ledger(self.model, self.state, self.committer, self.pulse, self.member.resign)
-        self.control = Control(self.model, self.member, http, tunables, self.pulse)
+        self.control = Control(
+            self.model, self.member, http, tunables, self.pulse, lambda: self.peers.alone()
+        )
         self.returns = Returns(self.model, self.committer, self.planner)
         self.peers = Peers(self.model, http, self.returns, self.state)
         self.fleet = Fleet(
@@ -115,6 +117,8 @@
                 for share in model.shares:
                     if share.owned:
                         model.kicks.add(share.index)
+                if self.control.lacks_addresses():
+                    self.fleet.learn_addresses()
                 self.control.watch()
                 self.control.suspect()
                 self.control.drain()
--- a/badgerseam/sched/pts.py
+++ b/badgerseam/sched/pts.py
@@ -293,7 +293,9 @@
         return False
     if victim.rank < request.rank and request.high:
         return True
-    if victim.team == request.team:
+    if victim.team == request.team or victim.rank > request.rank:
+        # The protocol would let borrowed room of any rank be claimed. The paper never evicts HP
+        # work, and a replica stopped for a batch task cost far more than the task gained.
         return False
     own, other = snapshot.teams[request.team], snapshot.teams[victim.team]
     if not own.used.plus(request.need).fits(own.guarantee):
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -42,8 +42,10 @@
         http: Client,
         tunables: Tunables,
         changed: Callable[[], None],
+        alone: Callable[[], str | None],
     ) -> None:
         self._model = model
+        self._alone = alone
         self._member = member
         self._http = http
         self._clock = model.clock
@@ -78,6 +80,10 @@
                 return self._redirect(None if share.held is None else share.held.claim.node)
             if not self._member.entitled(share):
                 return error_reply(503, "not entitled", 1)
+            served = self._alone()
+            if served is not None and not self._member.fresh(self._tunables.claim_ttl_s):
+                # Our claims have ended by now, and a sibling can hold them.
+                return self._redirect(served)
             if report.token > machine.token:
                 # A newer owner has reached the worker. A 200 would have to be dropped, and the
                 # worker would stay with us until its lease ends.
@@ -391,6 +397,17 @@
                     model.unplace(attempt)
         return lost
 
+    def lacks_addresses(self) -> bool:
+        """Whether machines were taken over with work on them, and without their addresses."""
+        model = self._model
+        return any(
+            machine.attempts
+            and not machine.addr
+            and machine.session == 0
+            and model.shares[machine.share].owned
+            for machine in model.machines.values()
+        )
+
     def suspect(self) -> None:
         """Ask machines that fell silent, and give those up that do not answer.
 
@@ -418,6 +435,9 @@
         if len(silent) > max(1, sum(heard.values()) // 2):
             return
         for machine in silent:
+            if not machine.addr:
+                # Its address is still to be learnt: nothing can be said about it.
+                continue
             if heard.get(machine.zone) and not machine.probing and not machine.given_up:
                 machine.probing = True
                 self._spawn(self._probe(machine))
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -317,7 +317,9 @@
             self.http,  # type: ignore[arg-type]
             self.tunables,
             self.changed,
+            lambda: self.served_sibling,
         )
+        self.served_sibling: str | None = None
         self.model.loaded = True
         self.set("bs/f", msgspec.json.decode(msgspec.json.encode(TYPES)))
         self.lease()
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -312,7 +312,20 @@
     assert not machine.given_up, "we may be the one that is cut off"
     rig.machine("m-2")
     rig.report(Worker("m-2"))
+    address, machine.addr = machine.addr, ""
+    asyncio.run(look())
+    assert not machine.given_up, "without an address nobody was asked"
+    machine.addr = address
     asyncio.run(look())
     assert machine.given_up
     # Its tasks stay where they may be until the release is certain.
     assert job.attempts[0].machine is machine
+
+
+def test_an_owner_that_alone_is_cut_off_sends_workers_to_a_sibling() -> None:
+    rig, worker = ready()
+    rig.clock.time += rig.tunables.claim_ttl_s + 0.5
+    assert rig.control.checkin(worker.body()).status == 200, "it may be an outage for all"
+    rig.served_sibling = "n-1"
+    reply = rig.control.checkin(worker.body())
+    assert (reply.status, reply.body) == (421, b'{"overseer":"n-1"}')
