The reserve of classes on ordinary machines is kept in the share where they arrive

Cause: late gateway replicas found no ordinary room in their own share while other shares had partly used machines, which cannot be moved.

--- a/badgerseam/fleet/policy.py
+++ b/badgerseam/fleet/policy.py
@@ -23,7 +23,9 @@
     rank: int
     spot: bool
     share: int
-    """Where most of the class arrives."""
+    """Where the class arrives, or most of it."""
+    pooled: bool
+    """Room in other shares will do."""
 
 
 @dataclass(slots=True)
@@ -56,23 +58,22 @@
         recent = [a for a in arrivals if a.job_class == job_class and now - a.at <= 4 * window_s]
         if not recent:
             continue
-        squares = sum(
-            arrival.tasks**2 * math.exp((arrival.at - now) / window_s) for arrival in recent
-        )
-        deviation = math.sqrt(squares * boot_s / window_s)
-        by_share: dict[int, int] = {}
+        by_share: dict[int, list[Arrival]] = {}
         for arrival in recent:
-            by_share[arrival.share] = by_share.get(arrival.share, 0) + arrival.tasks
-        last = recent[-1]
-        found.append(
-            Reserve(
-                round(spread * deviation),
-                last.need,
-                last.rank,
-                last.spot,
-                max(by_share, key=lambda share: by_share[share]),
+            by_share.setdefault(arrival.share, []).append(arrival)
+        if recent[-1].spot:
+            # Cheap machines stand empty and can be moved: one reserve serves all shares.
+            most = max(by_share, key=lambda share: sum(a.tasks for a in by_share[share]))
+            groups = [(most, True, recent)]
+        else:
+            groups = [(share, False, came) for share, came in by_share.items()]
+        for share, pooled, came in groups:
+            squares = sum(a.tasks**2 * math.exp((a.at - now) / window_s) for a in came)
+            deviation = math.sqrt(squares * boot_s / window_s)
+            last = came[-1]
+            found.append(
+                Reserve(round(spread * deviation), last.need, last.rank, last.spot, share, pooled)
             )
-        )
     return found
 
 
@@ -152,11 +153,11 @@
     most: int,
 ) -> None:
     """Rent what the reserve lacks, and find the empty machines that nothing needs."""
-    nodes = [replace(node, running=[]) for trial, _ in trials for node in trial.nodes]
-    before = {node.index: node.free for node in nodes}
-    running = [node for snapshot in snapshots for node in snapshot.nodes]
-    requests = []
+    rooms = [trial.nodes for trial, _ in trials]
+    before = {node.index: node.free for room in rooms for node in room}
+    teams = {0: pts.TeamUse(NOTHING, ENDLESS, ENDLESS)}
     for position, reserve in enumerate(kept):
+        where = range(len(rooms)) if reserve.pooled else [reserve.share]
         request = pts.Request(
             -1 - position,
             0,
@@ -176,28 +177,32 @@
         )
         evictable = sum(
             pts.slots_of(victim.need)
-            for node in running
+            for index in where
+            for node in snapshots[index].nodes
             if pts.allowed(request, node)
             for victim in node.running
             if victim.rank < reserve.rank
         )
         request.count = reserve.tasks - int(evictable / (pts.slots_of(reserve.need) or 1.0))
-        if request.count > 0:
-            requests.append(request)
-    teams = {0: pts.TeamUse(NOTHING, ENDLESS, ENDLESS)}
-    pool = pts.Snapshot(nodes, requests, teams, 1, 0, 0.0, 1.0)
-    room = copy_snapshot(pool)
-    waiting = pts.plan(room).waiting
-    for request in requests:
-        if request.job not in waiting:
+        if request.count <= 0:
             continue
-        reserve = kept[-1 - request.job]
-        # Dear machines are not kept idle for work that may run on cheap ones.
-        offers = [option for option in choices if option.offer.spot == reserve.spot]
-        alone = replace(pool, requests=[replace(request, count=waiting[request.job])], nodes=[])
-        result.rents += [(offer, reserve.share) for offer in shortfall(alone, offers, most)]
-    for node in room.nodes:
-        if node.index in idle and node.free == before[node.index] and node.free == node.total:
-            moved = any(node.index == machine for machine, _ in result.moves)
-            if not moved:
+        # Empty machines of other shares can be moved when they are needed.
+        nodes = [
+            node
+            for index, room in enumerate(rooms)
+            for node in room
+            if index in where or node.free == node.total
+        ]
+        waiting = pts.plan(pts.Snapshot(nodes, [request], teams, 1, 0, 0.0, 1.0)).waiting
+        if request.job in waiting:
+            # Dear machines are not kept idle for work that may run on cheap ones.
+            offers = [option for option in choices if option.offer.spot == reserve.spot]
+            missing = replace(request, count=waiting[request.job], zones={})
+            alone = pts.Snapshot([], [missing], teams, 1, 0, 0.0, 1.0)
+            result.rents += [(offer, reserve.share) for offer in shortfall(alone, offers, most)]
+    moved = {machine for machine, _ in result.moves}
+    for room in rooms:
+        for node in room:
+            unused = node.free == before[node.index] and node.free == node.total
+            if node.index in idle and unused and node.index not in moved:
                 result.surplus.append(node.index)
