--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -341,7 +341,8 @@
             old = self._clock.wall() - machine.rented >= MINIMUM_S
             if old and now - machine.idle_since >= tunables.idle_s:
                 idle.add(machine.index)
-        boot_s = BOOT_SPREAD * max((entry.boot_s for entry in model.types.values()), default=30.0)
+        nominal_s = max((entry.boot_s for entry in model.types.values()), default=30.0)
+        boot_s = BOOT_SPREAD * nominal_s
         kept = policy.reserves(
             model.arrivals,
             self._waits,
@@ -354,7 +355,7 @@
         choices = options(model.types, blocked)
         if now - self._moved_at < tunables.move_s:
             empty.clear()
-        decisions = policy.decide(snapshots, empty, idle, kept, choices, MOST_AT_ONCE)
+        decisions = policy.decide(snapshots, empty, idle, kept, choices, MOST_AT_ONCE, nominal_s)
         for index, share in decisions.moves:
             self._moved_at = now
             self._start_move(model.machines[index], share)
--- a/badgerseam/fleet/policy.py
+++ b/badgerseam/fleet/policy.py
@@ -84,10 +84,13 @@
     kept: list[Reserve],
     choices: list[Option],
     most: int,
+    horizon_s: float = 0.0,
 ) -> Decisions:
     """Moves first, then rents for waiting work, then the reserve; what is left over is surplus.
 
-    `empty`: machines with nothing on them; `idle`: those that have been so for long enough.
+    `empty`: machines with nothing on them; `idle`: those that have been so for long enough;
+    `horizon_s`: how long a machine boots, so that room that is free by then is as good as a new
+    one.
     """
     result = Decisions()
     trials = []
@@ -119,8 +122,10 @@
             if not trials[index][1]:
                 break
         if trials[index][1]:
-            added = shortfall(snapshot, choices, most)
-            result.rents += [(offer, index) for offer in added]
+            soon = _freed_soon(snapshot, horizon_s)
+            count = len(soon.nodes)
+            result.rents += [(offer, index) for offer in shortfall(soon, choices, most)]
+            snapshot.nodes += soon.nodes[count:]
             trial = copy_snapshot(snapshot)
             pts.plan(trial)
             trials[index] = (trial, {})
@@ -128,6 +133,18 @@
     return result
 
 
+def _freed_soon(snapshot: pts.Snapshot, horizon_s: float) -> pts.Snapshot:
+    """The snapshot as it should be after the horizon, had nothing been started meanwhile."""
+    nodes = []
+    for node in snapshot.nodes:
+        free = node.free
+        for task in node.running:
+            if task.ends_in_s <= horizon_s:
+                free = free.plus(task.need)
+        nodes.append(replace(node, free=free))
+    return replace(snapshot, nodes=nodes)
+
+
 Trials = list[tuple[pts.Snapshot, dict[int, int]]]
 
 
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -104,6 +104,8 @@
                     attempt.job.team,
                     self.waste(attempt, now),
                     attempt.stage >= Stage.FETCHING and attempt.stage != Stage.SAVING,
+                    attempt.job.rank >= HIGH_RANK,
+                    self.ends_in_s(attempt, now),
                 )
             )
         return pts.Node(
@@ -130,6 +132,14 @@
         since = math.fmod(ran, interval) if interval > 0 else ran
         return pts.slots_of(attempt.job.need) * since
 
+    def ends_in_s(self, attempt: Attempt, now: float) -> float:
+        """How long the task should go on, by its owner's estimate; endless once that is over."""
+        if attempt.job.service:
+            return math.inf
+        since = attempt.started_at or attempt.planned_at
+        left = since + attempt.job.spec.estimate_s - now
+        return left if left > 0 else math.inf
+
     def _request(self, job: Job, now: float) -> pts.Request | None:
         if job.phase != Phase.OPEN or job.next_idle() is None or now < job.retry_at:
             return None
--- a/badgerseam/sched/pts.py
+++ b/badgerseam/sched/pts.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from badgerseam.model.resources import NOTHING, Resources
@@ -23,6 +24,9 @@
     team: int
     waste: float
     evictable: bool
+    high: bool = False
+    ends_in_s: float = math.inf
+    """When it should have ended by its owner's estimate."""
 
 
 @dataclass(slots=True)
@@ -293,9 +297,10 @@
         return False
     if victim.rank < request.rank and request.high:
         return True
-    if victim.team == request.team or victim.rank > request.rank:
+    if victim.team == request.team or victim.high or victim.rank > request.rank:
         # The protocol would let borrowed room of any rank be claimed. The paper never evicts HP
-        # work, and a replica stopped for a batch task cost far more than the task gained.
+        # work: a replica stopped for another task waited for a minute where that one would have
+        # waited for a boot.
         return False
     own, other = snapshot.teams[request.team], snapshot.teams[victim.team]
     if not own.used.plus(request.need).fits(own.guarantee):
--- a/tests/test_pts.py
+++ b/tests/test_pts.py
@@ -170,3 +170,7 @@
     lender = node(0, used=8, high=8, running=[victim(0, 1.0, team=1, rank=3)])
     result = pts.plan(snapshot([lender], request(high=False), teams=teams))
     assert (result.starts, result.stops) == ([], [])
+    # Nor from a replica for another one: the paper never evicts HP work.
+    lender = node(0, used=8, high=8, running=[victim(0, 1.0, team=1, rank=3, high=True)])
+    result = pts.plan(snapshot([lender], request(rank=3), teams=teams))
+    assert (result.starts, result.stops) == ([], [])
