--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -218,6 +218,7 @@
                         )
                     continue
                 machine.addr = machine.addr or entry.addr
+                machine.listed_up = machine.listed_up or entry.state == "running"
                 if entry.state == "failed":
                     log.info("%s has failed", entry.id)
                     release.append(entry.id)
@@ -383,6 +384,8 @@
             if share.owned and machine.session > 0:
                 # Ours, and not usable now.
                 continue
+            if self._overdue(machine):
+                continue
             snapshot.nodes.append(self._planner.node(machine, now))
         hires = {name: hire for name, (hire, _) in model.hires.items()} | self._asking
         for hire in hires.values():
@@ -393,6 +396,15 @@
                     snapshot.nodes.append(node)
         return snapshot
 
+    def _overdue(self, machine: Machine) -> bool:
+        """Whether a machine should have come up by now: nobody should go on waiting for it."""
+        if machine.session > 0 or machine.listed_up or machine.attempts:
+            return False
+        entry = self._model.types.get(machine.type)
+        boot_s = entry.boot_s if entry is not None else 30.0
+        lag_s = 1.5 * self._model.settings.params.cloud.list_lag_s
+        return self._clock.wall() - machine.rented > BOOT_SPREAD * boot_s + lag_s
+
     def _start_move(self, machine: Machine, share: int) -> None:
         self._moving.add(machine.name)
         self._spawn(self._move(machine, share))
