--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -17,6 +17,9 @@
 
 SAVE_SLACK_S = 1.5
 """Between the end of a save and the start of the next task: a report, a launch, an image."""
+HOPEFUL = 0.5
+"""The part of its estimate in which a task may well be done, estimates being as wrong as that."""
+LATE_S = 1e7
 MOST_STARTS = 400
 """Tasks planned at once; more are planned in the next round."""
 
@@ -158,6 +161,9 @@
         # A finished task of an array is in no zone any more.
         deadline = math.inf if spec.deadline_s is None else job.submitted + spec.deadline_s
         order = job.submitted if job.rank >= HIGH_RANK else min(deadline, job.submitted + 1e6)
+        if deadline < self._clock.wall() + HOPEFUL * spec.estimate_s:
+            # Too late whatever is done: it goes behind what can still be in time.
+            order += LATE_S
         return pts.Request(
             job.index,
             count if job.gang else min(count, MOST_STARTS),
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,212 @@
+"""Renting, adopting, moving and returning machines."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections import deque
+from typing import Any
+
+import msgspec
+
+from badgerseam.fleet import policy
+from badgerseam.fleet.cloud import Cloud, CloudTrouble, NoCapacity
+from badgerseam.fleet.demand import Offer, options
+from badgerseam.fleet.manager import DROP, Fleet, Returns
+from badgerseam.http.client import NoResponse, Response
+from badgerseam.model.model import Arrival, hire_key
+from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.sched import pts
+from badgerseam.wire import cloud as cloud_wire
+from badgerseam.wire import state as wire
+from tests.stand_ins import FakeHttp, Rig, Worker, seeded
+
+ROOM = Resources(math.inf, math.inf, math.inf)
+TEAMS = {0: pts.TeamUse(NOTHING, ROOM, ROOM)}
+
+
+def fleet(rig: Rig, http: FakeHttp) -> Fleet:
+    cloud = Cloud(rig.clock, http, "cloud:1", 100.0)  # type: ignore[arg-type]
+    returns = Returns(rig.model, rig.committer, rig.planner)
+    rig.set("bs/l", wire.Claim("n-0", 1))
+    return Fleet(
+        rig.model,
+        rig.member,
+        rig.committer,
+        cloud,
+        rig.planner,
+        rig.tunables,
+        seeded(),
+        returns.give,
+        rig.changed,
+    )
+
+
+def reply(status: int, body: Any) -> Any:
+    return lambda _: Response(status, msgspec.json.encode(body))
+
+
+def lost(_: Any) -> Response:
+    raise NoResponse("lost")
+
+
+def test_an_unanswered_rental_is_repeated_under_its_name() -> None:
+    rig, http = Rig(), FakeHttp()
+    rented = fleet(rig, http)
+    http.script = [lost, reply(503, {"error": "trouble"}), reply(200, {"hosts": ["m-7"]})]
+    hire = wire.StoredHire([0], "c8", "a", False, 0.0)
+    rig.set(hire_key("n-0-1-1"), hire)
+    # Twice half a second and more is waited for real between the tries.
+    asyncio.run(_quick(rented, "n-0-1-1", hire))
+    names = [message["hire"] for _, _, message in http.sent]
+    assert names == ["n-0-1-1"] * 3
+    machine = rig.model.machine("m-7")
+    assert machine is not None
+    assert machine.share == 0
+    assert rig.model.hires == {}
+
+
+async def _quick(rented: Fleet, name: str, hire: wire.StoredHire) -> None:
+    await asyncio.wait_for(rented._hire(name, hire), 10.0)
+
+
+def test_a_rental_never_overwrites_the_record_of_a_machine() -> None:
+    # It may have been adopted from a report, and work placed on it, before the rental answered.
+    rig, http = Rig(shares=2), FakeHttp()
+    rented = fleet(rig, http)
+    rig.machine("m-7", share=0)
+    http.script = [reply(200, {"hosts": ["m-7", "m-8"]})]
+    hire = wire.StoredHire([1, 1], "c8", "a", False, 0.0)
+    asyncio.run(_quick(rented, "n-0-1-1", hire))
+    shares = {machine.name: machine.share for machine in rig.model.machines.values()}
+    assert shares == {"m-7": 0, "m-8": 1}
+
+
+def test_unknown_machines_are_adopted_and_failed_ones_released() -> None:
+    rig, http = Rig(), FakeHttp()
+    rented = fleet(rig, http)
+    rig.machine("m-1")
+    http.script = [reply(200, {})]
+
+    async def compare() -> None:
+        listed = [
+            cloud_wire.Listed("m-1", "", "c8", "a", False, "failed", 100.0),
+            cloud_wire.Listed("m-9", "10.1.0.9:1", "c8", "a", False, "running", 100.0),
+        ]
+        rented._compare(listed, rig.clock.wall())
+        for _ in range(20):
+            await asyncio.sleep(0)
+
+    asyncio.run(compare())
+    assert rig.model.machine("m-9") is not None
+    assert rig.model.machine("m-1") is None
+    assert http.sent[0][1:] == ("/machines/release", {"hosts": ["m-1"]})
+    # A late report of the released machine brings nothing back.
+    rig.model.unknown.clear()
+    assert rig.control.checkin(Worker("m-1").body()).status == 421
+    rented._round()
+    assert rig.model.machine("m-1") is None
+
+
+def test_a_record_goes_only_when_the_release_is_answered() -> None:
+    rig, http = Rig(), FakeHttp()
+    rented = fleet(rig, http)
+    machine = rig.machine("m-1")
+    http.script = [lost]
+
+    async def release() -> None:
+        rented._release(["m-1"])
+        for _ in range(10):
+            await asyncio.sleep(0)
+
+    asyncio.run(release())
+    assert rig.model.machine("m-1") is machine
+
+
+def test_only_an_empty_machine_is_given_away() -> None:
+    rig = Rig(shares=2)
+    rig.own(0)
+    machine = rig.machine(share=0)
+    worker = Worker()
+    rig.report(worker)
+    rig.report(worker)
+    returns = Returns(rig.model, rig.committer, rig.planner)
+    team = next(t.name for t in rig.model.teams if t.share == 0)
+    job = rig.job(owner=team, pieces=1)
+    rig.running(job, 0, machine, worker)
+    assert not rig.run(returns.give(machine, 1))
+    rig.model.unplace(job.attempts[0])
+    assert rig.run(returns.give(machine, 1))
+    assert machine.share == 1
+    other = rig.machine("m-2", share=0)
+    assert rig.run(returns.give(other, DROP))
+    assert other.dropped
+
+
+def test_cloud_answers_are_told_apart() -> None:
+    rig, http = Rig(), FakeHttp()
+    cloud = Cloud(rig.clock, http, "cloud:1", 100.0)  # type: ignore[arg-type]
+    request = cloud_wire.Rent("r-1", "c8", "a", True, 1)
+    outcomes = []
+    for status, error in ((503, "no capacity"), (503, "trouble"), (429, ""), (400, "")):
+        http.script = [reply(status, {"error": error})]
+        try:
+            rig.run(cloud.rent(request))
+        except (NoCapacity, CloudTrouble) as outcome:
+            outcomes.append(type(outcome))
+    assert outcomes == [NoCapacity, CloudTrouble, CloudTrouble, NoCapacity]
+
+
+def node(index: int, used: float = 0, **fields: Any) -> pts.Node:
+    total = Resources(8, 0, 64)
+    given: dict[str, Any] = {"type": "c8", "zone": "a", "spot": True, **fields}
+    free = total.minus(Resources(used, 0, 0))
+    return pts.Node(
+        index, total=total, free=free, high=0, low=0, evictions=0, images=set(), **given
+    )
+
+
+def share(nodes: list[pts.Node], waiting: int = 0) -> pts.Snapshot:
+    requests = []
+    if waiting:
+        need = Resources(4, 0, 8)
+        requests = [
+            pts.Request(
+                1, waiting, need, 1, False, 0, None, None, False, None, True, "", {}, set(), 0.0
+            )
+        ]
+    return pts.Snapshot(nodes, requests, dict(TEAMS), 1, 0, 0.5, 60.0)
+
+
+def choices() -> list[Any]:
+    entry = cloud_wire.MachineType("c8", 8, 64, 1.0, ["a"], spot_price=0.3, boot_s=20)
+    return options({"c8": entry}, set())
+
+
+def test_empty_machines_are_moved_before_any_is_rented() -> None:
+    shares = [share([node(0), node(1)]), share([node(2, used=8)], waiting=6)]
+    result = policy.decide(shares, {0, 1}, {0, 1}, [], choices(), 5)
+    assert result.moves == [(0, 1), (1, 1)]
+    assert result.rents == [(Offer("c8", "a", True), 1)]
+    assert result.surplus == []
+
+
+def test_room_that_is_free_before_a_boot_ends_is_not_rented() -> None:
+    busy = node(0, used=8)
+    for task, left in ((0, 5.0), (1, 50.0)):
+        running = pts.Running((9, task), Resources(4, 0, 8), 1, 0, 0.0, True, ends_in_s=left)
+        busy.running.append(running)
+    assert len(policy.decide([share([busy], 2)], set(), set(), [], choices(), 5, 20.0).rents) == 1
+    assert policy.decide([share([busy], 1)], set(), set(), [], choices(), 5, 20.0).rents == []
+
+
+def test_a_reserve_is_kept_as_long_as_its_class_arrives() -> None:
+    need = Resources(4, 0, 8)
+    arrivals = deque(Arrival(t, "fast", 0, 4, need, 2, True) for t in (0.0, 20.0, 40.0))
+    kept = policy.reserves(arrivals, {"fast": 1.0, "slow": 90.0}, 30.0, 41.0, 60.0, 1.0)
+    assert [(reserve.tasks, reserve.share) for reserve in kept] == [(4, 0)]
+    shares = [share([node(0), node(1), node(2)])]
+    result = policy.decide(shares, {0, 1, 2}, {0, 1, 2}, kept, choices(), 5)
+    assert (result.rents, result.surplus) == ([], [2])
+    later = policy.reserves(arrivals, {"fast": 1.0}, 30.0, 400.0, 60.0, 1.0)
+    assert not any(reserve.tasks for reserve in later)
