A moved machine brings no tasks of the share it left; machines are vacated for HP work elsewhere

A halted task's durable row still named the machine it had been on; when that machine had moved, its new owner took the row for its own placement and launched the task, while the task's own share started it elsewhere. Rows that name a machine of another share now mean nothing (a machine moves only when empty). The hole was open since machines move; the test fails without either guard.

--- a/badgerseam/cluster/peers.py
+++ b/badgerseam/cluster/peers.py
@@ -49,7 +49,7 @@
         machine = self._model.machine(give.machine)
         if machine is None or not -1 <= give.share < len(self._model.shares):
             return Reply(200, wire.encode(wire.Given(False)))
-        done = await self._returns.give(machine, give.share)
+        done = await self._returns.give(machine, give.share, give.vacate)
         return Reply(200, wire.encode(wire.Given(done)))
 
     def _state_age_s(self) -> float:
@@ -76,19 +76,19 @@
         if response.status == 200 and health.state_age_s < STALE_S / 2:
             self._served, self._served_at = node, self._model.clock.now()
 
-    async def give(self, machine: Machine, share: int) -> bool:
+    async def give(self, machine: Machine, share: int, vacate: bool = False) -> bool:
         """Have the owner of a machine pass it on."""
         held = self._model.shares[machine.share].held
         if held is None:
             return False
         if held.claim.node == self._node:
-            return await self._returns.give(machine, share)
+            return await self._returns.give(machine, share, vacate)
         address = self._addresses.get(held.claim.node)
         if address is None:
             return False
         try:
             response = await self._http.request(
-                address, "POST", "/give", wire.encode(wire.Give(machine.name, share)), 3.0
+                address, "POST", "/give", wire.encode(wire.Give(machine.name, share, vacate)), 3.0
             )
             return response.status == 200 and wire.given_decoder.decode(response.body).done
         except (NoResponse, msgspec.DecodeError) as error:
--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -10,7 +10,8 @@
 from badgerseam.cluster.member import Member
 from badgerseam.fleet import policy
 from badgerseam.fleet.cloud import Cloud, CloudTrouble, NoCapacity
-from badgerseam.fleet.demand import Offer, options, virtual_node
+from badgerseam.fleet.demand import Offer, copy_snapshot, options, virtual_node
+from badgerseam.model.job import HIGH_RANK
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import (
     LEADER_KEY,
@@ -42,11 +43,13 @@
 NO_CAPACITY_S = 10.0
 MOST_AT_ONCE = 12
 MOST_HOSTS = 50
+VACATE_S = 3.0
+"""How long HP work waits before a machine of another share is vacated for it."""
 ADDRESSES_S = 2.5
 """Between requests for the addresses of machines that were taken over."""
 NOT_WRITTEN = (Refused, Unavailable, Dropped, LeaseLost)
 
-Mover = Callable[[Machine, int], Awaitable[bool]]
+Mover = Callable[[Machine, int, bool], Awaitable[bool]]
 
 
 class Fleet:
@@ -83,6 +86,7 @@
         self._asking: dict[str, wire.StoredHire] = {}
         self._serial = 0
         self._learnt_at = -1e9
+        self._vacated_at: dict[int, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._moved_at = -1e9
         self._waits = {
@@ -360,6 +364,9 @@
         for index, share in decisions.moves:
             self._moved_at = now
             self._start_move(model.machines[index], share)
+        for index, share in self._vacancies(snapshots, decisions.rents, now):
+            self._vacated_at[share] = now
+            self._start_move(model.machines[index], share, vacate=True)
         for index in decisions.surplus:
             machine = model.machines[index]
             if not machine.dropped:
@@ -405,15 +412,66 @@
         lag_s = 1.5 * self._model.settings.params.cloud.list_lag_s
         return self._clock.wall() - machine.rented > BOOT_SPREAD * boot_s + lag_s
 
-    def _start_move(self, machine: Machine, share: int) -> None:
+    def _vacancies(
+        self, snapshots: list[pts.Snapshot], rents: list[tuple[Offer, int]], now: float
+    ) -> list[tuple[int, int]]:
+        """Machines to be vacated for HP work that finds no room in its share nor in the cloud.
+
+        Low-priority work of other shares may hold all there is of the machines that it needs.
+        """
+        model = self._model
+        found: list[tuple[int, int]] = []
+        for index, snapshot in enumerate(snapshots):
+            if any(share == index for _, share in rents):
+                continue
+            if now - self._vacated_at.get(index, -1e9) < VACATE_S:
+                continue
+            trial = copy_snapshot(snapshot)
+            waiting = pts.plan(trial).waiting
+            for request in trial.requests:
+                job = model.jobs[request.job]
+                if request.job not in waiting or not request.high or job is None:
+                    continue
+                if now - job.seen_at < VACATE_S:
+                    continue
+                best = self._cheapest_to_vacate(index, request, now)
+                if best is not None:
+                    found.append((best.index, index))
+                    break
+        return found
+
+    def _cheapest_to_vacate(self, share: int, request: pts.Request, now: float) -> Machine | None:
+        best: Machine | None = None
+        best_waste = 0.0
+        for machine in self._model.machines.values():
+            if machine.share == share or machine.name in self._moving or machine.dropped:
+                continue
+            if machine.draining or machine.lost or not machine.attempts:
+                continue
+            if any(attempt.job.rank >= HIGH_RANK for attempt in machine.attempts.values()):
+                continue
+            if not pts.allowed(request, self._planner.node(machine, now)):
+                continue
+            waste = sum(
+                pts.slots_of(attempt.job.need) * (now - attempt.planned_at)
+                for attempt in machine.attempts.values()
+            )
+            if best is None or waste < best_waste:
+                best, best_waste = machine, waste
+        return best
+
+    def _start_move(self, machine: Machine, share: int, vacate: bool = False) -> None:
         self._moving.add(machine.name)
-        self._spawn(self._move(machine, share))
+        self._spawn(self._move(machine, share, vacate))
 
-    async def _move(self, machine: Machine, share: int) -> None:
+    async def _move(self, machine: Machine, share: int, vacate: bool) -> None:
         try:
-            if not await self._mover(machine, share):
+            if not await self._mover(machine, share, vacate):
                 # Not empty, or its owner does not answer; seen anew after a while.
                 await asyncio.sleep(2.0)
+            elif vacate:
+                # Its owner passes it on when its work has been stopped.
+                await asyncio.sleep(2 * VACATE_S)
             elif share != DROP:
                 log.info("%s moved to share %d", machine.name, share)
         finally:
@@ -578,11 +636,17 @@
             model.apply(key, value, revision)
         return True
 
-    async def give(self, machine: Machine, share: int) -> bool:
-        """Pass an empty machine on to another share."""
+    async def give(self, machine: Machine, share: int, vacate: bool = False) -> bool:
+        """Pass an empty machine on to another share, or, to vacate it, have its work stopped."""
         with self._model.lock:
+            if vacate and not machine.draining and self._low_only(machine):
+                log.info("vacating %s for share %d", machine.name, share)
+                machine.draining = True
+                machine.vacate_to = share
+                return True
             if not self._empty(machine):
                 return False
+            machine.vacate_to = None
             machine.draining = machine.giving = True
         drop = share == DROP
         done = await self.rewrite(machine, machine.share if drop else share, dropped=drop)
@@ -591,10 +655,23 @@
             machine.draining = False
         return done
 
+    def _low_only(self, machine: Machine) -> bool:
+        return self._model.shares[machine.share].owned and all(
+            attempt.job.rank < HIGH_RANK for attempt in machine.attempts.values()
+        )
+
+    def vacated(self) -> list[tuple[Machine, int]]:
+        """Machines that have become empty for another share."""
+        return [
+            (machine, machine.vacate_to)
+            for machine in self._model.machines.values()
+            if machine.vacate_to is not None and not machine.giving and self._empty(machine)
+        ]
+
     def _empty(self, machine: Machine) -> bool:
         return (
             self._model.shares[machine.share].owned
-            and not machine.draining
+            and (not machine.draining or machine.vacate_to is not None)
             and not machine.dropped
             and (machine.session == 0 or machine.clear)
             and self._planner.free_of_work(machine)
@@ -617,6 +694,7 @@
                     and machine.recall_at is None
                     and machine.session > 0
                     and not machine.giving
+                    and machine.vacate_to is None
                     and self._planner.free_of_work(machine)
                 )
             )
--- a/badgerseam/model/machine.py
+++ b/badgerseam/model/machine.py
@@ -62,6 +62,8 @@
     idle_since: float = 0.0
     returning: bool = False
     """Its record is being rewritten so that it is released."""
+    vacate_to: int | None = None
+    """The share that gets it as soon as its work has been stopped."""
     giving: bool = False
     """Its record is being rewritten for another share, or for its release."""
     probing: bool = False
@@ -96,6 +98,7 @@
         self.failures = 0
         self.failed_jobs.clear()
         self.draining = False
+        self.vacate_to = None
         self.probing = False
         self.given_up = False
         self.lost = False
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -348,6 +348,9 @@
                 continue
             job.tries[task] = row.attempt
             index = None if row.machine is None else self.machine_index.get(row.machine)
+            if index is not None and self.machines[index].share != job.share:
+                # It has been moved since, which happens only with nothing on it.
+                index = None
             if attempt is not None:
                 if index == attempt.machine.index and attempt.number == row.attempt:
                     continue
@@ -399,6 +402,11 @@
         machine.dropped = stored.dropped
         machine.addr = stored.addr or machine.addr
         if moved:
+            # Moved with nothing on it: rows of the share it left, written before, mean nothing any
+            # more. Its new owner must not take them for its own work and launch them.
+            for attempt in list(machine.attempts.values()):
+                if attempt.job.share != machine.share:
+                    self.unplace(attempt)
             self.adopt(machine, fresh=True)
 
     def adopt(self, machine: Machine, fresh: bool) -> None:
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -114,9 +114,9 @@
             rounds += 1
             model = self.model
             with model.lock:
-                for share in model.shares:
-                    if share.owned:
-                        model.kicks.add(share.index)
+                for own in model.shares:
+                    if own.owned:
+                        model.kicks.add(own.index)
                 if self.control.lacks_addresses():
                     self.fleet.learn_addresses()
                 self.control.watch()
@@ -125,16 +125,21 @@
                 for machine in model.machines.values():
                     if model.shares[machine.share].owned:
                         model.pushes.add(machine.index)
+                for machine, share in self.returns.vacated():
+                    self._spawn(self._pass_on(machine, share))
                 if rounds % 2 == 0:
                     for machine in self.returns.finished():
                         machine.returning = True
                         self._spawn(self._drop(machine))
                 if rounds % max(1, round(self.tunables.counts_s / TICK_S)) == 0:
-                    for share in model.shares:
-                        if share.owned:
-                            self._spawn(self.ledger.write_counts(share))
+                    for own in model.shares:
+                        if own.owned:
+                            self._spawn(self.ledger.write_counts(own))
             self.pulse()
 
+    async def _pass_on(self, machine: Machine, share: int) -> None:
+        await self.returns.give(machine, share)
+
     async def _drop(self, machine: Machine) -> None:
         try:
             await self.returns.rewrite(machine, machine.share, dropped=True)
--- a/badgerseam/wire/peers.py
+++ b/badgerseam/wire/peers.py
@@ -11,6 +11,8 @@
 
     machine: str
     share: int
+    vacate: bool = False
+    """Stop the low-priority work on it first."""
 
 
 class Given(Struct, frozen=True):
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -329,3 +329,24 @@
     rig.served_sibling = "n-1"
     reply = rig.control.checkin(worker.body())
     assert (reply.status, reply.body) == (421, b'{"overseer":"n-1"}')
+
+
+def test_a_moved_machine_does_not_bring_tasks_of_the_share_it_left() -> None:
+    # Found on a day of our own: a halted task's row still named the machine, whose new owner
+    # launched it there while its own share started it elsewhere.
+    rig = Rig(shares=2)
+    rig.own(1)
+    machine = rig.machine(share=0)
+    team = next(t.name for t in rig.model.teams if t.share == 0)
+    job = rig.job(owner=team, pieces=1)
+    rows = wire.StoredTasks("0", [wire.TaskRow(0, 1, "m-1")])
+    rig.set(f"bs/p/{job.id}/0", rows)
+    assert machine.attempts
+    rig.set("bs/m/m-1", wire.StoredMachine(1, "c8", "a", False, "10.1.0.1:9000", 0.0))
+    assert not machine.attempts
+    rig.claim(0)
+    rig.member.review()
+    assert job.attempts == {}
+    worker = Worker()
+    assert verbs(rig.report(worker)) == []
+    assert verbs(rig.report(worker)) == []
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -143,6 +143,27 @@
     assert other.dropped
 
 
+def test_a_machine_is_vacated_of_low_priority_work_and_then_passed_on() -> None:
+    rig = Rig(shares=2)
+    rig.own(0)
+    machine = rig.machine(share=0)
+    worker = Worker()
+    rig.report(worker)
+    returns = Returns(rig.model, rig.committer, rig.planner)
+    team = next(t.name for t in rig.model.teams if t.share == 0)
+    job = rig.job(owner=team, pieces=1)
+    rig.running(job, 0, machine, worker)
+    rig.report(worker)
+    assert rig.run(returns.give(machine, 1, vacate=True))
+    assert returns.vacated() == []
+    rig.control.drain()
+    rig.report(worker)
+    rig.report(worker)
+    [(empty, share_index)] = returns.vacated()
+    assert rig.run(returns.give(empty, share_index))
+    assert machine.share == 1
+
+
 def test_cloud_answers_are_told_apart() -> None:
     rig, http = Rig(), FakeHttp()
     cloud = Cloud(rig.clock, http, "cloud:1", 100.0)  # type: ignore[arg-type]
