--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -82,6 +82,24 @@
     assert shares == {"m-7": 0, "m-8": 1}
 
 
+def test_a_record_that_the_replica_has_not_shown_yet_is_not_overwritten_either() -> None:
+    rig, http = Rig(shares=2), FakeHttp()
+    rented = fleet(rig, http)
+    known = wire.StoredMachine(0, "c8", "a", False, "", 0.0)
+    version = rig.state.put("bs/m/m-7", known)
+    http.script = [reply(200, {"hosts": ["m-7"]})]
+    hire = wire.StoredHire([1], "c8", "a", False, 0.0)
+
+    async def work() -> None:
+        task = asyncio.ensure_future(_quick(rented, "n-0-1-1", hire))
+        await asyncio.sleep(0.1)
+        rig.model.apply("bs/m/m-7", wire.raw(known), version)
+        await task
+
+    asyncio.run(work())
+    assert rig.state.version("bs/m/m-7") == version
+
+
 def test_unknown_machines_are_adopted_and_failed_ones_released() -> None:
     rig, http = Rig(), FakeHttp()
     rented = fleet(rig, http)
