--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -186,8 +186,7 @@
         if not fits:
             return "a task fits no allowed machine type"
         count = 1 if spec.kind == "sweep" else spec.tasks
-        total = Resources(need.cpus * count, need.gpus * count, need.memory_gb * count)
-        if not total.fits(model.teams[index].limit):
+        if not need.times(count).fits(model.teams[index].limit):
             return "more than the limit of the team"
         return None
 
--- a/badgerseam/cluster/member.py
+++ b/badgerseam/cluster/member.py
@@ -66,7 +66,13 @@
         Beyond the bound a cancellation made elsewhere could come too late for tasks whose lease
         we would renew.
         """
-        return share.owned and self.fresh(self._model.cut_bound_s)
+        held = share.held
+        return (
+            share.owned
+            and held is not None
+            and held.version == share.term
+            and self.fresh(self._model.cut_bound_s)
+        )
 
     def home(self, share: Share) -> str:
         return self.order[share.index % len(self.order)]
--- a/badgerseam/cluster/peers.py
+++ b/badgerseam/cluster/peers.py
@@ -46,11 +46,18 @@
             give = wire.give_decoder.decode(body)
         except msgspec.DecodeError:
             return error_reply(400, "not a request to give")
-        machine = self._model.machine(give.machine)
-        if machine is None or not -1 <= give.share < len(self._model.shares):
-            return Reply(200, wire.encode(wire.Given(False)))
-        done = await self._returns.give(machine, give.share, give.vacate)
-        return Reply(200, wire.encode(wire.Given(done)))
+        if not -1 <= give.share < len(self._model.shares):
+            return error_reply(400, "no such share")
+        with self._model.lock:
+            found = [self._model.machine(name) for name in give.machines]
+        by_share: dict[int, list[Machine]] = {}
+        for machine in found:
+            if machine is not None:
+                by_share.setdefault(machine.share, []).append(machine)
+        done: set[str] = set()
+        for machines in by_share.values():
+            done |= await self._returns.give(machines, give.share, give.vacate)
+        return Reply(200, wire.encode(wire.Given(sorted(done))))
 
     def _state_age_s(self) -> float:
         return self._model.clock.now() - self._state.confirmed_at
@@ -76,21 +83,22 @@
         if response.status == 200 and health.state_age_s < STALE_S / 2:
             self._served, self._served_at = node, self._model.clock.now()
 
-    async def give(self, machine: Machine, share: int, vacate: bool = False) -> bool:
-        """Have the owner of a machine pass it on."""
-        held = self._model.shares[machine.share].held
+    async def give(self, machines: list[Machine], share: int, vacate: bool = False) -> set[str]:
+        """Have the owner of machines, all of one share, pass them on."""
+        held = self._model.shares[machines[0].share].held
         if held is None:
-            return False
+            return set()
         if held.claim.node == self._node:
-            return await self._returns.give(machine, share, vacate)
+            return await self._returns.give(machines, share, vacate)
         address = self._addresses.get(held.claim.node)
         if address is None:
-            return False
+            return set()
+        give = wire.Give([machine.name for machine in machines], share, vacate)
         try:
-            response = await self._http.request(
-                address, "POST", "/give", wire.encode(wire.Give(machine.name, share, vacate)), 3.0
-            )
-            return response.status == 200 and wire.given_decoder.decode(response.body).done
+            response = await self._http.request(address, "POST", "/give", wire.encode(give), 3.0)
+            if response.status != 200:
+                return set()
+            return set(wire.given_decoder.decode(response.body).done)
         except (NoResponse, msgspec.DecodeError) as error:
             log.debug("%s: no answer to a request to give: %s", held.claim.node, error)
-            return False
+            return set()
--- a/badgerseam/fleet/cloud.py
+++ b/badgerseam/fleet/cloud.py
@@ -28,6 +28,11 @@
         self._address = address
         self.budget = Budget(clock, 0.85 * rps)
 
+    async def turn(self) -> None:
+        """Wait until a call may be made at once."""
+        while self.budget.available() < 1.0:
+            await asyncio.sleep(self.budget.wait_s() + 0.01)
+
     async def _call(self, method: str, path: str, body: bytes | None) -> tuple[int, bytes]:
         while not self.budget.take():
             await asyncio.sleep(self.budget.wait_s() + 0.01)
--- a/badgerseam/fleet/demand.py
+++ b/badgerseam/fleet/demand.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from badgerseam.model.resources import Resources
 from badgerseam.sched import pts
@@ -39,46 +39,100 @@
     return found
 
 
-def shortfall(snapshot: pts.Snapshot, choices: list[Option], most: int) -> list[Offer]:
-    """What to rent for the requests of a snapshot that find no room; it is added to the snapshot.
+@dataclass(slots=True)
+class _Want:
+    request: pts.Request
+    count: int
+    zones: dict[str, int]
+
 
-    The snapshot's machines include those that are on their way. New ones are chosen by the price
-    of a slot that will be used.
+class Wants:
+    """Tasks that found no room, to be counted into machines one after the other.
+
+    No plan is made here: whether a machine serves is a matter of amounts and of the jobs' own
+    rules, so that hundreds of machines can be looked at in one go.
     """
-    rented: list[Offer] = []
-    added = 0
-    for _ in range(most):
-        trial = copy_snapshot(snapshot)
-        result = pts.plan(trial)
-        if not result.waiting:
-            break
-        by_job = {request.job: request for request in trial.requests}
-        wanted = [(by_job[job], count) for job, count in result.waiting.items()]
-        wanted.sort(key=lambda item: (-item[0].rank, item[0].order))
-        best: tuple[float, int, Option] | None = None
-        for request, _count in wanted:
-            for position, option in enumerate(choices):
-                node = _virtual(option, -1)
-                if not pts.allowed(request, node):
-                    continue
-                each = request.need.times_in(option.total)
-                same = sum(count for other, count in wanted if pts.allowed(other, node))
-                used = min(each, same)
-                if used <= 0:
-                    continue
-                crowd = request.zones.get(option.offer.zone, 0) if request.zone_limit else 0
-                key = (option.price / used * (1 + 0.02 * crowd), position, option)
-                if best is None or key[:2] < best[:2]:
-                    best = key
-            if best is not None:
-                break
-        if best is None:
-            break
-        added += 1
-        node = _virtual(best[2], -1 - added)
-        snapshot.nodes.append(node)
-        rented.append(best[2].offer)
-    return rented
+
+    def __init__(
+        self,
+        requests: list[pts.Request],
+        waiting: dict[int, int],
+        teams: dict[int, pts.TeamUse],
+    ) -> None:
+        found = [request for request in requests if request.job in waiting]
+        found.sort(key=lambda request: (-request.rank, request.order))
+        self._wants = [_Want(r, waiting[r.job], dict(r.zones)) for r in found]
+        self._left = {index: team.limit.minus(team.used) for index, team in teams.items()}
+
+    def __bool__(self) -> bool:
+        return bool(self._wants)
+
+    def fill(self, node: pts.Node, room: Resources) -> int:
+        """Count tasks into the room on a machine; how many went in."""
+        placed = 0
+        emptied = False
+        for want in self._wants:
+            count = self._fits(want, node, room)
+            if count <= 0:
+                continue
+            request = want.request
+            taken = request.need.times(count)
+            room = room.minus(taken)
+            self._left[request.team] = self._left[request.team].minus(taken)
+            want.zones[node.zone] = want.zones.get(node.zone, 0) + count
+            want.count -= count
+            placed += count
+            emptied = emptied or want.count <= 0
+        if emptied:
+            self._wants = [want for want in self._wants if want.count > 0]
+        return placed
+
+    def _fits(self, want: _Want, node: pts.Node, room: Resources) -> int:
+        request = want.request
+        if not request.need.fits(room) or not pts.allowed(request, node, want.zones):
+            return 0
+        count = min(
+            want.count,
+            request.need.times_in(room),
+            request.need.times_in(self._left[request.team]),
+        )
+        if request.zone_limit is not None:
+            count = min(count, request.zone_limit - want.zones.get(node.zone, 0))
+        return count
+
+    def rent(self, choices: list[Option], most: int) -> list[Offer]:
+        """What to rent for all that is left, by the price of a slot that will be used."""
+        rented: list[Offer] = []
+        while self._wants and len(rented) < most:
+            head = self._wants[0]
+            option = self._cheapest(head, choices)
+            if option is None:
+                # Nothing can be had for it now, or its team may use no more.
+                self._wants.pop(0)
+                continue
+            node = _virtual(option, -1)
+            while len(rented) < most and self.fill(node, node.free) > 0:
+                rented.append(option.offer)
+                if head.request.zone_limit is not None or not (self and self._wants[0] is head):
+                    break
+        return rented
+
+    def _cheapest(self, head: _Want, choices: list[Option]) -> Option | None:
+        best: Option | None = None
+        best_price = 0.0
+        for option in choices:
+            node = _virtual(option, -1)
+            each = self._fits(head, node, option.total)
+            if each <= 0:
+                continue
+            # What others would use of it makes a large machine worth its price.
+            each = head.request.need.times_in(option.total)
+            alike = sum(w.count for w in self._wants if pts.allowed(w.request, node, w.zones))
+            crowd = head.zones.get(option.offer.zone, 0) if head.request.zone_limit else 0
+            price = option.price / min(each, alike) * (1 + 0.02 * crowd)
+            if best is None or price < best_price:
+                best, best_price = option, price
+        return best
 
 
 def _virtual(option: Option, index: int) -> pts.Node:
@@ -104,16 +158,3 @@
         return None
     total = Resources(entry.cpus, entry.gpus, entry.memory_gb)
     return _virtual(Option(offer, total, entry.price), index)
-
-
-def copy_snapshot(snapshot: pts.Snapshot) -> pts.Snapshot:
-    """A snapshot to plan on without changing the original; nobody is evicted on it."""
-    return replace(
-        snapshot,
-        nodes=[replace(node, running=[]) for node in snapshot.nodes],
-        requests=[
-            replace(request, zones=dict(request.zones), wait_s=None)
-            for request in snapshot.requests
-        ],
-        teams={index: replace(team) for index, team in snapshot.teams.items()},
-    )
--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from random import Random
 
+import msgspec
+
 from badgerseam.cluster.member import Member
 from badgerseam.fleet import policy
 from badgerseam.fleet.cloud import Cloud, CloudTrouble, NoCapacity
-from badgerseam.fleet.demand import Offer, copy_snapshot, options, virtual_node
+from badgerseam.fleet.demand import Offer, options, virtual_node
 from badgerseam.model.job import HIGH_RANK
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import (
@@ -20,13 +23,12 @@
     Share,
     claim_key,
     hire_key,
-    machine_key,
 )
 from badgerseam.sched import pts
 from badgerseam.sched.planner import Planner
 from badgerseam.settings import Tunables
-from badgerseam.store.client import LeaseLost, Refused, Unavailable
-from badgerseam.store.committer import Committer, Dropped, Urgency
+from badgerseam.store.committer import Committer, Urgency
+from badgerseam.store.roster import NOT_WRITTEN, Roster
 from badgerseam.wire import cloud as cloud_wire
 from badgerseam.wire import state as wire
 
@@ -41,15 +43,17 @@
 """Where a machine is moved that is to be released."""
 TYPES_S = 20.0
 NO_CAPACITY_S = 10.0
-MOST_AT_ONCE = 12
+MOST_NO_CAPACITY_S = 30.0
+MOST_AT_ONCE = 150
 MOST_HOSTS = 50
+MOST_RELEASED = 100
 VACATE_S = 3.0
 """How long HP work waits before a machine of another share is vacated for it."""
 ADDRESSES_S = 2.5
 """Between requests for the addresses of machines that were taken over."""
-NOT_WRITTEN = (Refused, Unavailable, Dropped, LeaseLost)
 
-Mover = Callable[[Machine, int, bool], Awaitable[bool]]
+Mover = Callable[[list[Machine], int, bool], Awaitable[set[str]]]
+"""Passes machines on to a share, or has them vacated for it; the names for which that is done."""
 
 
 class Fleet:
@@ -60,6 +64,7 @@
         model: Model,
         member: Member,
         committer: Committer,
+        roster: Roster,
         cloud: Cloud,
         planner: Planner,
         tunables: Tunables,
@@ -70,6 +75,7 @@
         self._model = model
         self._member = member
         self._committer = committer
+        self._roster = roster
         self._cloud = cloud
         self._planner = planner
         self._tunables = tunables
@@ -77,12 +83,16 @@
         self._mover = mover
         self._changed = changed
         self._clock = model.clock
-        self._blocked: dict[Offer, float] = {}
+        self._blocked: dict[Offer, tuple[float, float]] = {}
+        """Offers without capacity: until when they are left alone, and the pause."""
         self._hiring: set[str] = set()
         self._releasing: set[str] = set()
+        self._to_release: list[str] = []
+        self._release_runs = False
         self._moving: set[str] = set()
         self._missing: dict[str, int] = {}
-        self._adopting: dict[str, tuple[int, float]] = {}
+        self._recording: set[str] = set()
+        """Machines whose first record is being written."""
         self._asking: dict[str, wire.StoredHire] = {}
         self._serial = 0
         self._learnt_at = -1e9
@@ -205,21 +215,19 @@
         model = self._model
         lag = model.settings.params.cloud.list_lag_s
         release: list[str] = []
+        adopt: list[wire.StoredMachine] = []
         present = set()
         with model.lock:
             for entry in listed:
                 present.add(entry.id)
                 machine = model.machine(entry.id)
                 if machine is None:
-                    if entry.id not in model.gone:
-                        self._adopt(
-                            entry.id,
-                            entry.type,
-                            entry.zone,
-                            entry.spot,
-                            entry.addr,
-                            entry.age_s,
+                    rented = round(self._clock.wall() - entry.age_s, 1)
+                    adopt.append(
+                        wire.StoredMachine(
+                            entry.id, 0, entry.type, entry.zone, entry.spot, entry.addr, rented
                         )
+                    )
                     continue
                 machine.addr = machine.addr or entry.addr
                 machine.listed_up = machine.listed_up or entry.state == "running"
@@ -242,28 +250,41 @@
                     if missed * self._list_pause_s > 2 * lag:
                         log.info("%s is not listed any more", machine.name)
                         release.append(machine.name)
+            self._adopt(adopt)
         self._release(release)
 
-    def _adopt(
-        self, name: str, type_name: str, zone: str, spot: bool, addr: str, age_s: float
-    ) -> None:
-        """Take a machine that we have no record of into the share with the fewest for its work."""
+    def _adopt(self, rows: list[wire.StoredMachine]) -> None:
+        """Take machines that we have no record of, each into the share with the fewest for its
+        work."""
         model = self._model
-        counts = [0.0] * len(model.shares)
-        for machine in model.machines.values():
-            counts[machine.share] += machine.total.cpus or 1.0
-        for share, hint in self._adopting.values():
-            counts[share] += hint
-        work = [self._work(share) for share in range(len(counts))]
-        share = max(range(len(counts)), key=lambda index: (work[index] + 1) / (counts[index] + 1))
-        if name in self._adopting:
+        fresh = [
+            row
+            for row in rows
+            if row.name not in model.gone
+            and row.name not in model.machine_index
+            and row.name not in self._recording
+        ]
+        if not fresh or not model.types:
             return
-        self._adopting[name] = (share, model.capacity(type_name).cpus or 1.0)
-        record = wire.StoredMachine(
-            share, type_name, zone, spot, addr, round(self._clock.wall() - age_s, 1)
-        )
-        log.info("adopting %s for share %d", name, share)
-        self._spawn(self._record({name: record}, None))
+        counts = [
+            sum(machine.total.cpus or 1.0 for machine in fleet.values()) for fleet in model.fleets
+        ]
+        work = [self._work(share) for share in range(len(counts))]
+        adopted = []
+        for row in fresh:
+            share = max(
+                range(len(counts)), key=lambda index: (work[index] + 1) / (counts[index] + 1)
+            )
+            counts[share] += model.capacity(row.type).cpus or 1.0
+            adopted.append(msgspec.structs.replace(row, share=share))
+            log.info("adopting %s for share %d", row.name, share)
+        self._recording.update(row.name for row in adopted)
+        self._serial += 1
+        self._spawn(self._record(adopted, None, f"{self._prefix()}-{self._serial}"))
+
+    def _prefix(self) -> str:
+        # The lease's number makes the names ones that no other process has used.
+        return f"{self._member.node}-{self._member.lease}"
 
     def _work(self, share: int) -> float:
         total = 0.0
@@ -274,42 +295,33 @@
                 total += 0.05 * (team.guarantee.cpus + team.guarantee.gpus)
         return total
 
-    async def _record(
-        self,
-        records: dict[str, wire.StoredMachine],
-        hire: str | None,
-    ) -> bool:
+    async def _record(self, rows: list[wire.StoredMachine], hire: str | None, group: str) -> bool:
         """Write records of machines, and delete the hire that brought them with the last."""
         model = self._model
-        names = list(records)
-        most = max(1, model.settings.params.state.txn_ops - 1)
+        most = self._roster.most_rows
         try:
-            for first in range(0, max(len(names), 1), most):
-                part = names[first : first + most]
+            for first in range(0, max(len(rows), 1), most):
+                part = rows[first : first + most]
                 held = model.leader
                 if held is None:
                     return False
-                values = {name: wire.raw(records[name]) for name in part}
-                writes = [wire.Write(put=machine_key(n), value=v) for n, v in values.items()]
-                if hire is not None and first + most >= len(names):
-                    writes.append(wire.Write(delete=hire_key(hire)))
-                revision = await self._committer.commit(
-                    Urgency.PLACE,
-                    {LEADER_KEY: held.version, **{machine_key(name): 0 for name in part}},
-                    writes,
-                    wanted=lambda: self._member.is_leader,
-                )
-                with model.lock:
-                    for name, value in values.items():
-                        model.apply(machine_key(name), value, revision)
-                    if hire is not None and first + most >= len(names):
-                        model.apply(hire_key(hire), None, revision)
+                also = []
+                if hire is not None and first + most >= len(rows):
+                    also.append(wire.Write(delete=hire_key(hire)))
+                name = group if first == 0 else f"{group}-{first}"
+                if part or also:
+                    await self._roster.add(
+                        name,
+                        part,
+                        (LEADER_KEY, held.version),
+                        also,
+                        lambda: self._member.is_leader,
+                    )
         except NOT_WRITTEN as error:
             log.debug("machines not recorded: %r", error)
             return False
         finally:
-            for name in names:
-                self._adopting.pop(name, None)
+            self._recording.difference_update(row.name for row in rows)
             self._changed()
         return True
 
@@ -319,12 +331,15 @@
         model = self._model
         now = self._clock.now()
         with model.lock:
-            for name, report in list(model.unknown.items()):
-                del model.unknown[name]
-                if name not in model.gone and model.machine(name) is None:
-                    self._adopt(name, report.type, report.zone, report.spot, report.addr, 0.0)
             if not model.types:
                 return
+            now_s = round(self._clock.wall(), 1)
+            unknown = [
+                wire.StoredMachine(r.machine, 0, r.type, r.zone, r.spot, r.addr, now_s)
+                for r in model.unknown.values()
+            ]
+            model.unknown.clear()
+            self._adopt(unknown)
             for name, (hire, _) in list(model.hires.items()):
                 if name not in self._hiring:
                     self._hiring.add(name)
@@ -356,52 +371,56 @@
             tunables.arrivals_s,
             tunables.reserve_spread,
         )
-        blocked = {offer for offer, until in self._blocked.items() if until > now}
+        blocked = {offer for offer, (until, _) in self._blocked.items() if until > now}
         choices = options(model.types, blocked)
         if now - self._moved_at < tunables.move_s:
             empty.clear()
         decisions = policy.decide(snapshots, empty, idle, kept, choices, MOST_AT_ONCE, nominal_s)
+        moves: dict[int, list[Machine]] = {}
         for index, share in decisions.moves:
             self._moved_at = now
-            self._start_move(model.machines[index], share)
-        for index, share in self._vacancies(snapshots, decisions.rents, now):
+            moves.setdefault(share, []).append(model.machines[index])
+        moves[DROP] = [
+            machine
+            for machine in (model.machines[index] for index in decisions.surplus)
+            if not machine.dropped
+        ]
+        for share, machines in moves.items():
+            self._start_move(machines, share)
+        for index, share in self._vacancies(snapshots, decisions, now):
             self._vacated_at[share] = now
-            self._start_move(model.machines[index], share, vacate=True)
-        for index in decisions.surplus:
-            machine = model.machines[index]
-            if not machine.dropped:
-                self._start_move(machine, DROP)
+            self._start_move([model.machines[index]], share, vacate=True)
         asked: dict[Offer, list[int]] = {}
         for offer, share in decisions.rents:
             asked.setdefault(offer, []).append(share)
-        # One request an offer for all shares: the cloud allows few.
-        for offer, shares in asked.items():
+        # One request an offer for all shares, and none that would wait for its turn: the cloud
+        # allows few calls, and what is asked later is asked for all that is lacking by then.
+        turns = int(self._cloud.budget.available()) - len(self._hiring)
+        for offer, shares in list(asked.items())[: max(0, turns)]:
             self._ask(shares[:MOST_HOSTS], offer)
 
     def _snapshot(self, share: Share, now: float) -> pts.Snapshot:
         """A share's machines as the records have them, those on their way included."""
-        snapshot = self._planner.snapshot(share)
-        known = {node.index for node in snapshot.nodes}
+        planner = self._planner
+        nodes = []
         model = self._model
-        for machine in model.machines.values():
-            if machine.share != share.index or machine.index in known:
-                continue
-            if machine.dropped or machine.lost or machine.draining or machine.name in self._moving:
-                continue
-            if share.owned and machine.session > 0:
-                # Ours, and not usable now.
-                continue
-            if self._overdue(machine):
-                continue
-            snapshot.nodes.append(self._planner.node(machine, now))
+        for machine in model.fleets[share.index].values():
+            if not planner.usable(machine, now):
+                if machine.dropped or machine.lost or machine.draining:
+                    continue
+                # Ours, and not usable now; or not to be waited for any more.
+                if (share.owned and machine.session > 0) or self._overdue(machine):
+                    continue
+            if machine.name not in self._moving:
+                nodes.append(planner.node(machine, now))
         hires = {name: hire for name, (hire, _) in model.hires.items()} | self._asking
         for hire in hires.values():
             offer = Offer(hire.type, hire.zone, hire.spot)
             for _ in range(hire.shares.count(share.index)):
-                node = virtual_node(model.types, offer, -1000 - len(snapshot.nodes))
+                node = virtual_node(model.types, offer, -1000 - len(nodes) - 10000 * share.index)
                 if node is not None:
-                    snapshot.nodes.append(node)
-        return snapshot
+                    nodes.append(node)
+        return planner.snapshot(share, nodes, planner.requests(share))
 
     def _overdue(self, machine: Machine) -> bool:
         """Whether a machine should have come up by now: nobody should go on waiting for it."""
@@ -413,7 +432,7 @@
         return self._clock.wall() - machine.rented > BOOT_SPREAD * boot_s + lag_s
 
     def _vacancies(
-        self, snapshots: list[pts.Snapshot], rents: list[tuple[Offer, int]], now: float
+        self, snapshots: list[pts.Snapshot], decisions: policy.Decisions, now: float
     ) -> list[tuple[int, int]]:
         """Machines to be vacated for HP work that finds no room in its share nor in the cloud.
 
@@ -422,13 +441,12 @@
         model = self._model
         found: list[tuple[int, int]] = []
         for index, snapshot in enumerate(snapshots):
-            if any(share == index for _, share in rents):
+            waiting = decisions.waiting[index]
+            if not waiting or any(share == index for _, share in decisions.rents):
                 continue
             if now - self._vacated_at.get(index, -1e9) < VACATE_S:
                 continue
-            trial = copy_snapshot(snapshot)
-            waiting = pts.plan(trial).waiting
-            for request in trial.requests:
+            for request in snapshot.requests:
                 job = model.jobs[request.job]
                 if request.job not in waiting or not request.high or job is None:
                     continue
@@ -460,33 +478,39 @@
                 best, best_waste = machine, waste
         return best
 
-    def _start_move(self, machine: Machine, share: int, vacate: bool = False) -> None:
-        self._moving.add(machine.name)
-        self._spawn(self._move(machine, share, vacate))
+    def _start_move(self, machines: list[Machine], share: int, vacate: bool = False) -> None:
+        by_origin: dict[int, list[Machine]] = {}
+        for machine in machines:
+            self._moving.add(machine.name)
+            by_origin.setdefault(machine.share, []).append(machine)
+        for part in by_origin.values():
+            self._spawn(self._move(part, share, vacate))
 
-    async def _move(self, machine: Machine, share: int, vacate: bool) -> None:
+    async def _move(self, machines: list[Machine], share: int, vacate: bool) -> None:
+        names = {machine.name for machine in machines}
         try:
-            if not await self._mover(machine, share, vacate):
-                # Not empty, or its owner does not answer; seen anew after a while.
-                await asyncio.sleep(2.0)
-            elif vacate:
-                # Its owner passes it on when its work has been stopped.
+            done = await self._mover(machines, share, vacate)
+            if vacate:
+                # Their owner passes them on when their work has been stopped.
                 await asyncio.sleep(2 * VACATE_S)
-            elif share != DROP:
-                log.info("%s moved to share %d", machine.name, share)
+            elif share != DROP and done:
+                log.info("moved to share %d: %s", share, " ".join(sorted(done)))
+            self._moving -= done
+            names -= done
+            if names and not vacate:
+                # Not empty, or their owner does not answer; seen anew after a while.
+                await asyncio.sleep(2.0)
         finally:
-            self._moving.discard(machine.name)
+            self._moving -= names
 
     # ---- renting ----
 
     def _ask(self, shares: list[int], offer: Offer) -> None:
-        lease = self._member.lease
         held = self._model.leader
-        if lease is None or held is None:
+        if self._member.lease is None or held is None:
             return
         self._serial += 1
-        # The lease's number makes the name one that no other process has used.
-        name = f"{self._member.node}-{lease}-{self._serial}"
+        name = f"{self._prefix()}-{self._serial}"
         hire = wire.StoredHire(
             shares, offer.type, offer.zone, offer.spot, round(self._clock.wall(), 1)
         )
@@ -526,7 +550,6 @@
                     names = await self._cloud.rent(request)
                     break
                 except NoCapacity:
-                    self._blocked[offer] = self._clock.now() + NO_CAPACITY_S
                     names = []
                     break
                 except CloudTrouble as error:
@@ -543,32 +566,56 @@
                 hire.type,
                 hire.zone,
                 " (spot)" if hire.spot else "",
-                hire.shares,
+                " ".join(f"{share}:{n}" for share, n in sorted(Counter(hire.shares).items())),
             )
             if len(names) < count:
-                self._blocked[offer] = self._clock.now() + NO_CAPACITY_S
-            records = {
-                machine: wire.StoredMachine(share, hire.type, hire.zone, hire.spot, "", hire.at)
+                self._block(offer, bool(names))
+            rows = [
+                wire.StoredMachine(machine, share, hire.type, hire.zone, hire.spot, "", hire.at)
                 for machine, share in zip(names, hire.shares, strict=False)
-            }
+            ]
             while self._member.is_leader:
-                # Some may have been adopted already, from a report or the list. Their records must
-                # not be overwritten: work may have been placed on them.
+                # Some may have been adopted already, from a report or the list, or are just being:
+                # they must not be recorded twice.
                 with self._model.lock:
-                    fresh = {n: r for n, r in records.items() if self._model.machine(n) is None}
-                if await self._record(fresh, name):
+                    fresh = [r for r in rows if r.name not in self._model.machine_index]
+                    ready = self._recording.isdisjoint(r.name for r in fresh)
+                    if ready:
+                        self._recording.update(r.name for r in fresh)
+                if ready and await self._record(fresh, name, name):
                     break
                 await asyncio.sleep(0.3)
         finally:
             self._hiring.discard(name)
 
+    def _block(self, offer: Offer, some: bool) -> None:
+        """Leave an offer alone for a while, longer if nothing was to be had again."""
+        _, pause = self._blocked.get(offer, (0.0, 0.0))
+        pause = NO_CAPACITY_S if some or pause == 0 else min(2 * pause, MOST_NO_CAPACITY_S)
+        self._blocked[offer] = (self._clock.now() + pause, pause)
+
     # ---- releasing ----
 
     def _release(self, names: list[str]) -> None:
-        names = [name for name in names if name not in self._releasing][:100]
-        if names:
-            self._releasing.update(names)
-            self._spawn(self._return(names))
+        """Release machines, as many with one call as have gathered since the last one."""
+        fresh = [name for name in names if name not in self._releasing]
+        if not fresh:
+            return
+        self._releasing.update(fresh)
+        self._to_release += fresh
+        if not self._release_runs:
+            self._release_runs = True
+            self._spawn(self._release_all())
+
+    async def _release_all(self) -> None:
+        try:
+            while self._to_release:
+                await self._cloud.turn()
+                names = self._to_release[:MOST_RELEASED]
+                del self._to_release[:MOST_RELEASED]
+                await self._return(names)
+        finally:
+            self._release_runs = False
 
     async def _return(self, names: list[str]) -> None:
         model = self._model
@@ -576,23 +623,18 @@
             await self._cloud.release(names)
             log.info("released %s", " ".join(names))
             held = model.leader
-            most = model.settings.params.state.txn_ops
-            for first in range(0, len(names), most):
-                part = names[first : first + most]
-                if held is None:
-                    return
-                revision = await self._committer.commit(
-                    Urgency.PLACE,
-                    {LEADER_KEY: held.version},
-                    [wire.Write(delete=machine_key(name)) for name in part],
-                    wanted=lambda: self._member.is_leader,
+            with model.lock:
+                machines = [m for m in map(model.machine, names) if m is not None]
+            if held is not None:
+                await self._roster.change(
+                    machines,
+                    lambda row: None,
+                    (LEADER_KEY, held.version),
+                    lambda: self._member.is_leader,
                 )
-                with model.lock:
-                    for name in part:
-                        model.apply(machine_key(name), None, revision)
             self._changed()
-        except (*NOT_WRITTEN, CloudTrouble) as error:
-            log.debug("release: %r", error)
+        except CloudTrouble as error:
+            log.debug("release: %s", error)
             await asyncio.sleep(0.5)
         finally:
             self._releasing.difference_update(names)
@@ -601,59 +643,70 @@
 class Returns:
     """An owner's part: giving up machines of its shares, or passing them on."""
 
-    def __init__(self, model: Model, committer: Committer, planner: Planner) -> None:
+    def __init__(self, model: Model, roster: Roster, planner: Planner) -> None:
         self._model = model
-        self._committer = committer
+        self._roster = roster
         self._planner = planner
 
-    async def rewrite(self, machine: Machine, share: int, dropped: bool) -> bool:
-        """Write a machine's record anew, on condition that we still own its share."""
-        model = self._model
-        owner = model.shares[machine.share]
-        record = wire.StoredMachine(
-            share,
-            machine.type,
-            machine.zone,
-            machine.spot,
-            machine.addr,
-            machine.rented,
-            dropped,
-        )
-        value = wire.raw(record)
-        key = machine_key(machine.name)
+    async def rewrite(self, machines: list[Machine], share: int) -> set[str]:
+        """Write machines of one share anew, on condition that we still own it; those written."""
+        if not machines:
+            return set()
+        owner = self._model.shares[machines[0].share]
         term = owner.term
-        try:
-            revision = await self._committer.commit(
-                Urgency.PLACE,
-                {claim_key(owner.index): term, key: machine.version},
-                [wire.Write(put=key, value=value)],
-                wanted=lambda: owner.owned and owner.term == term,
-            )
-        except NOT_WRITTEN as error:
-            log.debug("%s not rewritten: %r", machine.name, error)
-            return False
-        with model.lock:
-            model.apply(key, value, revision)
-        return True
+        addresses = {machine.name: machine.addr for machine in machines}
+
+        def edit(row: wire.StoredMachine) -> wire.StoredMachine:
+            if row.share != owner.index:
+                return row
+            addr = addresses[row.name]
+            if share == DROP:
+                return msgspec.structs.replace(row, dropped=True, addr=addr)
+            return msgspec.structs.replace(row, share=share, addr=addr)
+
+        return await self._roster.change(
+            machines,
+            edit,
+            (claim_key(owner.index), term),
+            lambda: owner.owned and owner.term == term,
+        )
 
-    async def give(self, machine: Machine, share: int, vacate: bool = False) -> bool:
-        """Pass an empty machine on to another share, or, to vacate it, have its work stopped."""
+    async def drop(self) -> None:
+        """Have machines released that are lost, or drained and empty."""
+        by_share: dict[int, list[Machine]] = {}
+        with self._model.lock:
+            for machine in self.finished():
+                machine.returning = True
+                by_share.setdefault(machine.share, []).append(machine)
+        for machines in by_share.values():
+            try:
+                await self.rewrite(machines, DROP)
+            finally:
+                for machine in machines:
+                    machine.returning = False
+
+    async def give(self, machines: list[Machine], share: int, vacate: bool = False) -> set[str]:
+        """Pass empty machines of a share on to another, or, to vacate them, have their work
+        stopped; the names for which that is done."""
+        done: set[str] = set()
+        giving = []
         with self._model.lock:
-            if vacate and not machine.draining and self._low_only(machine):
-                log.info("vacating %s for share %d", machine.name, share)
-                machine.draining = True
-                machine.vacate_to = share
-                return True
-            if not self._empty(machine):
-                return False
-            machine.vacate_to = None
-            machine.draining = machine.giving = True
-        drop = share == DROP
-        done = await self.rewrite(machine, machine.share if drop else share, dropped=drop)
-        machine.giving = False
-        if not done:
-            machine.draining = False
-        return done
+            for machine in machines:
+                if vacate and not machine.draining and self._low_only(machine):
+                    log.info("vacating %s for share %d", machine.name, share)
+                    machine.draining = True
+                    machine.vacate_to = share
+                    done.add(machine.name)
+                elif self._empty(machine) and not machine.giving:
+                    machine.vacate_to = None
+                    machine.draining = machine.giving = True
+                    giving.append(machine)
+        written = await self.rewrite(giving, share)
+        for machine in giving:
+            machine.giving = False
+            if machine.name not in written:
+                machine.draining = False
+        return done | written
 
     def _low_only(self, machine: Machine) -> bool:
         return self._model.shares[machine.share].owned and all(
--- a/badgerseam/fleet/policy.py
+++ b/badgerseam/fleet/policy.py
@@ -4,9 +4,10 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
-from badgerseam.fleet.demand import Offer, Option, copy_snapshot, shortfall
+from badgerseam.fleet.demand import Offer, Option, Wants
+from badgerseam.model.job import HIGH_RANK
 from badgerseam.model.model import Arrival
 from badgerseam.model.resources import NOTHING, Resources
 from badgerseam.sched import pts
@@ -35,6 +36,8 @@
     rents: list[tuple[Offer, int]] = field(default_factory=list)
     surplus: list[int] = field(default_factory=list)
     """Empty machines that nothing needs."""
+    waiting: list[dict[int, int]] = field(default_factory=list)
+    """Of each share, the tasks a job that found no room on its machines."""
 
 
 def reserves(
@@ -93,88 +96,71 @@
     one.
     """
     result = Decisions()
-    trials = []
-    for snapshot in snapshots:
-        trial = copy_snapshot(snapshot)
-        trials.append((trial, pts.plan(trial).waiting))
-    spare = _spare(snapshots, trials, empty)
+    plans = [pts.plan(snapshot, evict=False) for snapshot in snapshots]
+    result.waiting = [plan.waiting for plan in plans]
+    free = {node.index: node.free for plan in plans for node in plan.nodes}
+    spare = _spare(snapshots, plans, empty)
     order = sorted(
         range(len(snapshots)),
         key=lambda index: -max((request.rank for request in snapshots[index].requests), default=-1),
     )
     for index in order:
-        snapshot = snapshots[index]
-        if not trials[index][1]:
+        plan = plans[index]
+        if not plan.waiting:
             continue
-        for node, origin in list(spare.items()):
-            trial, waiting = trials[index]
-            if origin[0] == index or len(result.moves) >= most:
-                continue
-            wanted = [r for r in trial.requests if r.job in waiting and pts.allowed(r, origin[1])]
-            if not wanted:
-                continue
-            del spare[node]
-            snapshots[origin[0]].nodes.remove(origin[1])
-            snapshot.nodes.append(origin[1])
-            result.moves.append((node, index))
-            trial = copy_snapshot(snapshot)
-            trials[index] = (trial, pts.plan(trial).waiting)
-            if not trials[index][1]:
+        wants = Wants(snapshots[index].requests, plan.waiting, plan.teams)
+        for node, origin in list(spare.values()):
+            if not wants or len(result.moves) >= most:
                 break
-        if trials[index][1]:
-            soon = _freed_soon(snapshot, horizon_s)
-            count = len(soon.nodes)
-            result.rents += [(offer, index) for offer in shortfall(soon, choices, most)]
-            snapshot.nodes += soon.nodes[count:]
-            trial = copy_snapshot(snapshot)
-            pts.plan(trial)
-            trials[index] = (trial, {})
-    _reserve(result, snapshots, trials, idle, kept, choices, most)
+            if origin != index and wants.fill(node, node.free):
+                del spare[node.index]
+                del free[node.index]
+                result.moves.append((node.index, index))
+        for node in plan.nodes if wants else ():
+            room = _freed_soon(node, snapshots[index].now, horizon_s)
+            if room is not None:
+                wants.fill(node, room)
+        result.rents += [(offer, index) for offer in wants.rent(choices, most)]
+    _reserve(result, plans, free, kept, choices, most)
+    for plan in plans:
+        for node in plan.nodes:
+            if node.index in idle and node.index in spare and free[node.index] == node.total:
+                result.surplus.append(node.index)
     return result
 
 
-def _freed_soon(snapshot: pts.Snapshot, horizon_s: float) -> pts.Snapshot:
-    """The snapshot as it should be after the horizon, had nothing been started meanwhile."""
-    nodes = []
-    for node in snapshot.nodes:
-        free = node.free
-        for task in node.running:
-            if task.ends_in_s <= horizon_s:
-                free = free.plus(task.need)
-        nodes.append(replace(node, free=free))
-    return replace(snapshot, nodes=nodes)
-
-
-Trials = list[tuple[pts.Snapshot, dict[int, int]]]
+def _freed_soon(node: pts.Node, now: float, horizon_s: float) -> Resources | None:
+    """A machine's room after the horizon, if some of its tasks should have ended by then."""
+    room = node.free
+    for task in node.running:
+        if now < task.ends_at <= now + horizon_s:
+            room = room.plus(task.need)
+    return None if room is node.free else room
 
 
 def _spare(
-    snapshots: list[pts.Snapshot], trials: Trials, empty: set[int]
-) -> dict[int, tuple[int, pts.Node]]:
-    """Empty machines that their own share's waiting work does not take."""
-    spare = {}
-    for index, (trial, _) in enumerate(trials):
-        for before, after in zip(snapshots[index].nodes, trial.nodes, strict=True):
-            if before.index in empty and after.free == before.free:
-                spare[before.index] = (index, before)
-    return spare
+    snapshots: list[pts.Snapshot], plans: list[pts.Plan], empty: set[int]
+) -> dict[int, tuple[pts.Node, int]]:
+    """Empty machines that their own share's waiting work does not take, with that share."""
+    return {
+        before.index: (before, index)
+        for index, plan in enumerate(plans)
+        for before, after in zip(snapshots[index].nodes, plan.nodes, strict=True)
+        if before.index in empty and after.free == before.free
+    }
 
 
 def _reserve(
     result: Decisions,
-    snapshots: list[pts.Snapshot],
-    trials: Trials,
-    idle: set[int],
+    plans: list[pts.Plan],
+    free: dict[int, Resources],
     kept: list[Reserve],
     choices: list[Option],
     most: int,
 ) -> None:
-    """Rent what the reserve lacks, and find the empty machines that nothing needs."""
-    rooms = [trial.nodes for trial, _ in trials]
-    before = {node.index: node.free for room in rooms for node in room}
-    teams = {0: pts.TeamUse(NOTHING, ENDLESS, ENDLESS)}
+    """Set room aside for the reserve, in `free`, and rent what it lacks."""
     for position, reserve in enumerate(kept):
-        where = range(len(rooms)) if reserve.pooled else [reserve.share]
+        where = range(len(plans)) if reserve.pooled else [reserve.share]
         request = pts.Request(
             -1 - position,
             0,
@@ -192,34 +178,32 @@
             set(),
             float(position),
         )
-        evictable = sum(
-            pts.slots_of(victim.need)
-            for index in where
-            for node in snapshots[index].nodes
-            if pts.allowed(request, node)
-            for victim in node.running
-            if victim.rank < reserve.rank
-        )
-        request.count = reserve.tasks - int(evictable / (pts.slots_of(reserve.need) or 1.0))
-        if request.count <= 0:
-            continue
-        # Empty machines of other shares can be moved when they are needed.
-        nodes = [
-            node
-            for index, room in enumerate(rooms)
-            for node in room
-            if index in where or node.free == node.total
-        ]
-        waiting = pts.plan(pts.Snapshot(nodes, [request], teams, 1, 0, 0.0, 1.0)).waiting
-        if request.job in waiting:
+        missing = reserve.tasks
+        rooms: list[tuple[float, pts.Node]] = []
+        evictable = 0.0
+        for index, plan in enumerate(plans):
+            for node in plan.nodes:
+                room = free.get(node.index)
+                if room is None or (node.spot and not reserve.spot):
+                    continue
+                if index in where:
+                    evictable += node.low
+                # Empty machines of other shares can be moved when they are needed.
+                if (index in where or room == node.total) and reserve.need.fits(room):
+                    rooms.append((node.idle_slots / (node.slots or 1.0), node))
+        if reserve.rank >= HIGH_RANK:
+            missing -= int(evictable / (pts.slots_of(reserve.need) or 1.0))
+        rooms.sort(key=lambda item: item[0])
+        for _, node in rooms:
+            if missing <= 0:
+                break
+            count = min(missing, reserve.need.times_in(free[node.index]))
+            free[node.index] = free[node.index].minus(reserve.need.times(count))
+            missing -= count
+        if missing > 0:
             # Dear machines are not kept idle for work that may run on cheap ones.
             offers = [option for option in choices if option.offer.spot == reserve.spot]
-            missing = replace(request, count=waiting[request.job], zones={})
-            alone = pts.Snapshot([], [missing], teams, 1, 0, 0.0, 1.0)
-            result.rents += [(offer, reserve.share) for offer in shortfall(alone, offers, most)]
-    moved = {machine for machine, _ in result.moves}
-    for room in rooms:
-        for node in room:
-            unused = node.free == before[node.index] and node.free == node.total
-            if node.index in idle and unused and node.index not in moved:
-                result.surplus.append(node.index)
+            lacking = Wants(
+                [request], {request.job: missing}, {0: pts.TeamUse(NOTHING, ENDLESS, ENDLESS)}
+            )
+            result.rents += [(offer, reserve.share) for offer in lacking.rent(offers, most)]
--- a/badgerseam/http/client.py
+++ b/badgerseam/http/client.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import OrderedDict
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
@@ -56,11 +56,16 @@
 
 
 class Client:
-    """Requests to any number of addresses over kept connections."""
+    """Requests to any number of addresses over kept connections.
 
-    def __init__(self, connect_s: float = 1.5, keep: int = 4) -> None:
+    A controller left alone has the reports of all workers and the users on its sockets: at most
+    `keep` connections are kept idle altogether, the most recently used ones.
+    """
+
+    def __init__(self, connect_s: float = 1.5, keep: int = 64) -> None:
         self._tcp = TCPClient()
-        self._idle: dict[str, deque[IOStream]] = {}
+        self._idle: OrderedDict[IOStream, str] = OrderedDict()
+        self._by_address: dict[str, list[IOStream]] = {}
         self._connect_s = connect_s
         self._keep = keep
 
@@ -99,17 +104,28 @@
             stream.close()
             raise NoResponse(f"{address}{path}: closed before a response")
         if not stream.closed():
-            pool = self._idle.setdefault(address, deque())
-            if len(pool) < self._keep:
-                pool.append(stream)
-            else:
-                stream.close()
+            self._put(address, stream)
         return Response(collector.status, b"".join(collector.chunks))
 
+    def _put(self, address: str, stream: IOStream) -> None:
+        self._idle[stream] = address
+        self._by_address.setdefault(address, []).append(stream)
+        if len(self._idle) > self._keep:
+            oldest = next(iter(self._idle))
+            self._take(oldest)
+            oldest.close()
+
+    def _take(self, stream: IOStream) -> None:
+        address = self._idle.pop(stream)
+        pool = self._by_address[address]
+        pool.remove(stream)
+        if not pool:
+            del self._by_address[address]
+
     async def _stream(self, address: str, deadline_s: float) -> IOStream:
-        pool = self._idle.get(address)
-        while pool:
-            kept = pool.pop()
+        while pool := self._by_address.get(address):
+            kept = pool[-1]
+            self._take(kept)
             if not kept.closed():
                 return kept
         host, _, port = address.rpartition(":")
@@ -118,11 +134,6 @@
         stream.set_nodelay(True)
         return stream
 
-    def forget(self, address: str) -> None:
-        """Close the idle connections to an address that is gone."""
-        for stream in self._idle.pop(address, ()):
-            stream.close()
-
 
 def _observe(future: asyncio.Future[None]) -> None:
     if not future.cancelled():
--- a/badgerseam/http/server.py
+++ b/badgerseam/http/server.py
@@ -17,6 +17,9 @@
 MAX_BODY = 64 * 1024
 """The protocols' limit. Larger bodies are read up to SWALLOW so that they get a clean answer."""
 SWALLOW = 1024 * 1024
+IDLE_S = 20.0
+"""Workers report and users poll every few seconds. Peers that were cut off, or ended, leave their
+connections open without a word, and sockets are few."""
 
 
 @dataclass(slots=True)
@@ -46,7 +49,7 @@
             max_body_size=SWALLOW,
             max_header_size=16384,
             body_timeout=10.0,
-            idle_connection_timeout=120.0,
+            idle_connection_timeout=IDLE_S,
         )
 
     def listen(self, address: str) -> None:
--- a/badgerseam/model/job.py
+++ b/badgerseam/model/job.py
@@ -6,10 +6,7 @@
 from enum import IntEnum
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from badgerseam.model.resources import Resources
-from badgerseam.wire.state import StoredTasks, TaskRow, raw
 from badgerseam.wire.users import Submission
 
 if TYPE_CHECKING:
@@ -68,14 +65,6 @@
         return f"{self.job.id}/{self.task}"
 
 
-@dataclass(slots=True)
-class Chunk:
-    """The durable form of a run of a job's tasks."""
-
-    version: int = 0
-    stored: StoredTasks | None = None
-
-
 @dataclass(slots=True, eq=False)
 class Job:
     """An open job. Ended jobs are kept as phases only."""
@@ -93,14 +82,19 @@
     status: bytearray = field(init=False)
     tries: dict[int, int] = field(default_factory=dict)
     attempts: dict[int, Attempt] = field(default_factory=dict)
-    chunks: dict[int, Chunk] = field(default_factory=dict)
+    bits: dict[int, int] = field(default_factory=dict)
+    """Finished tasks, by chunk."""
+    bits_page: dict[int, int] = field(default_factory=dict)
+    """The page that holds the latest durable bits of a chunk."""
+    bits_changed: set[int] = field(default_factory=set)
+    """Chunks with bits that are not durable yet."""
     idle: list[int] = field(default_factory=list)
     """Tasks to place; may hold stale numbers, see next_idle."""
     finished: int = 0
-    dirty: dict[int, float] = field(default_factory=dict)
-    """Chunks to be written, and by when."""
-    writing: set[int] = field(default_factory=set)
-    """Chunks whose transaction is on its way."""
+    live: int = 0
+    """Attempts that are not finishing."""
+    zones: dict[str, int] = field(default_factory=dict)
+    """How many of these are in each zone. (A finished task of an array is in no zone any more.)"""
     end_sent: bool = False
     ending: bool = False
     """All tasks are done, but this is not durable yet."""
@@ -134,12 +128,13 @@
         return self.spec.kind == "group"
 
     def reset(self) -> None:
-        """Forget all that is not durable, before `apply` of each chunk."""
-        for attempt in self.attempts.values():
-            attempt.machine.attempts.pop((self.index, attempt.task), None)
-        self.attempts.clear()
+        """Forget all that is not durable, before the pages are read again."""
+        for attempt in list(self.attempts.values()):
+            self.detach(attempt)
         self.tries.clear()
-        self.dirty.clear()
+        self.bits.clear()
+        self.bits_page.clear()
+        self.bits_changed.clear()
         self.status = bytearray(self.spec.tasks)
         self.idle = list(range(self.spec.tasks - 1, -1, -1))
         self.finished = 0
@@ -150,11 +145,40 @@
 
     def waiting(self) -> int:
         """How many tasks are not placed and not done."""
-        return self.spec.tasks - self.finished - len(self.attempts) + self._finishing()
-
-    def _finishing(self) -> int:
-        # Finished tasks whose attempt is kept until that is durable are counted twice above.
-        return sum(1 for attempt in self.attempts.values() if attempt.finishing)
+        return self.spec.tasks - self.finished - self.live
+
+    def attach(self, attempt: Attempt) -> None:
+        """The attempt is, or may be, on its machine from now on."""
+        machine = attempt.machine
+        self.attempts[attempt.task] = attempt
+        machine.attempts[(self.index, attempt.task)] = attempt
+        machine.node = None
+        self._count(attempt, 1)
+
+    def detach(self, attempt: Attempt) -> None:
+        """The attempt is not on its machine any more."""
+        machine = attempt.machine
+        machine.attempts.pop((self.index, attempt.task), None)
+        machine.node = None
+        if self.attempts.get(attempt.task) is attempt:
+            del self.attempts[attempt.task]
+            if not attempt.finishing:
+                self._count(attempt, -1)
+
+    def completed(self, attempt: Attempt) -> None:
+        """The attempt's task has been seen to complete; it takes no room any more."""
+        attempt.finishing = True
+        attempt.machine.node = None
+        self._count(attempt, -1)
+
+    def _count(self, attempt: Attempt, sign: int) -> None:
+        self.live += sign
+        zone = attempt.machine.zone
+        count = self.zones.get(zone, 0) + sign
+        if count:
+            self.zones[zone] = count
+        else:
+            del self.zones[zone]
 
     def running(self) -> int:
         """Tasks seen running; controllers that don't own the share see placements only."""
@@ -172,31 +196,14 @@
 
     def release(self, attempt: Attempt) -> None:
         """The attempt is certainly over, and its task is to be placed anew."""
-        attempt.machine.attempts.pop((self.index, attempt.task), None)
-        if self.attempts.get(attempt.task) is attempt:
-            del self.attempts[attempt.task]
-            if self.status[attempt.task] == PLACED:
-                self.status[attempt.task] = IDLE
-                self.idle.append(attempt.task)
-
-    def encode_chunk(self, number: int) -> StoredTasks:
-        """The present state of a chunk, as it will be stored."""
-        first = number * self.chunk_size
-        last = min(first + self.chunk_size, self.spec.tasks)
-        bits = 0
-        rows: list[TaskRow] = []
-        for task in range(first, last):
-            if self.status[task] == FINISHED:
-                bits |= 1 << (task - first)
-            elif task in self.tries:
-                attempt = self.attempts.get(task)
-                rows.append(
-                    TaskRow(task, self.tries[task], attempt.machine.name if attempt else None)
-                )
-        return StoredTasks(f"{bits:x}", rows)
-
-    def chunk_of(self, task: int) -> int:
-        return task // self.chunk_size
-
-    def chunk_value(self, stored: StoredTasks) -> msgspec.Raw:
-        return raw(stored)
+        current = self.attempts.get(attempt.task) is attempt
+        self.detach(attempt)
+        if current and self.status[attempt.task] == PLACED:
+            self.status[attempt.task] = IDLE
+            self.idle.append(attempt.task)
+
+    def mark_done(self, task: int) -> int:
+        """Set a finished task's bit; its chunk."""
+        chunk, place = divmod(task, self.chunk_size)
+        self.bits[chunk] = self.bits.get(chunk, 0) | 1 << place
+        return chunk
--- a/badgerseam/model/machine.py
+++ b/badgerseam/model/machine.py
@@ -7,6 +7,7 @@
 
 from badgerseam.model.job import Attempt, Stage
 from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.sched.pts import Node
 from badgerseam.wire.workers import TaskReport
 
 BUMP_BITS = 24
@@ -19,7 +20,10 @@
     name: str
     index: int
     share: int
+    group: str
+    """The key that its record is kept in, with those of others."""
     version: int
+    """When it came to its share, or a later stamp of its group."""
     type: str
     zone: str
     spot: bool
@@ -33,6 +37,8 @@
     attempts: dict[tuple[int, int], Attempt] = field(default_factory=dict)
     images: set[str] = field(default_factory=set)
     evictions: deque[float] = field(default_factory=deque)
+    node: Node | None = None
+    """The machine as PTS sees it, until something on it changes."""
 
     # What the owner of the share knows; forgotten when the share changes hands.
     term: int = 0
@@ -92,6 +98,7 @@
         self.recall_at = None
         self.shown = {}
         self.strays = NOTHING
+        self.node = None
         self.busy = False
         self.greeted = False
         self.push_after = 0.0
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -15,7 +15,6 @@
     PHASE_NAMES,
     PLACED,
     Attempt,
-    Chunk,
     Job,
     Phase,
     Stage,
@@ -28,20 +27,18 @@
 from badgerseam.wire.workers import Report
 
 PREFIX = "bs/"
-ROW_BYTES = 48
-"""An upper bound of a task's row in a chunk."""
 
 
 def job_key(job_id: str) -> str:
     return f"{PREFIX}j/{job_id}"
 
 
-def chunk_key(job_id: str, chunk: int) -> str:
-    return f"{PREFIX}p/{job_id}/{chunk}"
+def page_key(share: int, page: int) -> str:
+    return f"{PREFIX}p/{share}/{page}"
 
 
-def machine_key(name: str) -> str:
-    return f"{PREFIX}m/{name}"
+def group_key(group: str) -> str:
+    return f"{PREFIX}m/{group}"
 
 
 def claim_key(share: int) -> str:
@@ -94,6 +91,14 @@
     version: int
 
 
+@dataclass(slots=True)
+class Page:
+    """Tasks of many jobs under one key, as they are stored."""
+
+    version: int
+    jobs: dict[str, wire.JobRows]
+
+
 @dataclass(slots=True)
 class Share:
     """A share of teams and machines."""
@@ -109,6 +114,12 @@
     counts_version: int = 0
     vacant_since: float = 0.0
     ever_held: bool = False
+    planned: list[Attempt] = field(default_factory=list)
+    """Placements to be made durable."""
+    bits_due: dict[int, float] = field(default_factory=dict)
+    """Jobs with finished tasks to be made durable, and by when."""
+    committing: bool = False
+    """A transaction with tasks of the share is on its way; there is one at a time."""
     last_holder: str | None = None
     """The controller that held the share before its present claim, as far as known."""
 
@@ -129,17 +140,20 @@
     versions: dict[str, int] = field(default_factory=dict)
     """The latest version applied of machine and claim keys, against replays."""
     machines: dict[int, Machine] = field(default_factory=dict)
+    fleets: list[dict[int, Machine]] = field(default_factory=list)
+    """The machines of each share, by index."""
     machine_index: dict[str, int] = field(default_factory=dict)
     next_machine: int = 0
+    groups: dict[str, tuple[int, dict[str, wire.StoredMachine]]] = field(default_factory=dict)
+    """The machines' records as they are stored: version and rows of each key."""
     teams: list[TeamState] = field(default_factory=list)
     team_index: dict[str, int] = field(default_factory=dict)
     shares: list[Share] = field(default_factory=list)
     nodes: dict[str, Held] = field(default_factory=dict)
     leader: Held | None = None
     hires: dict[str, tuple[wire.StoredHire, int]] = field(default_factory=dict)
-    garbage: dict[str, int] = field(default_factory=dict)
-    """Chunks of ended jobs to be deleted, with their share, or -1 if it is not known."""
-    collecting: bool = False
+    pages: list[dict[int, Page]] = field(default_factory=list)
+    """The tasks of each share as they are stored."""
     revision: int = 0
     loaded: bool = False
     loading: bool = False
@@ -148,8 +162,8 @@
     """Shares whose waiting work should be looked at."""
     pushes: set[int] = field(default_factory=set)
     """Machines that may have commands to get."""
-    dirty: set[int] = field(default_factory=set)
-    """Jobs with something to be made durable."""
+    ending: set[int] = field(default_factory=set)
+    """Jobs whose tasks are all done, which is to be made durable."""
     unknown: dict[str, Report] = field(default_factory=dict)
     """Reports of machines without a record."""
     gone: set[str] = field(default_factory=set)
@@ -160,6 +174,8 @@
         count = params.initial_size
         self.shares = [Share(index) for index in range(count)]
         self.open_jobs = [{} for _ in range(count)]
+        self.fleets = [{} for _ in range(count)]
+        self.pages = [{} for _ in range(count)]
         order = sorted(params.teams, key=lambda team: team.name)
         for index, team in enumerate(order):
             self.team_index[team.name] = index
@@ -174,8 +190,8 @@
 
     @property
     def chunk_size(self) -> int:
-        """Tasks a chunk holds so that its value stays well within the limit."""
-        return max(8, int(self.settings.params.state.value_kb * 1024 * 0.9) // ROW_BYTES)
+        """Tasks whose bits, four to a byte, take a quarter of a value."""
+        return max(64, int(self.settings.params.state.value_kb * 1024))
 
     # ---- the replica: changes in the order of the state service ----
 
@@ -188,8 +204,6 @@
         if kind == "j":
             if value is not None:
                 self._apply_job(name, value, version)
-        elif kind == "p":
-            self._apply_chunk(name, value, version)
         elif kind == "f":
             if value is not None and version > self.types_version:
                 self.set_types(msgspec.json.decode(value, type=list[MachineType]))
@@ -199,7 +213,10 @@
             # changes that follow; older ones must not undo it.
             self.versions[key] = version
             if kind == "m":
-                self._apply_machine(name, value, version)
+                self._apply_group(name, value, version)
+            elif kind == "p":
+                share_name, _, page = name.partition("/")
+                self._apply_page(int(share_name), int(page), value, version)
             elif kind == "c":
                 self._apply_claim(int(name), value, version)
             elif kind == "l":
@@ -227,6 +244,7 @@
         self.types = {entry.name: entry for entry in types}
         for machine in self.machines.values():
             machine.total = self.capacity(machine.type)
+            machine.node = None
 
     def _apply_job(self, job_id: str, value: msgspec.Raw, version: int) -> None:
         if job_id in self.ended:
@@ -299,53 +317,65 @@
             )
         )
 
-    def _apply_chunk(self, name: str, value: msgspec.Raw | None, version: int) -> None:
-        job_id, _, number = name.partition("/")
-        key = chunk_key(job_id, int(number))
-        job = self.job(job_id)
-        if job is None:
-            if value is None:
-                self.garbage.pop(key, None)
-            elif job_id in self.ended:
-                self.garbage[key] = -1
+    def _apply_page(self, share: int, number: int, value: msgspec.Raw | None, version: int) -> None:
+        if share >= len(self.shares):
             return
-        chunk = job.chunks.setdefault(int(number), Chunk())
-        if version <= chunk.version:
+        entries = [] if value is None else wire.page_decoder.decode(value)
+        page = Page(version, {entry.job: entry for entry in entries})
+        before = self.pages[share].pop(number, None)
+        if value is not None:
+            self.pages[share][number] = page
+        if self.shares[share].owned:
+            # What we act on is what we wrote ourselves.
             return
-        chunk.version = 0 if value is None else version
-        chunk.stored = None if value is None else msgspec.json.decode(value, type=wire.StoredTasks)
-        if value is None:
-            del job.chunks[int(number)]
-            if not self.shares[job.share].owned:
-                # Its owner has seen all of these tasks gone.
-                first = int(number) * job.chunk_size
-                for task in range(first, first + job.chunk_size):
-                    if task in job.attempts:
-                        self.unplace(job.attempts[task])
-                self.settle(job)
-            return
-        if not self.shares[job.share].owned:
-            self._load_chunk(job, int(number))
-
-    def _load_chunk(self, job: Job, number: int) -> None:
-        """Make the tasks of a chunk what the durable record says."""
-        stored = job.chunks[number].stored
-        assert stored is not None
-        bits = int(stored.done, 16)
-        first = number * job.chunk_size
-        seen = {row.task: row for row in stored.rows}
-        for task in range(first, min(first + job.chunk_size, job.tasks)):
-            attempt = job.attempts.get(task)
-            row = seen.get(task)
-            if bits >> (task - first) & 1:
+        for entry in entries:
+            job = self.job(entry.job)
+            if job is not None:
+                self._load_rows(job, entry, number)
+        if before is not None:
+            self._drop_rows(before, page)
+
+    def _drop_rows(self, before: Page, after: Page) -> None:
+        """Tasks of cancelled jobs that the owner no longer lists are certainly gone."""
+        for name, entry in before.jobs.items():
+            job = self.job(name)
+            if job is None or job.phase == Phase.OPEN:
+                continue
+            kept = after.jobs.get(name)
+            left = set() if kept is None else {row.task for row in kept.rows}
+            for row in entry.rows:
+                attempt = job.attempts.get(row.task)
+                if row.task not in left and attempt and attempt.number == row.attempt:
+                    self.unplace(attempt)
+
+    def _load_rows(self, job: Job, entry: wire.JobRows, page: int) -> None:
+        """Make a job's tasks what a page says. Pages are read in any order: a task's latest
+        attempt counts, and what is done stays so."""
+        for chunk, text in entry.done:
+            fresh = int(text, 16) & ~job.bits.get(chunk, 0)
+            if not fresh:
+                continue
+            job.bits_page[chunk] = page
+            while fresh:
+                lowest = fresh & -fresh
+                fresh ^= lowest
+                task = chunk * job.chunk_size + lowest.bit_length() - 1
+                if task >= job.tasks:
+                    break
+                attempt = job.attempts.get(task)
                 if attempt is not None:
                     self.unplace(attempt)
+                job.mark_done(task)
                 if job.status[task] != FINISHED:
                     job.status[task] = FINISHED
                     job.finished += 1
+        for row in entry.rows:
+            task = row.task
+            if task >= job.tasks or job.status[task] == FINISHED:
                 continue
-            if row is None:
+            if row.attempt < job.tries.get(task, 0):
                 continue
+            attempt = job.attempts.get(task)
             job.tries[task] = row.attempt
             index = None if row.machine is None else self.machine_index.get(row.machine)
             if index is not None and self.machines[index].share != job.share:
@@ -358,31 +388,46 @@
             if index is not None:
                 self.place(job, task, row.attempt, self.machines[index], Stage.PLACED)
 
-    def _apply_machine(self, name: str, value: msgspec.Raw | None, version: int) -> None:
+    def _apply_group(self, group: str, value: msgspec.Raw | None, version: int) -> None:
+        rows: dict[str, wire.StoredMachine] = {}
+        if value is not None:
+            rows = {row.name: row for row in wire.roster_decoder.decode(value)}
+        _, before = self.groups.pop(group, (0, {}))
+        if rows:
+            self.groups[group] = (version, rows)
+        for name in before.keys() - rows.keys():
+            self._remove_machine(name, group)
+        for name, row in rows.items():
+            if before.get(name) != row:
+                self._apply_machine(row, group, version)
+
+    def _remove_machine(self, name: str, group: str) -> None:
+        """A machine's row is removed only when it is certainly gone."""
         index = self.machine_index.get(name)
-        if value is None:
-            if index is not None:
-                # The record is removed only when the machine is certainly gone.
-                machine = self.machines.pop(index)
-                del self.machine_index[name]
-                for attempt in list(machine.attempts.values()):
-                    if attempt.finishing:
-                        # The result was seen; only its record is still to be written.
-                        machine.attempts.pop((attempt.job.index, attempt.task), None)
-                        attempt.job.attempts.pop(attempt.task, None)
-                    else:
-                        self.unplace(attempt)
-            self.gone.add(name)
+        if index is None or self.machines[index].group != group:
             return
-        stored: wire.StoredMachine = msgspec.json.decode(value, type=wire.StoredMachine)
+        machine = self.machines.pop(index)
+        del self.machine_index[name]
+        del self.fleets[machine.share][index]
+        self.gone.add(name)
+        for attempt in list(machine.attempts.values()):
+            if attempt.finishing:
+                # The result was seen; only its record is still to be written.
+                attempt.job.detach(attempt)
+            else:
+                self.unplace(attempt)
+
+    def _apply_machine(self, stored: wire.StoredMachine, group: str, version: int) -> None:
+        index = self.machine_index.get(stored.name)
         if index is None:
             index = self.next_machine
             self.next_machine += 1
-            self.machine_index[name] = index
+            self.machine_index[stored.name] = index
             machine = Machine(
-                name,
+                stored.name,
                 index,
                 stored.share,
+                group,
                 version,
                 stored.type,
                 stored.zone,
@@ -392,16 +437,21 @@
                 self.capacity(stored.type),
             )
             self.machines[index] = machine
+            self.fleets[machine.share][index] = machine
             machine.dropped = stored.dropped
             self.adopt(machine, fresh=True)
             return
         machine = self.machines[index]
-        moved = machine.share != stored.share
-        machine.share = stored.share
-        machine.version = version
+        if machine.group != group:
+            # Recorded twice: the record that came first counts.
+            return
         machine.dropped = stored.dropped
         machine.addr = stored.addr or machine.addr
-        if moved:
+        if machine.share != stored.share:
+            del self.fleets[machine.share][index]
+            self.fleets[stored.share][index] = machine
+            machine.share = stored.share
+            machine.version = version
             # Moved with nothing on it: rows of the share it left, written before, mean nothing any
             # more. Its new owner must not take them for its own work and launch them.
             for attempt in list(machine.attempts.values()):
@@ -416,7 +466,9 @@
         beyond its move, which an owner does only with nothing on the machine.
         """
         share = self.shares[machine.share]
-        if share.owned:
+        # A claim that has gone to another, with this machine moved after that: the share is given
+        # up at the next review, and must not use a term as high as the new owner's until then.
+        if share.owned and share.held is not None and share.held.version == share.term:
             now = self.clock.now()
             machine.take_over(share.term, now, now if fresh else now + self.cut_bound_s)
             machine.idle_since = now
@@ -471,13 +523,10 @@
         attempt = Attempt(job, task, number, machine, stage)
         attempt.planned_at = self.clock.now()
         if stage == Stage.PLANNED:
-            chunk = job.chunk_of(task)
-            job.dirty[chunk] = 0.0
-            self.dirty.add(job.index)
-        job.attempts[task] = attempt
+            self.shares[job.share].planned.append(attempt)
+        job.attach(attempt)
         job.tries[task] = number
         job.status[task] = PLACED
-        machine.attempts[(job.index, task)] = attempt
         # Every controller sees placements, so that a new owner knows where images are.
         machine.images.add(job.spec.image)
         return attempt
@@ -497,47 +546,42 @@
         job, task = attempt.job, attempt.task
         if job.status[task] == FINISHED:
             return
-        attempt.finishing = True
+        job.completed(attempt)
         job.status[task] = FINISHED
         job.finished += 1
         if job.finished == job.tasks and not job.service and job.phase == Phase.OPEN:
             job.ending = True
-        chunk = job.chunk_of(task)
-        job.dirty[chunk] = min(job.dirty.get(chunk, write_by), write_by)
-        self.dirty.add(job.index)
+            self.ending.add(job.index)
+        job.bits_changed.add(job.mark_done(task))
+        self.shares[job.share].bits_due.setdefault(job.index, write_by)
         self.kicks.add(job.share)
         if len(attempt.machine.attempts) == 1:
             attempt.machine.idle_since = self.clock.now()
 
     def forget_finished(self, attempt: Attempt) -> None:
         """The finished task is durable: its machine may be told to reap it."""
-        machine, job = attempt.machine, attempt.job
-        machine.attempts.pop((job.index, attempt.task), None)
-        if job.attempts.get(attempt.task) is attempt:
-            del job.attempts[attempt.task]
-        self.pushes.add(machine.index)
+        attempt.job.detach(attempt)
+        self.pushes.add(attempt.machine.index)
 
     def settle(self, job: Job) -> None:
         """Forget an ended job as soon as none of its tasks can be on a machine."""
         if job.phase == Phase.OPEN:
             return
-        job.dirty.clear()
         job.ending = False
         owned = self.shares[job.share].owned
         for attempt in list(job.attempts.values()):
             if attempt.finishing or job.phase == Phase.DONE:
-                attempt.machine.attempts.pop((job.index, attempt.task), None)
-                del job.attempts[attempt.task]
+                job.detach(attempt)
             elif owned:
                 attempt.stopping = True
+                attempt.machine.node = None
                 attempt.grace_s = 0.0
                 attempt.stop_sent = False
                 self.pushes.add(attempt.machine.index)
         self.kicks.add(job.share)
         if job.attempts or self.jobs[job.index] is not job:
             return
-        for number in job.chunks:
-            self.garbage[chunk_key(job.id, number)] = job.share
+        self.shares[job.share].bits_due.pop(job.index, None)
         self.jobs[job.index] = None
         self.free_jobs.append(job.index)
         del self.job_index[job.id]
@@ -545,17 +589,11 @@
 
     def keys(self) -> list[str]:
         """The keys of all that can be removed again, as far as known."""
-        keys = [machine_key(name) for name in self.machine_index]
+        keys = [group_key(group) for group in self.groups]
         keys += [node_key(name) for name in self.nodes]
         keys += [claim_key(share.index) for share in self.shares if share.held]
         keys += [hire_key(name) for name in self.hires]
-        keys += [
-            chunk_key(job.id, number)
-            for job in self.jobs
-            if job is not None
-            for number in job.chunks
-        ]
-        keys += list(self.garbage)
+        keys += [page_key(share, page) for share, pages in enumerate(self.pages) for page in pages]
         if self.leader is not None:
             keys.append(LEADER_KEY)
         return keys
@@ -564,12 +602,8 @@
         """What a team's tasks use or may use, finished ones aside."""
         total = NOTHING
         for job in self.open_jobs[self.teams[team].share].values():
-            if job.team == team and job.attempts:
-                count = sum(1 for attempt in job.attempts.values() if not attempt.finishing)
-                need = job.need
-                total = total.plus(
-                    Resources(need.cpus * count, need.gpus * count, need.memory_gb * count)
-                )
+            if job.team == team and job.live:
+                total = total.plus(job.need.times(job.live))
         return total
 
     def own(self, share: Share, term: int, alone: bool) -> None:
@@ -583,9 +617,8 @@
         # Owned first: cancelled jobs that linger are settled by their owner, who stops their tasks.
         share.owned = True
         self._reload(share)
-        for machine in self.machines.values():
-            if machine.share == share.index:
-                self.adopt(machine, fresh=alone)
+        for machine in self.fleets[share.index].values():
+            self.adopt(machine, fresh=alone)
 
     def disown(self, share: Share) -> None:
         """Stop acting for a share; what is not durable is forgotten."""
@@ -594,17 +627,20 @@
         self._reload(share)
 
     def _reload(self, share: Share) -> None:
-        for job in list(self.open_jobs[share.index].values()):
+        share.planned.clear()
+        share.bits_due.clear()
+        jobs = list(self.open_jobs[share.index].values())
+        for job in jobs:
             job.reset()
-            for number, chunk in list(job.chunks.items()):
-                if chunk.stored is None:
-                    # Its first write is on its way; if it is applied, the replica will show it.
-                    del job.chunks[number]
-                else:
-                    self._load_chunk(job, number)
+        for number, page in self.pages[share.index].items():
+            for entry in page.jobs.values():
+                found = self.job(entry.job)
+                if found is not None:
+                    self._load_rows(found, entry, number)
+        for job in jobs:
             if job.finished == job.tasks and job.phase == Phase.OPEN and not job.service:
                 job.ending = True
-                self.dirty.add(job.index)
+                self.ending.add(job.index)
             self.settle(job)
         self.kicks.add(share.index)
 
--- a/badgerseam/model/resources.py
+++ b/badgerseam/model/resources.py
@@ -23,6 +23,9 @@
             self.cpus - other.cpus, self.gpus - other.gpus, self.memory_gb - other.memory_gb
         )
 
+    def times(self, count: int) -> Resources:
+        return Resources(self.cpus * count, self.gpus * count, self.memory_gb * count)
+
     def fits(self, room: Resources) -> bool:
         """Whether this much fits into the room."""
         return (
@@ -33,11 +36,11 @@
 
     def times_in(self, room: Resources) -> int:
         """How often this fits into the room; a task that takes nothing counts as 1,000."""
-        most = 1000
+        most = 1000.0
         for need, have in zip(self, room, strict=True):
             if need > SLACK:
-                most = min(most, int((have + SLACK) / need))
-        return max(most, 0)
+                most = min(most, (have + SLACK) / need)
+        return max(int(most), 0)
 
 
 NOTHING = Resources(0.0, 0.0, 0.0)
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -24,11 +24,16 @@
 from badgerseam.store.committer import Committer
 from badgerseam.store.ledger import Ledger
 from badgerseam.store.replica import Replica
+from badgerseam.store.roster import Roster
 from badgerseam.workers.control import Control
 
 log = logging.getLogger("badgerseam")
 
 TICK_S = 0.2
+KEPT = 0.2
+"""Part of the sockets that connections kept idle may take; the rest is for those that come in."""
+PUSH_ROUNDS = 4
+"""Ticks in which each machine is looked at once."""
 PLAN_DELAY_S = 0.004
 """Gathers what arrives together before it is planned."""
 
@@ -43,7 +48,7 @@
         self.clock = clock
         self.tunables = tunables
         params = settings.params
-        http = Client()
+        http = Client(keep=max(16, round(KEPT * params.machine_limits.sockets)))
         self.model = Model(settings, clock)
         self.state = StateClient(
             clock,
@@ -60,12 +65,14 @@
         self.control = Control(
             self.model, self.member, http, tunables, self.pulse, lambda: self.peers.alone()
         )
-        self.returns = Returns(self.model, self.committer, self.planner)
+        self.roster = Roster(self.model, self.state, self.committer)
+        self.returns = Returns(self.model, self.roster, self.planner)
         self.peers = Peers(self.model, http, self.returns, self.state)
         self.fleet = Fleet(
             self.model,
             self.member,
             self.committer,
+            self.roster,
             Cloud(clock, http, settings.outside.cloud, params.cloud.rps),
             self.planner,
             tunables,
@@ -122,29 +129,25 @@
                 self.control.watch()
                 self.control.suspect()
                 self.control.drain()
-                for machine in model.machines.values():
-                    if model.shares[machine.share].owned:
-                        model.pushes.add(machine.index)
+                # What changes is pushed when it does; this is for what has to be tried again.
+                turn = rounds % PUSH_ROUNDS
+                for own in model.shares:
+                    if own.owned:
+                        fleet = model.fleets[own.index]
+                        model.pushes.update(i for i in fleet if i % PUSH_ROUNDS == turn)
                 for machine, share in self.returns.vacated():
                     self._spawn(self._pass_on(machine, share))
-                if rounds % 2 == 0:
-                    for machine in self.returns.finished():
-                        machine.returning = True
-                        self._spawn(self._drop(machine))
+                if rounds % 2 == 0 and self.returns.finished():
+                    self._spawn(self.returns.drop())
                 if rounds % max(1, round(self.tunables.counts_s / TICK_S)) == 0:
                     for own in model.shares:
                         if own.owned:
                             self._spawn(self.ledger.write_counts(own))
+                    log.debug("%s", self.committer.report())
             self.pulse()
 
     async def _pass_on(self, machine: Machine, share: int) -> None:
-        await self.returns.give(machine, share)
-
-    async def _drop(self, machine: Machine) -> None:
-        try:
-            await self.returns.rewrite(machine, machine.share, dropped=True)
-        finally:
-            machine.returning = False
+        await self.returns.give([machine], share)
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(work)
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -41,25 +41,16 @@
         stated = [self._waits[key] for key in (job.spec.job_class, None) if key in self._waits]
         return min(stated, default=None)
 
-    def snapshot(self, share: Share) -> pts.Snapshot:
+    def snapshot(
+        self, share: Share, nodes: list[pts.Node], requests: list[pts.Request]
+    ) -> pts.Snapshot:
         """What PTS needs to know; pure data."""
-        now = self._clock.now()
         model = self._model
-        window = self._tunables.window_s
-        nodes = []
-        for machine in model.machines.values():
-            if machine.share == share.index and self.usable(machine, now):
-                nodes.append(self.node(machine, now))
-        requests = []
         teams = {
             index: pts.TeamUse(model.usage(index), team.guarantee, team.limit)
             for index, team in enumerate(model.teams)
             if team.share == share.index
         }
-        for job in model.open_jobs[share.index].values():
-            request = self._request(job, now)
-            if request is not None:
-                requests.append(request)
         return pts.Snapshot(
             nodes,
             requests,
@@ -67,9 +58,25 @@
             share.finished,
             share.evicted,
             self._tunables.beta,
-            window,
+            self._tunables.window_s,
+            self._clock.now(),
         )
 
+    def requests(self, share: Share) -> list[pts.Request]:
+        """The share's waiting work."""
+        now = self._clock.now()
+        found = (self._request(job, now) for job in self._model.open_jobs[share.index].values())
+        return [request for request in found if request is not None]
+
+    def nodes(self, share: Share) -> list[pts.Node]:
+        """The share's machines that take tasks now."""
+        now = self._clock.now()
+        return [
+            self.node(machine, now)
+            for machine in self._model.fleets[share.index].values()
+            if self.usable(machine, now)
+        ]
+
     def usable(self, machine: Machine, now: float) -> bool:
         """Whether tasks may be placed on the machine now."""
         return (
@@ -83,9 +90,16 @@
         )
 
     def node(self, machine: Machine, now: float) -> pts.Node:
-        """A machine as PTS sees it."""
+        """A machine as PTS sees it, made anew only when it has changed."""
         while machine.evictions and now - machine.evictions[0] > self._tunables.window_s:
             machine.evictions.popleft()
+        node = machine.node
+        if node is None:
+            node = machine.node = self._build(machine)
+        node.evictions = len(machine.evictions)
+        return node
+
+    def _build(self, machine: Machine) -> pts.Node:
         entry = self._model.types.get(machine.type)
         high = low = 0.0
         running = []
@@ -93,22 +107,24 @@
         for key, attempt in machine.attempts.items():
             if attempt.finishing or attempt.stopping:
                 continue
-            need = attempt.job.need
-            used = used.plus(need)
-            if attempt.job.rank >= HIGH_RANK:
-                high += pts.slots_of(need)
+            job = attempt.job
+            used = used.plus(job.need)
+            important = job.rank >= HIGH_RANK
+            if important:
+                high += pts.slots_of(job.need)
             else:
-                low += pts.slots_of(need)
+                low += pts.slots_of(job.need)
             running.append(
                 pts.Running(
                     key,
-                    need,
-                    attempt.job.rank,
-                    attempt.job.team,
-                    self.waste(attempt, now),
+                    job.need,
+                    job.rank,
+                    job.team,
+                    attempt.started_at if attempt.stage >= Stage.RUNNING else None,
+                    job.spec.checkpoint_s,
                     attempt.stage >= Stage.FETCHING and attempt.stage != Stage.SAVING,
-                    attempt.job.rank >= HIGH_RANK,
-                    self.ends_in_s(attempt, now),
+                    important,
+                    self.ends_at(attempt),
                 )
             )
         return pts.Node(
@@ -126,39 +142,22 @@
             entry.fetch_gb_per_s if entry is not None else 1.0,
         )
 
-    def waste(self, attempt: Attempt, now: float) -> float:
-        """Slots times the time since the last checkpoint that the declared interval implies."""
-        if attempt.stage < Stage.RUNNING:
-            return 0.0
-        ran = now - attempt.started_at
-        interval = attempt.job.spec.checkpoint_s
-        since = math.fmod(ran, interval) if interval > 0 else ran
-        return pts.slots_of(attempt.job.need) * since
-
-    def ends_in_s(self, attempt: Attempt, now: float) -> float:
-        """How long the task should go on, by its owner's estimate; endless once that is over."""
+    def ends_at(self, attempt: Attempt) -> float:
+        """When the task should end, by its owner's estimate."""
         if attempt.job.service:
             return math.inf
-        since = attempt.started_at or attempt.planned_at
-        left = since + attempt.job.spec.estimate_s - now
-        return left if left > 0 else math.inf
+        return (attempt.started_at or attempt.planned_at) + attempt.job.spec.estimate_s
 
     def _request(self, job: Job, now: float) -> pts.Request | None:
-        if job.phase != Phase.OPEN or job.next_idle() is None or now < job.retry_at:
-            return None
         count = job.waiting()
+        if count <= 0 or job.phase != Phase.OPEN or now < job.retry_at or job.next_idle() is None:
+            return None
         if job.errors >= 6:
             # Fails wherever it runs: one task at a time tells when that changes.
             count = min(count, count if job.gang else 1) if not job.attempts else 0
         if count <= 0:
             return None
         spec = job.spec
-        zones: dict[str, int] = {}
-        for attempt in job.attempts.values():
-            if not attempt.finishing:
-                zone = attempt.machine.zone
-                zones[zone] = zones.get(zone, 0) + 1
-        # A finished task of an array is in no zone any more.
         deadline = math.inf if spec.deadline_s is None else job.submitted + spec.deadline_s
         order = job.submitted if job.rank >= HIGH_RANK else min(deadline, job.submitted + 1e6)
         if deadline < self._clock.wall() + HOPEFUL * spec.estimate_s:
@@ -177,7 +176,7 @@
             (spec.tasks + 1) // 2 if spec.spread else None,
             spec.spot,
             spec.image,
-            zones,
+            job.zones,
             job.shunned if len(job.shunned) < 4 else set(),
             order,
             job.gang,
@@ -188,19 +187,26 @@
     def run(self, share: Share) -> dict[int, int]:
         """Plan for a share and mark what is planned; the tasks that found no room, by job."""
         model = self._model
-        snapshot = self.snapshot(share)
-        if not snapshot.requests:
+        requests = self.requests(share)
+        if not requests:
             return {}
-        result = pts.plan(snapshot)
         now = self._clock.now()
+        result = pts.plan(self.snapshot(share, self.nodes(share), requests))
         for stop in result.stops:
             job = model.jobs[stop.key[0]]
             assert job is not None
             attempt = job.attempts[stop.key[1]]
             self.stop(attempt, stop.wait_s)
             attempt.machine.evictions.append(now)
-            log.info("evicting %s at cost %.4f", attempt.name, stop.cost)
+            log.debug("evicting %s at cost %.4f", attempt.name, stop.cost)
             share.evicted += 1
+        if result.stops:
+            log.info(
+                "share %d: evicting %d tasks, at a cost of %.4f at most",
+                share.index,
+                len(result.stops),
+                max(stop.cost for stop in result.stops),
+            )
         for start in result.starts:
             job = model.jobs[start.job]
             assert job is not None
@@ -220,6 +226,7 @@
         """
         spec = attempt.job.spec
         attempt.stopping = True
+        attempt.machine.node = None
         attempt.stop_sent = False
         saves = spec.checkpoint_s > 0 and (wait_s is None or spec.save_s + SAVE_SLACK_S < wait_s)
         attempt.grace_s = spec.save_s + 1.0 if saves else 0.0
--- a/badgerseam/sched/pts.py
+++ b/badgerseam/sched/pts.py
@@ -4,11 +4,17 @@
 task's own class (Score 2), then by recent evictions (Score 3). What is high-priority towards some
 running work and fits nowhere evicts the least costly victims (Algorithm 2 and the cost of
 Equation 14 of the paper).
+
+The tasks of a request are alike, so its machines are filtered and scored once, and kept in order
+while its tasks are placed; only the machine that took one is scored anew. The plan is the one that
+a scan of all machines for each task would give: tests/test_pts.py compares them.
 """
 
 from __future__ import annotations
 
+import heapq
 import math
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from badgerseam.model.resources import NOTHING, Resources
@@ -22,12 +28,23 @@
     need: Resources
     rank: int
     team: int
-    waste: float
+    since: float | None
+    """When it was seen to run; None if it was not yet."""
+    checkpoint_s: float
     evictable: bool
     high: bool = False
-    ends_in_s: float = math.inf
+    ends_at: float = math.inf
     """When it should have ended by its owner's estimate."""
 
+    def waste(self, now: float) -> float:
+        """Slots times the time since the last checkpoint that the declared interval implies."""
+        if self.since is None:
+            return 0.0
+        ran = now - self.since
+        if self.checkpoint_s > 0:
+            ran = math.fmod(ran, self.checkpoint_s)
+        return slots_of(self.need) * ran
+
 
 @dataclass(slots=True)
 class Node:
@@ -47,6 +64,23 @@
     running: list[Running] = field(default_factory=list)
     fetch_gb_per_s: float = 1.0
 
+    def copy(self) -> Node:
+        """The same machine, to be changed by a plan."""
+        return Node(
+            self.index,
+            self.type,
+            self.zone,
+            self.spot,
+            self.total,
+            self.free,
+            self.high,
+            self.low,
+            self.evictions,
+            self.images,
+            list(self.running),
+            self.fetch_gb_per_s,
+        )
+
     @property
     def slots(self) -> float:
         return self.total.gpus or self.total.cpus
@@ -84,6 +118,17 @@
     """How soon the operator wants its tasks started."""
     image_gb: float = 0.0
 
+    @property
+    def plain(self) -> bool:
+        """Nothing but its size and its rank decides where it may go."""
+        return (
+            self.types is None
+            and self.zone is None
+            and not self.one_zone
+            and self.zone_limit is None
+            and not self.shunned
+        )
+
 
 @dataclass(slots=True)
 class TeamUse:
@@ -94,6 +139,8 @@
 
 @dataclass(slots=True)
 class Snapshot:
+    """What a plan starts from; planning changes none of it."""
+
     nodes: list[Node]
     requests: list[Request]
     teams: dict[int, TeamUse]
@@ -101,6 +148,7 @@
     evicted: int
     beta: float
     window_s: float
+    now: float = 0.0
 
 
 @dataclass(slots=True)
@@ -124,6 +172,9 @@
     stops: list[Stop] = field(default_factory=list)
     waiting: dict[int, int] = field(default_factory=dict)
     """Tasks a job that found no room (those over a team's limit are not counted)."""
+    nodes: list[Node] = field(default_factory=list)
+    """The snapshot's machines, in its order, as they are after the plan."""
+    teams: dict[int, TeamUse] = field(default_factory=dict)
 
 
 def slots_of(need: Resources) -> float:
@@ -131,90 +182,289 @@
     return need.gpus or need.cpus
 
 
-def plan(snapshot: Snapshot) -> Plan:
-    """Place what fits, and evict where the rules of priority allow it."""
-    result = Plan()
-    total_slots = sum(node.slots for node in snapshot.nodes) or 1.0
+def plan(snapshot: Snapshot, evict: bool = True) -> Plan:
+    """Place what fits, and evict where the rules of priority allow it.
+
+    Without `evict` it is only asked what finds room at all, however late it would start there.
+    """
+    bench = _Bench(snapshot, evict)
     ordered = sorted(
         snapshot.requests,
         key=lambda request: (
             -request.rank,
+            # Towards a team that borrows, one that claims its own is of high priority: behind the
+            # other, it would evict again and again what had just been placed.
+            not bench.claims(request),
             request.order,
             -slots_of(request.need),
             request.job,
         ),
     )
     for request in ordered:
-        placed = _place(snapshot, request, total_slots, result)
-        if placed < request.count and _within_limit(snapshot, request):
-            result.waiting[request.job] = request.count - placed
-    return result
-
+        placed = _place(bench, request)
+        if placed < request.count and bench.within_limit(request):
+            bench.result.waiting[request.job] = request.count - placed
+    return bench.result
+
+
+class _Bench:
+    """The machines and teams as a plan changes them."""
+
+    def __init__(self, snapshot: Snapshot, evict: bool) -> None:
+        self.evict = evict
+        self.now = snapshot.now
+        self.finished = snapshot.finished
+        self.evicted = snapshot.evicted
+        self.beta = snapshot.beta
+        self.window_s = snapshot.window_s
+        self.total_slots = sum(node.slots for node in snapshot.nodes) or 1.0
+        self.nodes = list(snapshot.nodes)
+        self.teams = {
+            index: TeamUse(team.used, team.guarantee, team.limit)
+            for index, team in snapshot.teams.items()
+        }
+        self.result = Plan(nodes=self.nodes, teams=self.teams)
+        self._own: set[int] = set()
+        needs = [request.need for request in snapshot.requests] or [NOTHING]
+        self._least = Resources(*(min(amounts) for amounts in zip(*needs, strict=True)))
+        self.roomy = {
+            position: None
+            for position, node in enumerate(self.nodes)
+            if self._least.fits(node.free)
+        }
+        """Positions of the machines with room for the smallest request."""
+        self.full: list[Request] = []
+        """Requests that found no room: what takes no less finds none either."""
+
+    def node(self, position: int) -> Node:
+        """A machine that may be changed: the snapshot's own is left alone."""
+        if position not in self._own:
+            self._own.add(position)
+            self.nodes[position] = self.nodes[position].copy()
+        return self.nodes[position]
+
+    def changed(self, position: int) -> None:
+        """A machine's room has changed."""
+        if self._least.fits(self.nodes[position].free):
+            if position not in self.roomy:
+                self.roomy[position] = None
+        else:
+            self.roomy.pop(position, None)
+
+    def within_limit(self, request: Request) -> bool:
+        team = self.teams[request.team]
+        return team.used.plus(request.need).fits(team.limit)
+
+    def claims(self, request: Request) -> bool:
+        """Whether a task of the request is within its team's guarantee."""
+        own = self.teams[request.team]
+        return own.used.plus(request.need).fits(own.guarantee)
+
+    def lends(self, request: Request) -> bool:
+        """Whether another team has anything that the request's team may claim."""
+        return self.claims(request) and any(
+            index != request.team and not team.used.fits(team.guarantee)
+            for index, team in self.teams.items()
+        )
 
-def _within_limit(snapshot: Snapshot, request: Request) -> bool:
-    team = snapshot.teams[request.team]
-    return team.used.plus(request.need).fits(team.limit)
+    def hopeless(self, request: Request) -> bool:
+        """Whether a request like this one, and no larger, has found no room."""
+        return any(
+            other.need.fits(request.need)
+            and other.rank >= request.rank
+            and other.high >= request.high
+            and other.team == request.team
+            and (other.spot or not request.spot)
+            for other in self.full
+        )
 
 
 @dataclass(slots=True)
 class _Step:
     """One task placed, so that a gang that does not fit whole can be taken back."""
 
-    node: Node
+    position: int
     victims: list[tuple[Running, float]]
 
 
-def _place(snapshot: Snapshot, request: Request, total_slots: float, result: Plan) -> int:
+def _place(bench: _Bench, request: Request) -> int:
     """Place as many tasks of a request as fit; of a gang, all or none."""
+    if request.count <= 0 or bench.hopeless(request):
+        return 0
     steps: list[_Step] = []
-    team = snapshot.teams[request.team]
-    while len(steps) < request.count and _within_limit(snapshot, request):
-        node, victims = _choose(snapshot, request, total_slots)
-        if node is None:
+    zones = dict(request.zones)
+    team = bench.teams[request.team]
+    candidates = _Candidates(bench, request, zones)
+    while len(steps) < request.count and bench.within_limit(request):
+        position, victims = candidates.choose()
+        if position is None:
+            if request.plain and not request.gang:
+                bench.full.append(request)
             break
         for victim, _ in victims:
-            _evict(snapshot, node, victim, 1)
-        _take(node, request, 1)
+            _evict(bench, position, victim, 1)
+        _take(bench, position, request, zones, 1)
         team.used = team.used.plus(request.need)
-        steps.append(_Step(node, victims))
+        candidates.update(position)
+        steps.append(_Step(position, victims))
     if request.gang and len(steps) < request.count:
         # All pods are planned before any stop; one that fails leaves everything as it was.
         for step in reversed(steps):
             team.used = team.used.minus(request.need)
-            _take(step.node, request, -1)
+            _take(bench, step.position, request, zones, -1)
             for victim, _ in reversed(step.victims):
-                _evict(snapshot, step.node, victim, -1)
+                _evict(bench, step.position, victim, -1)
         return 0
+    if steps:
+        # What a team has beyond its guarantee has grown: another may claim it now.
+        bench.full = [other for other in bench.full if other.team == request.team]
     for step in steps:
-        result.stops += [Stop(victim.key, cost, request.wait_s) for victim, cost in step.victims]
-        result.starts.append(Start(request.job, step.node.index))
+        if step.victims:
+            # Their room may serve requests that found none before.
+            bench.full.clear()
+        bench.result.stops += [
+            Stop(victim.key, cost, request.wait_s) for victim, cost in step.victims
+        ]
+        bench.result.starts.append(Start(request.job, bench.nodes[step.position].index))
     return len(steps)
 
 
-def _choose(
-    snapshot: Snapshot, request: Request, total_slots: float
-) -> tuple[Node | None, list[tuple[Running, float]]]:
-    """A machine for one task, and the victims it takes.
+class _Pool:
+    """Machines with room for a task of a request, best first."""
+
+    def __init__(self, request: Request) -> None:
+        self._request = request
+        self._heap: list[tuple[tuple[float, ...], int]] = []
+        self._score: dict[int, tuple[float, ...]] = {}
+
+    def put(self, position: int, node: Node) -> None:
+        """Add a machine, or score it anew; one without room is dropped."""
+        if not self._request.need.fits(node.free):
+            self._score.pop(position, None)
+            return
+        score = _score(node, self._request)
+        if self._score.get(position) != score:
+            self._score[position] = score
+            heapq.heappush(self._heap, (score, position))
+
+    def _best(self) -> Iterator[int]:
+        """Positions that share the best score; they are taken off the heap."""
+        best: tuple[float, ...] | None = None
+        while self._heap and (best is None or self._heap[0][0] == best):
+            score, position = heapq.heappop(self._heap)
+            if self._score.get(position) == score:
+                best = score
+                yield position
+
+    def choose(self, nodes: list[Node], zones: dict[str, int]) -> int | None:
+        """The best machine that the job's own rules allow, or None."""
+        while True:
+            ties = sorted(set(self._best()))
+            chosen: int | None = None
+            count = 0
+            for position in ties:
+                node = nodes[position]
+                if not allowed(self._request, node, zones):
+                    # Where a zone is full, or not the job's, that does not change any more.
+                    del self._score[position]
+                    continue
+                heapq.heappush(self._heap, (self._score[position], position))
+                # Left open by the design: spread over zones.
+                used = zones.get(node.zone, 0)
+                if chosen is None or used < count:
+                    chosen, count = position, used
+            if chosen is not None or not self._heap:
+                return chosen
+
+
+class _Candidates:
+    """The machines for the tasks of one request.
 
     The paper's filter drops machines that do not meet the task's requirements; we count a start in
     time among these where an operator has stated one, as long as some machine can meet it.
     """
-    passes = (True, False) if request.wait_s is not None else (False,)
-    for prompt in passes:
-        nodes = [
-            node
-            for node in snapshot.nodes
-            if node.index not in request.shunned
-            and allowed(request, node)
-            and (not prompt or starts_in_time(request, node))
-        ]
-        node = _best(nodes, request)
-        if node is not None:
-            return node, []
-        node, victims = _cheapest(snapshot, nodes, request, total_slots)
-        if node is not None:
-            return node, victims
-    return None, []
+
+    def __init__(self, bench: _Bench, request: Request, zones: dict[str, int]) -> None:
+        self._bench = bench
+        self._request = request
+        self._zones = zones
+        self._prompt = _Pool(request) if bench.evict and request.wait_s is not None else None
+        self._any = _Pool(request)
+        self._may_evict = bench.evict
+        self._victims: dict[int, tuple[list[Running], float]] | None = None
+        """What may be evicted, by position: the victims and their waste."""
+        for position in bench.roomy:
+            node = bench.nodes[position]
+            if node.index in request.shunned or not allowed(request, node, zones):
+                continue
+            self._put(position, node)
+
+    def _put(self, position: int, node: Node) -> None:
+        self._any.put(position, node)
+        if self._prompt is not None and starts_in_time(self._request, node):
+            self._prompt.put(position, node)
+
+    def update(self, position: int) -> None:
+        """A task was placed on the machine, and victims may have left it."""
+        node = self._bench.nodes[position]
+        self._put(position, node)
+        if self._victims is not None:
+            self._victims.pop(position, None)
+            self._consider(position, node)
+
+    def choose(self) -> tuple[int | None, list[tuple[Running, float]]]:
+        """A machine for one task, and the victims it takes."""
+        nodes = self._bench.nodes
+        for prompt in (True, False):
+            pool = self._prompt if prompt else self._any
+            if pool is None:
+                continue
+            position = pool.choose(nodes, self._zones)
+            if position is not None:
+                return position, []
+            if self._may_evict:
+                position, victims = self._cheapest(prompt)
+                if position is not None:
+                    return position, victims
+        return None, []
+
+    def _consider(self, position: int, node: Node) -> None:
+        assert self._victims is not None
+        found = _victims(self._bench, node, self._request)
+        if found:
+            now = self._bench.now
+            self._victims[position] = found, sum(victim.waste(now) for victim in found)
+
+    def _cheapest(self, prompt: bool) -> tuple[int | None, list[tuple[Running, float]]]:
+        """The machine on which room costs least, and the victims there."""
+        bench, request = self._bench, self._request
+        if not request.high and not bench.lends(request):
+            self._may_evict = False
+            return None, []
+        if self._victims is None or not request.high:
+            # What another team has beyond its guarantee changes with every step.
+            self._victims = {}
+            for position, node in enumerate(bench.nodes):
+                if (
+                    node.running
+                    and node.index not in request.shunned
+                    and allowed(request, node, self._zones)
+                ):
+                    self._consider(position, node)
+        best: int | None = None
+        best_cost = 0.0
+        for position, (victims, waste) in self._victims.items():
+            node = bench.nodes[position]
+            if prompt and not starts_in_time(request, node):
+                continue
+            if not allowed(request, node, self._zones):
+                continue
+            cost = _cost(bench, len(victims), waste)
+            if best is None or (cost, position) < (best_cost, best):
+                best, best_cost = position, cost
+        if best is None:
+            return None, []
+        return best, [(victim, best_cost) for victim in self._victims[best][0]]
 
 
 def starts_in_time(request: Request, node: Node) -> bool:
@@ -225,9 +475,10 @@
     return 1.5 * request.image_gb / max(node.fetch_gb_per_s, 1e-3) + 0.3 <= request.wait_s
 
 
-def _evict(snapshot: Snapshot, node: Node, victim: Running, sign: int) -> None:
+def _evict(bench: _Bench, position: int, victim: Running, sign: int) -> None:
     """Pretend that a victim has left its machine, or (-1) that it came back."""
-    other = snapshot.teams[victim.team]
+    node = bench.node(position)
+    other = bench.teams[victim.team]
     if sign > 0:
         node.running.remove(victim)
         node.free = node.free.plus(victim.need)
@@ -238,11 +489,13 @@
         other.used = other.used.plus(victim.need)
     node.low -= sign * slots_of(victim.need)
     node.evictions += sign
-    snapshot.evicted += sign
+    bench.evicted += sign
+    bench.changed(position)
 
 
-def _take(node: Node, request: Request, sign: int) -> None:
+def _take(bench: _Bench, position: int, request: Request, zones: dict[str, int], sign: int) -> None:
     """Pretend that a task of the request is on a machine, or (-1) that it is not."""
+    node = bench.node(position)
     if sign > 0:
         node.free = node.free.minus(request.need)
     else:
@@ -251,47 +504,45 @@
         node.high += sign * slots_of(request.need)
     else:
         node.low += sign * slots_of(request.need)
-    count = request.zones.get(node.zone, 0) + sign
+    count = zones.get(node.zone, 0) + sign
     if count:
-        request.zones[node.zone] = count
+        zones[node.zone] = count
     else:
-        del request.zones[node.zone]
+        del zones[node.zone]
+    bench.changed(position)
+
 
+def allowed(request: Request, node: Node, zones: dict[str, int] | None = None) -> bool:
+    """Whether the job's own rules let a task of it start on the machine.
 
-def allowed(request: Request, node: Node) -> bool:
-    """Whether the job's own rules let a task of it start on the machine."""
+    `zones`: where its tasks are meanwhile, if not where the request says.
+    """
+    if zones is None:
+        zones = request.zones
     if request.types is not None and node.type not in request.types:
         return False
     if request.zone is not None and node.zone != request.zone:
         return False
     if node.spot and not request.spot:
         return False
-    if request.one_zone and request.zones and node.zone not in request.zones:
+    if request.one_zone and zones and node.zone not in zones:
         return False
-    return request.zone_limit is None or request.zones.get(node.zone, 0) < request.zone_limit
-
-
-def _best(nodes: list[Node], request: Request) -> Node | None:
-    best: Node | None = None
-    best_score: tuple[float, ...] = ()
-    for node in nodes:
-        if not request.need.fits(node.free):
-            continue
-        slots = node.slots or 1.0
-        score = (
-            1.0 - node.idle_slots / slots,
-            (node.high if request.high else node.low) / slots,
-            float(node.evictions if request.high else -node.evictions),
-            # Left open by the design: the image is there, then spread over zones.
-            1.0 if request.image in node.images else 0.0,
-            float(-request.zones.get(node.zone, 0)),
-        )
-        if best is None or score > best_score:
-            best, best_score = node, score
-    return best
+    return request.zone_limit is None or zones.get(node.zone, 0) < request.zone_limit
+
+
+def _score(node: Node, request: Request) -> tuple[float, ...]:
+    """The paper's three scores, negated, since heaps give the least first."""
+    slots = node.slots or 1.0
+    return (
+        node.idle_slots / slots,
+        -(node.high if request.high else node.low) / slots,
+        float(-node.evictions if request.high else node.evictions),
+        # Left open by the design: the image is there.
+        0.0 if request.image in node.images else 1.0,
+    )
 
 
-def may_evict(snapshot: Snapshot, request: Request, victim: Running, freed: Resources) -> bool:
+def may_evict(bench: _Bench, request: Request, victim: Running, freed: Resources) -> bool:
     """HP and LP are relative: a lower rank, or borrowed room when a team claims its own."""
     if not victim.evictable:
         return False
@@ -302,45 +553,34 @@
         # work: a replica stopped for another task waited for a minute where that one would have
         # waited for a boot.
         return False
-    own, other = snapshot.teams[request.team], snapshot.teams[victim.team]
-    if not own.used.plus(request.need).fits(own.guarantee):
+    if not bench.claims(request):
         return False
+    other = bench.teams[victim.team]
     # The other team has to stay beyond its guarantee up to this victim.
     return not other.used.minus(freed).fits(other.guarantee)
 
 
-def _cheapest(
-    snapshot: Snapshot, nodes: list[Node], request: Request, total_slots: float
-) -> tuple[Node | None, list[tuple[Running, float]]]:
-    """The machine on which room costs least, and the victims there."""
-    best: Node | None = None
-    best_cost = 0.0
-    best_victims: list[Running] = []
-    for node in nodes:
-        victims: list[Running] = []
-        freed: dict[int, Resources] = {}
-        room = node.free
-        for candidate in node.running:
-            gone = freed.get(candidate.team, NOTHING)
-            if may_evict(snapshot, request, candidate, gone):
-                freed[candidate.team] = gone.plus(candidate.need)
-                victims.append(candidate)
-                room = room.plus(candidate.need)
-        if not victims or not request.need.fits(room):
-            continue
-        # Spare victims, the greatest waste first, while the room suffices.
-        for candidate in sorted(victims, key=lambda victim: -victim.waste):
-            if request.need.fits(room.minus(candidate.need)):
-                room = room.minus(candidate.need)
-                victims.remove(candidate)
-        cost = _cost(snapshot, victims, total_slots)
-        if best is None or cost < best_cost:
-            best, best_cost, best_victims = node, cost, victims
-    return best, [(victim, best_cost) for victim in best_victims]
-
-
-def _cost(snapshot: Snapshot, victims: list[Running], total_slots: float) -> float:
-    evicted = snapshot.evicted + len(victims)
-    rate = evicted / (snapshot.finished + evicted)
-    waste = sum(victim.waste for victim in victims)
-    return rate + snapshot.beta * waste / (total_slots * snapshot.window_s)
+def _victims(bench: _Bench, node: Node, request: Request) -> list[Running]:
+    """Whose room on a machine would do for a task, the greatest waste spared; empty if none."""
+    victims: list[Running] = []
+    freed: dict[int, Resources] = {}
+    room = node.free
+    for candidate in node.running:
+        gone = freed.get(candidate.team, NOTHING)
+        if may_evict(bench, request, candidate, gone):
+            freed[candidate.team] = gone.plus(candidate.need)
+            victims.append(candidate)
+            room = room.plus(candidate.need)
+    if not victims or not request.need.fits(room):
+        return []
+    for candidate in sorted(victims, key=lambda victim: -victim.waste(bench.now)):
+        if request.need.fits(room.minus(candidate.need)):
+            room = room.minus(candidate.need)
+            victims.remove(candidate)
+    return victims
+
+
+def _cost(bench: _Bench, count: int, waste: float) -> float:
+    evicted = bench.evicted + count
+    rate = evicted / (bench.finished + evicted)
+    return rate + bench.beta * waste / (bench.total_slots * bench.window_s)
--- a/badgerseam/settings.py
+++ b/badgerseam/settings.py
@@ -64,6 +64,12 @@
     list_lag_s: Amount
 
 
+class MachineLimits(Struct, frozen=True):
+    """What the controller's own machine has."""
+
+    sockets: Count = 1024
+
+
 class Params(Struct, frozen=True):
     initial_size: Count
     teams: list[Team]
@@ -73,6 +79,7 @@
     zones: list[str] = field(default_factory=list)
     objectives: list[Objective] = field(default_factory=list)
     time_bound_ms: Amount = 0.0
+    machine_limits: MachineLimits = field(default_factory=MachineLimits)
 
 
 class Settings(Struct, frozen=True):
--- a/badgerseam/store/committer.py
+++ b/badgerseam/store/committer.py
@@ -56,10 +56,27 @@
     wanted: Callable[[], bool] | None = None
     uncertain: bool = False
     """Sent once without a response: a refusal may mean that it was applied."""
+    since: float = 0.0
     size: int = 0
     keys: frozenset[str] = field(default_factory=frozenset)
 
 
+@dataclass(slots=True)
+class Waits:
+    """From proposing to the answer."""
+
+    count: int = 0
+    writes: int = 0
+    total_s: float = 0.0
+    most_s: float = 0.0
+
+    def add(self, writes: int, wait_s: float) -> None:
+        self.count += 1
+        self.writes += writes
+        self.total_s += wait_s
+        self.most_s = max(self.most_s, wait_s)
+
+
 class Committer:
     """Sends proposals, in order of urgency, within the write budget."""
 
@@ -73,6 +90,18 @@
         self._timer: asyncio.TimerHandle | None = None
         self._failures = 0
         self._not_before = 0.0
+        self._waits = {urgency: Waits() for urgency in Urgency}
+
+    def report(self) -> str:
+        """How many writes each urgency has had since the last report, and their waits."""
+        parts = [
+            f"{urgency.name.lower()} {waits.writes} (wait {waits.total_s / waits.count:.2f} s, "
+            f"most {waits.most_s:.2f} s)"
+            for urgency, waits in self._waits.items()
+            if waits.count
+        ]
+        self._waits = {urgency: Waits() for urgency in Urgency}
+        return f"writes: {', '.join(parts) or 'none'}; {len(self._queue)} wait"
 
     async def commit(
         self,
@@ -96,6 +125,7 @@
             None if deadline_s is None else self._clock.now() + deadline_s,
             wanted,
         )
+        proposal.since = self._clock.now()
         proposal.size = len(
             encode(Transaction([Condition(k, v) for k, v in conditions.items()], writes))
         )
@@ -128,6 +158,11 @@
         need = budget.wait_s(len(head.writes), self._reserve(head.urgency))
         return max(0.005, min(max(pause, need), 0.5))
 
+    def wait_s(self, urgency: Urgency) -> float:
+        """How long one write of that urgency would have to wait now."""
+        pause = self._not_before - self._clock.now()
+        return max(0.0, pause, self._state.writes.wait_s(1.0, self._reserve(urgency)))
+
     def _tick(self) -> None:
         self._timer = None
         self._pump()
@@ -218,7 +253,9 @@
             self._not_before = self._clock.now() + min(0.05 * 2 ** min(self._failures, 5), 1.0)
         else:
             self._failures = 0
+            now = self._clock.now()
             for proposal in batch:
+                self._waits[proposal.urgency].add(len(proposal.writes), now - proposal.since)
                 if not proposal.future.done():
                     proposal.future.set_result(revision)
         finally:
--- a/badgerseam/store/ledger.py
+++ b/badgerseam/store/ledger.py
@@ -8,18 +8,19 @@
 
 import msgspec
 
-from badgerseam.model.job import PHASE_NAMES, Attempt, Chunk, Job, Phase, Stage
+from badgerseam.model.job import PHASE_NAMES, Job, Phase, Stage
 from badgerseam.model.model import (
     Model,
+    Page,
     Share,
-    chunk_key,
     claim_key,
     counts_key,
     job_key,
-    machine_key,
+    page_key,
 )
 from badgerseam.store.client import Refused, StateClient, Unavailable
 from badgerseam.store.committer import Committer, Dropped, Urgency
+from badgerseam.store.pages import Draft, compose
 from badgerseam.wire import state as wire
 from badgerseam.wire.users import Submission
 
@@ -47,7 +48,7 @@
         self._changed = changed
         self._resign = resign
         self._tasks: set[asyncio.Task[None]] = set()
-        self.placed: int = 0
+        self._timer: asyncio.TimerHandle | None = None
 
     # ---- for users ----
 
@@ -121,158 +122,142 @@
         model = self._model
         now = model.clock.now()
         with model.lock:
-            for index in list(model.dirty):
+            for index in list(model.ending):
                 job = model.jobs[index] if index < len(model.jobs) else None
-                if job is None or job.phase != Phase.OPEN or not model.shares[job.share].owned:
-                    model.dirty.discard(index)
-                    continue
-                if job.ending:
-                    if not job.end_sent and not job.writing:
-                        job.end_sent = True
-                        self._spawn(self._end(job))
-                    continue
-                for number, due in list(job.dirty.items()):
-                    if due <= now and number not in job.writing:
-                        job.writing.add(number)
-                        del job.dirty[number]
-                        self._write_chunk(job, number)
-                if not job.dirty and not job.writing:
-                    model.dirty.discard(index)
-            if model.garbage:
-                self._collect()
+                if job is None or not job.ending or not model.shares[job.share].owned:
+                    model.ending.discard(index)
+                elif not job.end_sent:
+                    job.end_sent = True
+                    self._spawn(self._end(job))
+            for share in model.shares:
+                if share.owned and not share.committing:
+                    self._flush_share(share, now)
+
+    def _flush_share(self, share: Share, now: float) -> None:
+        """Write the share's tasks, if there is anything to write and the budget allows it now.
+
+        What has to wait is not queued: it goes with all that has gathered by then.
+        """
+        planned = bool(share.planned)
+        if not planned and not any(due <= now for due in share.bits_due.values()):
+            return
+        urgency = Urgency.PLACE if planned else Urgency.DONE
+        wait_s = self._committer.wait_s(urgency)
+        if wait_s > 0:
+            if planned and self._timer is None:
+                loop = asyncio.get_running_loop()
+                self._timer = loop.call_later(wait_s + 0.001, self._wake)
+            return
+        draft = compose(self._model, share)
+        if draft.pages:
+            share.committing = True
+            self._spawn(self._write(share, draft, urgency))
+
+    def _wake(self) -> None:
+        self._timer = None
+        self._changed()
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _write_chunk(self, job: Job, number: int) -> None:
-        model = self._model
-        share = model.shares[job.share]
-        chunk = job.chunks.setdefault(number, Chunk())
-        stored = job.encode_chunk(number)
-        conditions = {
-            claim_key(share.index): share.term,
-            job_key(job.id): job.version,
-            chunk_key(job.id, number): chunk.version,
-        }
-        first = number * job.chunk_size
-        planned = []
-        finished = []
-        for task in range(first, min(first + job.chunk_size, job.tasks)):
-            attempt = job.attempts.get(task)
-            if attempt is None:
-                continue
-            if attempt.stage == Stage.PLANNED:
-                planned.append(attempt)
-                conditions[machine_key(attempt.machine.name)] = attempt.machine.version
-            elif attempt.finishing:
-                finished.append(attempt)
+    async def _write(self, share: Share, draft: Draft, urgency: Urgency) -> None:
         term = share.term
+        values = {key: wire.raw(value) for key, value in draft.values(share).items()}
+        writes = [wire.Write(put=key, value=value) for key, value in values.items()]
+        try:
+            revision = await self._committer.commit(
+                urgency,
+                draft.conditions,
+                writes,
+                wanted=lambda: share.owned and share.term == term,
+            )
+        except Dropped:
+            pass
+        except Refused as refusal:
+            await self._refused(share, draft, refusal, term)
+        else:
+            self._written(share, draft, revision, term)
+        finally:
+            share.committing = False
+            self._changed()
 
-        async def write() -> None:
-            key = chunk_key(job.id, number)
-            value = wire.raw(stored)
-            try:
-                revision = await self._committer.commit(
-                    Urgency.PLACE if planned else Urgency.DONE,
-                    conditions,
-                    [wire.Write(put=key, value=value)],
-                    wanted=lambda: share.owned and share.term == term,
-                )
-            except Dropped:
-                job.writing.discard(number)
-                return
-            except Refused as refusal:
-                await self._refused(job, number, stored, planned, finished, refusal, term)
-                return
-            self._written(job, number, stored, planned, finished, revision, term)
-
-        self._spawn(write())
-
-    def _written(
-        self,
-        job: Job,
-        number: int,
-        stored: wire.StoredTasks,
-        planned: list[Attempt],
-        finished: list[Attempt],
-        revision: int,
-        term: int,
-    ) -> None:
+    def _written(self, share: Share, draft: Draft, revision: int, term: int) -> None:
         model = self._model
         with model.lock:
-            share = model.shares[job.share]
-            job.writing.discard(number)
-            chunk = job.chunks.setdefault(number, Chunk())
-            if revision > chunk.version:
-                chunk.version, chunk.stored = revision, stored
             if not share.owned or share.term != term:
                 return
-            for attempt in list(job.attempts.values()):
-                if attempt in planned:
+            for number, entries in draft.pages.items():
+                model.pages[share.index][number] = Page(revision, entries)
+                key = page_key(share.index, number)
+                model.versions[key] = max(revision, model.versions.get(key, 0))
+                for entry in entries.values():
+                    job = model.job(entry.job)
+                    if job is not None:
+                        job.bits_page.update((chunk, number) for chunk, _ in entry.done)
+            for attempt in draft.planned:
+                if attempt.job.attempts.get(attempt.task) is attempt:
                     if attempt.stage == Stage.PLANNED:
                         attempt.stage = Stage.PLACED
                     model.pushes.add(attempt.machine.index)
-                elif attempt in finished:
+            for attempt in draft.finished:
+                if attempt.job.attempts.get(attempt.task) is attempt:
                     model.forget_finished(attempt)
-            if job.phase != Phase.OPEN:
-                model.settle(job)
-        self._changed()
+            for job in {attempt.job.index: attempt.job for attempt in draft.planned}.values():
+                if job.phase != Phase.OPEN:
+                    model.settle(job)
 
-    async def _refused(
-        self,
-        job: Job,
-        number: int,
-        stored: wire.StoredTasks,
-        planned: list[Attempt],
-        finished: list[Attempt],
-        refusal: Refused,
-        term: int,
-    ) -> None:
-        """Find out whether an earlier sending was applied, and take the plan back if not."""
+    async def _refused(self, share: Share, draft: Draft, refusal: Refused, term: int) -> None:
+        """Find out whether an earlier sending was applied; if not, take the plan back where a job
+        has changed, and try again with the rest."""
         model = self._model
-        share = model.shares[job.share]
-        key = chunk_key(job.id, number)
-        failures = 0
-        while share.owned and share.term == term:
-            try:
-                entry = await self._state.get(key)
-                break
-            except Unavailable:
-                failures += 1
-                await self._state.pause(failures)
-        else:
-            job.writing.discard(number)
-            return
-        version = 0 if entry is None else entry.version
-        content = None if entry is None else msgspec.json.decode(entry.value, type=wire.StoredTasks)
-        if content == stored:
-            self._written(job, number, stored, planned, finished, version, term)
+        if claim_key(share.index) in refusal.failed:
+            with model.lock:
+                if share.owned and share.term == term:
+                    # Somebody else acts for the share.
+                    self._resign(share)
             return
-        log.info("%s: not written, changed meanwhile: %s", key, refusal)
-        with model.lock:
-            job.writing.discard(number)
-            chunk = job.chunks.get(number)
-            if not share.owned or share.term != term or chunk is None:
+        pages = {page_key(share.index, number): number for number in draft.pages}
+        failures = 0
+        for key in refusal.failed:
+            while key in pages and share.owned and share.term == term:
+                try:
+                    entry = await self._state.get(key)
+                except Unavailable:
+                    failures += 1
+                    await self._state.pause(failures)
+                    continue
+                content = [] if entry is None else wire.page_decoder.decode(entry.value)
+                if entry is not None and content == list(draft.pages[pages[key]].values()):
+                    self._written(share, draft, entry.version, term)
+                    return
+                with model.lock:
+                    if share.owned and share.term == term:
+                        # Somebody else wrote for our share: we are not its owner any more.
+                        self._resign(share)
                 return
-            if version != chunk.version or claim_key(share.index) in refusal.failed:
-                # Somebody else wrote for our share: we are not its owner any more.
-                self._resign(share)
+        log.info("share %d: jobs changed before tasks were placed: %s", share.index, refusal)
+        names = {key.rpartition("/")[2] for key in refusal.failed}
+        with model.lock:
+            if not share.owned or share.term != term:
                 return
-            for attempt in list(job.attempts.values()):
-                if attempt in planned and attempt.stage == Stage.PLANNED:
+            for attempt in draft.planned:
+                if attempt.job.attempts.get(attempt.task) is not attempt:
+                    continue
+                if attempt.job.id in names:
                     model.unplace(attempt)
-            if chunk.version == 0:
-                del job.chunks[number]
-            if finished:
-                job.dirty[number] = model.clock.now() + 0.1
-                model.dirty.add(job.index)
-        try:
-            await self.read(job.id)
-        except Unavailable:
-            log.debug("%s: could not be read", job.id)
-        self._changed()
+                else:
+                    share.planned.append(attempt)
+            for job, chunk in draft.bits:
+                if model.jobs[job.index] is job:
+                    job.bits_changed.add(chunk)
+                    share.bits_due[job.index] = model.clock.now()
+        for name in names:
+            try:
+                await self.read(name)
+            except Unavailable:
+                log.debug("%s: could not be read", name)
 
     async def _end(self, job: Job) -> None:
         model = self._model
@@ -302,35 +287,6 @@
                 model.apply(key, value, revision)
         self._changed()
 
-    def _collect(self) -> None:
-        """Delete a few chunks of ended jobs, when nothing more urgent needs the budget."""
-        model = self._model
-        if model.collecting:
-            return
-        mine = [key for key in model.garbage if self._is_mine(key)][: self._state.params.txn_ops]
-        if not mine:
-            return
-        model.collecting = True
-        writes = [wire.Write(delete=key) for key in mine]
-
-        async def delete() -> None:
-            try:
-                await self._committer.commit(Urgency.UPKEEP, {}, writes, 20.0)
-            except (Refused, Unavailable, Dropped):
-                log.debug("chunks of ended jobs not deleted")
-            else:
-                with model.lock:
-                    for key in mine:
-                        model.garbage.pop(key, None)
-            finally:
-                model.collecting = False
-
-        self._spawn(delete())
-
-    def _is_mine(self, key: str) -> bool:
-        # Whoever holds the first share cleans up where the share is not known any more.
-        return self._model.shares[max(self._model.garbage[key], 0)].owned
-
     async def write_counts(self, share: Share) -> None:
         """Write G and F of an owned share."""
         key = counts_key(share.index)
--- /dev/null
+++ b/badgerseam/store/pages.py
@@ -0,0 +1,190 @@
+"""Pages: the tasks of a share, of many jobs to a key, written as a log that cleans itself.
+
+Each transaction writes all that has changed since the last one, whichever jobs it belongs to, into
+the page that was written longest ago, together with what that page holds that still counts. So a
+burst takes one write, and nothing is ever deleted.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from badgerseam.model.job import FINISHED, Attempt, Job, Phase, Stage
+from badgerseam.model.model import Model, Page, Share, claim_key, job_key, page_key
+from badgerseam.wire import state as wire
+
+FILL = 0.95
+"""Part of a value that is used."""
+MOST_BYTES = 40 * 1024
+"""Of the old pages in a transaction together; a transaction may have 64 KiB."""
+MOST_FRESH = 12 * 1024
+"""Of what is new in a transaction."""
+OLD_PAGES = 3
+"""Pages that are looked at before a new one is begun."""
+ENTRY_ROWS = 64
+"""Rows of one job that are kept together when they are put into pages."""
+
+
+@dataclass(slots=True)
+class Draft:
+    """One transaction on the tasks of a share."""
+
+    conditions: dict[str, int]
+    pages: dict[int, dict[str, wire.JobRows]]
+    planned: list[Attempt]
+    finished: list[Attempt]
+    bits: list[tuple[Job, int]] = field(default_factory=list)
+    """Jobs and chunks whose bits are among it."""
+
+    def values(self, share: Share) -> dict[str, object]:
+        """What is written, by key."""
+        return {
+            page_key(share.index, number): list(entries.values())
+            for number, entries in self.pages.items()
+        }
+
+
+def compose(model: Model, share: Share) -> Draft:
+    """Take what is to be made durable, as much as one transaction holds."""
+    params = model.settings.params.state
+    most_jobs = max(1, 3 * params.txn_ops - 2)
+    draft = Draft({claim_key(share.index): share.term}, {}, [], [])
+    fresh: dict[str, tuple[Job, list[tuple[int, str]], list[wire.TaskRow]]] = {}
+    left: list[Attempt] = []
+    room = min(MOST_FRESH, max(1, params.txn_ops - OLD_PAGES) * int(512 * params.value_kb))
+    for attempt in share.planned:
+        job = attempt.job
+        if job.attempts.get(attempt.task) is not attempt or attempt.stage != Stage.PLANNED:
+            continue
+        if room <= 0 or (job.id not in fresh and len(fresh) >= most_jobs):
+            left.append(attempt)
+            continue
+        _, _, rows = fresh.setdefault(job.id, (job, [], []))
+        rows.append(wire.TaskRow(attempt.task, attempt.number, attempt.machine.name))
+        room -= 16 + len(attempt.machine.name)
+        draft.conditions[job_key(job.id)] = job.version
+        draft.planned.append(attempt)
+    share.planned = left
+    for index in list(share.bits_due):
+        found = model.jobs[index]
+        if found is None or found.phase != Phase.OPEN:
+            del share.bits_due[index]
+            continue
+        if room <= 0:
+            break
+        _, bits, _ = fresh.setdefault(found.id, (found, [], []))
+        for chunk in sorted(found.bits_changed):
+            text = f"{found.bits[chunk]:x}"
+            bits.append((chunk, text))
+            room -= len(text)
+            draft.bits.append((found, chunk))
+        found.bits_changed.clear()
+        del share.bits_due[index]
+        draft.finished += [a for a in found.attempts.values() if a.finishing]
+    _pack(model, share, draft, [_entry(*parts) for parts in fresh.values()])
+    return draft
+
+
+def _entry(job: Job, done: list[tuple[int, str]], rows: list[wire.TaskRow]) -> wire.JobRows:
+    return wire.JobRows(job.id, done, rows)
+
+
+def _pack(model: Model, share: Share, draft: Draft, entries: list[wire.JobRows]) -> None:
+    """Put the entries into as few pages as will do."""
+    limit = int(model.settings.params.state.value_kb * 1024 * FILL)
+    queue = [part for entry in entries for part in _parts(entry)]
+    pages = model.pages[share.index]
+    old = sorted(pages, key=lambda number: pages[number].version)
+    fresh: dict[str, set[int]] = {}
+    for job, chunk in draft.bits:
+        fresh.setdefault(job.id, set()).add(chunk)
+    for position, number in enumerate(old[:OLD_PAGES]):
+        if not queue or (position + 1) * limit > MOST_BYTES:
+            break
+        live = _live(model, pages[number], number, draft, fresh)
+        size = sum(map(_size, live.values()))
+        if size + _size(queue[0]) <= limit:
+            _fill(draft, number, live, size, queue, limit)
+    number = 0
+    while queue:
+        while number in pages or number in draft.pages:
+            number += 1
+        _fill(draft, number, {}, 0, queue, limit)
+    for number in draft.pages:
+        page = pages.get(number)
+        draft.conditions[page_key(share.index, number)] = 0 if page is None else page.version
+
+
+def _fill(
+    draft: Draft,
+    number: int,
+    content: dict[str, wire.JobRows],
+    size: int,
+    queue: list[wire.JobRows],
+    limit: int,
+) -> None:
+    while queue and (size + _size(queue[0]) <= limit or not content):
+        entry = queue.pop(0)
+        size += _size(entry)
+        held = content.get(entry.job)
+        if held is not None:
+            entry = wire.JobRows(entry.job, held.done + entry.done, held.rows + entry.rows)
+        content[entry.job] = entry
+    draft.pages[number] = content
+
+
+def _parts(entry: wire.JobRows) -> list[wire.JobRows]:
+    """An entry in parts, each well within a page."""
+    parts = [
+        wire.JobRows(entry.job, [], entry.rows[first : first + ENTRY_ROWS])
+        for first in range(0, len(entry.rows), ENTRY_ROWS)
+    ]
+    return parts + [wire.JobRows(entry.job, [bits], []) for bits in entry.done]
+
+
+def _size(entry: wire.JobRows) -> int:
+    return len(wire.encode(entry)) + 1
+
+
+def _live(
+    model: Model, page: Page, number: int, draft: Draft, fresh: dict[str, set[int]]
+) -> dict[str, wire.JobRows]:
+    """What of a page still counts, as it is now."""
+    live: dict[str, wire.JobRows] = {}
+    planned = set(map(id, draft.planned))
+    for entry in page.jobs.values():
+        job = model.job(entry.job)
+        if job is None:
+            # Ended, with nothing left.
+            continue
+        superseded = fresh.get(job.id, ())
+        done = [
+            (chunk, text)
+            for chunk, text in entry.done
+            if job.bits_page.get(chunk) == number and chunk not in superseded
+        ]
+        rows = []
+        for row in entry.rows:
+            if job.status[row.task] == FINISHED and not _unsaved(job, row.task):
+                continue
+            attempt = job.attempts.get(row.task)
+            if row.attempt == job.tries.get(row.task):
+                kept = attempt is not None
+                if kept or job.phase == Phase.OPEN:
+                    rows.append(row if kept else wire.TaskRow(row.task, row.attempt, None))
+            elif attempt is None:
+                # The attempt after it may have been taken back before it was durable.
+                if job.phase == Phase.OPEN:
+                    rows.append(wire.TaskRow(row.task, job.tries[row.task], None))
+            elif attempt.stage == Stage.PLANNED and id(attempt) not in planned:
+                # The attempt after it is neither durable nor among this: the number of this one
+                # has to be remembered.
+                rows.append(wire.TaskRow(row.task, row.attempt, None))
+        if done or rows:
+            live[job.id] = wire.JobRows(job.id, done, rows)
+    return live
+
+
+def _unsaved(job: Job, task: int) -> bool:
+    """Whether a task has finished and this is not durable yet."""
+    return task // job.chunk_size in job.bits_changed
--- /dev/null
+++ b/badgerseam/store/roster.py
@@ -0,0 +1,176 @@
+"""The roster: the records of machines, many to a key, and their only writer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import dataclass, field
+
+from badgerseam.model.machine import Machine
+from badgerseam.model.model import Model, group_key
+from badgerseam.store.client import LeaseLost, Refused, StateClient, Unavailable
+from badgerseam.store.committer import Committer, Dropped, Urgency
+from badgerseam.wire import state as wire
+
+GATHER_S = 0.02
+ROW_BYTES = 128
+"""An upper bound of a machine's row."""
+NOT_WRITTEN = (Refused, Unavailable, Dropped, LeaseLost)
+
+Edit = Callable[[wire.StoredMachine], wire.StoredMachine | None]
+
+
+@dataclass(slots=True, eq=False)
+class _Change:
+    """What is to become of some machines of a group, and on which claim that stands."""
+
+    names: frozenset[str]
+    edit: Edit
+    claim: str
+    version: int
+    wanted: Callable[[], bool]
+    future: asyncio.Future[None] = field(default_factory=asyncio.Future)
+
+
+class Roster:
+    """Gathers the changes of a group into one write.
+
+    Owners pass machines on and give them up, the leader adds and removes them; writes of others
+    in between are met by reading the group again.
+    """
+
+    def __init__(self, model: Model, state: StateClient, committer: Committer) -> None:
+        self._model = model
+        self._state = state
+        self._committer = committer
+        self._pending: dict[str, list[_Change]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def most_rows(self) -> int:
+        """Machines that a value holds."""
+        return max(1, int(self._model.settings.params.state.value_kb * 1024 * 0.9) // ROW_BYTES)
+
+    async def add(
+        self,
+        group: str,
+        rows: list[wire.StoredMachine],
+        claim: tuple[str, int],
+        also: list[wire.Write],
+        wanted: Callable[[], bool],
+    ) -> None:
+        """Write a new group, at most `most_rows`; one of NOT_WRITTEN if that did not succeed."""
+        key = group_key(group)
+        conditions = dict([claim])
+        writes = list(also)
+        if rows:
+            conditions[key] = 0
+            writes.insert(0, wire.Write(put=key, value=wire.raw(rows)))
+        revision = await self._committer.commit(Urgency.PLACE, conditions, writes, wanted=wanted)
+        with self._model.lock:
+            for write in writes:
+                self._model.apply(write.put or write.delete or "", write.value, revision)
+
+    async def change(
+        self,
+        machines: Iterable[Machine],
+        edit: Edit,
+        claim: tuple[str, int],
+        wanted: Callable[[], bool],
+    ) -> set[str]:
+        """Edit the rows of machines (None removes one); the names for which that is durable."""
+        groups: dict[str, set[str]] = {}
+        for machine in machines:
+            groups.setdefault(machine.group, set()).add(machine.name)
+        changes = []
+        for group, names in groups.items():
+            change = _Change(frozenset(names), edit, *claim, wanted)
+            changes.append(change)
+            if group in self._pending:
+                self._pending[group].append(change)
+            else:
+                self._pending[group] = [change]
+                self._spawn(self._run(group))
+        outcomes = await asyncio.gather(*(c.future for c in changes), return_exceptions=True)
+        done: set[str] = set()
+        for change, outcome in zip(changes, outcomes, strict=True):
+            if outcome is None:
+                done |= change.names
+            elif not isinstance(outcome, NOT_WRITTEN):
+                raise outcome
+        return done
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(self, group: str) -> None:
+        try:
+            while self._pending[group]:
+                await asyncio.sleep(GATHER_S)
+                changes, self._pending[group] = self._pending[group], []
+                while changes:
+                    changes = await self._write(group, changes)
+        finally:
+            del self._pending[group]
+
+    async def _write(self, group: str, changes: list[_Change]) -> list[_Change]:
+        """Try once; the changes that are to be tried again."""
+        model, key = self._model, group_key(group)
+        with model.lock:
+            version, rows = model.groups.get(group, (0, {}))
+            rows = dict(rows)
+        conditions = {key: version}
+        for change in changes:
+            conditions[change.claim] = change.version
+            for name in change.names & rows.keys():
+                row = change.edit(rows[name])
+                if row is None:
+                    del rows[name]
+                else:
+                    rows[name] = row
+        value = wire.raw(list(rows.values())) if rows else None
+        write = wire.Write(put=key, value=value) if rows else wire.Write(delete=key)
+        try:
+            if version:
+                revision = await self._committer.commit(
+                    Urgency.PLACE,
+                    conditions,
+                    [write],
+                    wanted=lambda: any(change.wanted() for change in changes),
+                )
+                with model.lock:
+                    model.apply(key, value, revision)
+        except Refused as refusal:
+            again = []
+            for change in changes:
+                if change.claim in refusal.failed:
+                    change.future.set_exception(refusal)
+                elif not change.wanted():
+                    change.future.set_exception(Dropped())
+                else:
+                    again.append(change)
+            if key in refusal.failed:
+                await self._read(key)
+            return again
+        except NOT_WRITTEN as error:
+            for change in changes:
+                change.future.set_exception(error)
+            return []
+        for change in changes:
+            change.future.set_result(None)
+        return []
+
+    async def _read(self, key: str) -> None:
+        """Somebody else has written the group; or our own write, which seemed lost, was applied."""
+        try:
+            entry = await self._state.get(key)
+        except Unavailable:
+            entry = None
+        if entry is None:
+            # Gone, or not to be had now: the replica will tell.
+            await asyncio.sleep(0.2)
+            return
+        with self._model.lock:
+            self._model.apply(entry.key, entry.value, entry.version)
--- a/badgerseam/wire/peers.py
+++ b/badgerseam/wire/peers.py
@@ -7,16 +7,18 @@
 
 
 class Give(Struct, frozen=True):
-    """The leader asks a share's owner to pass an empty machine on, or (-1) to drop it."""
+    """The leader asks a share's owner to pass empty machines on, or (-1) to drop them."""
 
-    machine: str
+    machines: list[str]
     share: int
     vacate: bool = False
-    """Stop the low-priority work on it first."""
+    """Stop the low-priority work on them first."""
 
 
 class Given(Struct, frozen=True):
-    done: bool
+    """The machines for which that was done."""
+
+    done: list[str]
 
 
 class Health(Struct, frozen=True):
--- a/badgerseam/wire/state.py
+++ b/badgerseam/wire/state.py
@@ -94,16 +94,19 @@
     machine: str | None
 
 
-class StoredTasks(Struct, frozen=True, array_like=True):
-    """One chunk of a job's tasks: finished ones as a hexadecimal bit set."""
+class JobRows(Struct, frozen=True, array_like=True):
+    """What a page holds of a job: finished tasks as hexadecimal bit sets, each of one chunk of
+    the job's tasks, and tasks that were tried."""
 
-    done: str
+    job: str
+    done: list[tuple[int, str]]
     rows: list[TaskRow]
 
 
 class StoredMachine(Struct, frozen=True, array_like=True):
     """A machine and the share it serves; dropped ones wait for their release."""
 
+    name: str
     share: int
     type: str
     zone: str
@@ -136,6 +139,10 @@
 changes_decoder: msgspec.json.Decoder[Changes] = msgspec.json.Decoder(Changes)
 committed_decoder: msgspec.json.Decoder[Committed] = msgspec.json.Decoder(Committed)
 entry_decoder: msgspec.json.Decoder[Entry] = msgspec.json.Decoder(Entry)
+roster_decoder: msgspec.json.Decoder[list[StoredMachine]] = msgspec.json.Decoder(
+    list[StoredMachine]
+)
+page_decoder: msgspec.json.Decoder[list[JobRows]] = msgspec.json.Decoder(list[JobRows])
 lease_decoder: msgspec.json.Decoder[Lease] = msgspec.json.Decoder(Lease)
 
 
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -122,6 +122,11 @@
             return False
         model = self._model
         now = self._clock.now()
+        if report.session > machine.session:
+            # The lease of a session runs from its begin. Where we hear of it by a direct answer,
+            # no report of it may have been answered yet, and the machine came up long after it
+            # was recorded: it is not to be counted as silent since then.
+            machine.answered_at = max(machine.answered_at, now)
         machine.session, machine.seq = mark
         machine.heard_at = now
         machine.shown_token = max(machine.shown_token, report.token)
@@ -149,7 +154,9 @@
             seen.add((job.index, task))
             self._progress(machine, attempt, item, now)
         machine.shown = shown
-        machine.strays = strays
+        if strays != machine.strays:
+            machine.strays = strays
+            machine.node = None
         for key, attempt in list(machine.attempts.items()):
             if key in seen or attempt.finishing or attempt.stage == Stage.PLANNED:
                 continue
@@ -165,6 +172,7 @@
             if attempt.stage >= Stage.FETCHING:
                 # It was there and is gone without a word: its session has ended.
                 attempt.stage = Stage.PLACED
+                machine.node = None
             if attempt.stopping or machine.draining:
                 model.unplace(attempt)
         return True
@@ -190,7 +198,9 @@
                 )
                 machine.images.add(job.spec.image)
                 job.errors = 0
-            attempt.stage = stage
+            if attempt.stage != stage:
+                attempt.stage = stage
+                machine.node = None
             attempt.sent = True
             return
         model.kicks.add(machine.share)
@@ -482,6 +492,7 @@
                     if stays and now + max(left, 0.0) < machine.recall_at:
                         continue
                 attempt.stopping = True
+                machine.node = None
                 attempt.stop_sent = False
                 attempt.grace_s = spec.save_s + 1.0 if spec.checkpoint_s > 0 else 0.0
                 model.pushes.add(machine.index)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -12,11 +12,12 @@
 
 from badgerseam.clock import Clock
 from badgerseam.cluster.member import Member
+from badgerseam.fleet.manager import Returns
 from badgerseam.http.budget import Budget
 from badgerseam.http.client import NoResponse, NotSent, Response
 from badgerseam.model.job import Attempt, Job, Stage
 from badgerseam.model.machine import Machine
-from badgerseam.model.model import Model, claim_key, machine_key
+from badgerseam.model.model import Model, claim_key, group_key, page_key
 from badgerseam.sched.planner import Planner
 from badgerseam.settings import (
     CloudParams,
@@ -32,6 +33,7 @@
 from badgerseam.store.client import LeaseLost, Refused, Unavailable, Unknown
 from badgerseam.store.committer import Committer
 from badgerseam.store.ledger import Ledger
+from badgerseam.store.roster import Roster
 from badgerseam.wire import state as wire
 from badgerseam.wire.users import Submission
 from badgerseam.workers.control import Control
@@ -304,6 +306,12 @@
             self.changed,
         )
         self.planner = Planner(self.model, self.tunables)
+        self.roster = Roster(
+            self.model,
+            self.state,  # type: ignore[arg-type]
+            self.committer,
+        )
+        self.returns = Returns(self.model, self.roster, self.planner)
         self.ledger = Ledger(
             self.model,
             self.state,  # type: ignore[arg-type]
@@ -348,12 +356,14 @@
         return term
 
     def machine(self, name: str = "m-1", zone: str = "a", share: int = 0) -> Machine:
-        record = wire.StoredMachine(share, "c8", zone, False, "10.1.0.1:9000", 0.0)
-        self.set(machine_key(name), record)
+        self.set(group_key(f"g-{name}"), [self.row(name, zone, share)])
         machine = self.model.machine(name)
         assert machine is not None
         return machine
 
+    def row(self, name: str = "m-1", zone: str = "a", share: int = 0) -> wire.StoredMachine:
+        return wire.StoredMachine(name, share, "c8", zone, False, "10.1.0.1:9000", 0.0)
+
     def job(self, **changes: Any) -> Job:
         spec = submission(**changes)
         stored = wire.StoredJob("open", spec.tasks, self.clock.wall(), spec)
@@ -362,6 +372,14 @@
         assert job is not None
         return job
 
+    def rows(self, job: str, *rows: tuple[int, int, str | None], done: int = 0) -> wire.JobRows:
+        """What a page holds of a job: the attempts given, and the bits of what is done."""
+        bits = [(0, f"{done:x}")] if done else []
+        return wire.JobRows(job, bits, [wire.TaskRow(*row) for row in rows])
+
+    def page(self, number: int, *entries: wire.JobRows, share: int = 0) -> int:
+        return self.set(page_key(share, number), list(entries))
+
     def running(self, job: Job, task: int, machine: Machine, worker: Worker) -> Attempt:
         """A task that is durably placed and runs."""
         attempt = self.model.place(job, task, 1, machine, Stage.PLACED)
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -139,7 +139,7 @@
     rig = Rig()
     machine = rig.machine()
     job = rig.job(pieces=1)
-    rig.set(f"bs/p/{job.id}/0", wire.StoredTasks("0", [wire.TaskRow(0, 1, "m-1")]))
+    rig.page(0, rig.rows(job.id, (0, 1, "m-1")))
     rig.claim(node="n-1", lease=9)
     term = rig.own()
     assert machine.token >> 24 == term
@@ -173,7 +173,7 @@
     rig = Rig()
     machine = rig.machine()
     job = rig.job(pieces=1)
-    rig.set(f"bs/p/{job.id}/0", wire.StoredTasks("0", [wire.TaskRow(0, 1, "m-1")]))
+    rig.page(0, rig.rows(job.id, (0, 1, "m-1")))
     rig.claim(node="n-1", lease=9)
     rig.own()
     rig.clock.time += 14.0 + rig.model.cut_bound_s
@@ -201,8 +201,7 @@
     rig.own(1)
     machine = rig.machine(share=0)
     before = machine.token
-    record = wire.StoredMachine(1, "c8", "a", False, "10.1.0.1:9000", 0.0)
-    version = rig.set("bs/m/m-1", record)
+    version = rig.set("bs/m/g-m-1", [rig.row(share=1)])
     assert machine.share == 1
     assert machine.token > before
     assert machine.token >> 24 == version
@@ -232,7 +231,7 @@
     spec = submission(pieces=1)
     rig.model.begin_load()
     rig.set("bs/j/job-000001", wire.StoredJob("withdrawn", 1, 0.0, spec))
-    rig.set("bs/p/job-000001/0", wire.StoredTasks("0", [wire.TaskRow(0, 1, "m-1")]))
+    rig.page(0, rig.rows("job-000001", (0, 1, "m-1")))
     rig.model.end_load(rig.state.revision, set(rig.state.data))
     rig.own()
     worker = Worker()
@@ -339,10 +338,9 @@
     machine = rig.machine(share=0)
     team = next(t.name for t in rig.model.teams if t.share == 0)
     job = rig.job(owner=team, pieces=1)
-    rows = wire.StoredTasks("0", [wire.TaskRow(0, 1, "m-1")])
-    rig.set(f"bs/p/{job.id}/0", rows)
+    rig.page(0, rig.rows(job.id, (0, 1, "m-1")))
     assert machine.attempts
-    rig.set("bs/m/m-1", wire.StoredMachine(1, "c8", "a", False, "10.1.0.1:9000", 0.0))
+    rig.set("bs/m/g-m-1", [rig.row(share=1)])
     assert not machine.attempts
     rig.claim(0)
     rig.member.review()
@@ -350,3 +348,21 @@
     worker = Worker()
     assert verbs(rig.report(worker)) == []
     assert verbs(rig.report(worker)) == []
+
+
+def test_a_machine_that_came_up_long_after_its_rental_is_not_lost_at_once() -> None:
+    # Found on a rough day: heard first by a direct answer, it got tasks, and was given up before
+    # its first report, since it counted as silent from the time of its record.
+    rig = Rig()
+    rig.own()
+    machine = rig.machine()
+    worker = Worker()
+    rig.clock.time += 25
+    rig.lease()
+    rig.http.script = [lambda _: Response(200, worker.body())]
+    asyncio.run(rig.push(machine))
+    assert machine.session == 1
+    assert rig.control.watch() == []
+    rig.clock.time += 17
+    rig.lease()
+    assert rig.control.watch() == [machine]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -12,7 +12,7 @@
 from badgerseam.fleet import policy
 from badgerseam.fleet.cloud import Cloud, CloudTrouble, NoCapacity
 from badgerseam.fleet.demand import Offer, options
-from badgerseam.fleet.manager import DROP, Fleet, Returns
+from badgerseam.fleet.manager import DROP, Fleet
 from badgerseam.http.client import NoResponse, Response
 from badgerseam.model.model import Arrival, hire_key
 from badgerseam.model.resources import NOTHING, Resources
@@ -27,17 +27,17 @@
 
 def fleet(rig: Rig, http: FakeHttp) -> Fleet:
     cloud = Cloud(rig.clock, http, "cloud:1", 100.0)  # type: ignore[arg-type]
-    returns = Returns(rig.model, rig.committer, rig.planner)
     rig.set("bs/l", wire.Claim("n-0", 1))
     return Fleet(
         rig.model,
         rig.member,
         rig.committer,
+        rig.roster,
         cloud,
         rig.planner,
         rig.tunables,
         seeded(),
-        returns.give,
+        rig.returns.give,
         rig.changed,
     )
 
@@ -82,22 +82,19 @@
     assert shares == {"m-7": 0, "m-8": 1}
 
 
-def test_a_record_that_the_replica_has_not_shown_yet_is_not_overwritten_either() -> None:
+def test_a_machine_that_is_just_being_adopted_is_not_recorded_twice() -> None:
     rig, http = Rig(shares=2), FakeHttp()
     rented = fleet(rig, http)
-    known = wire.StoredMachine(0, "c8", "a", False, "", 0.0)
-    version = rig.state.put("bs/m/m-7", known)
-    http.script = [reply(200, {"hosts": ["m-7"]})]
-    hire = wire.StoredHire([1], "c8", "a", False, 0.0)
+    http.script = [reply(200, {"hosts": ["m-7", "m-8"]})]
+    hire = wire.StoredHire([1, 1], "c8", "a", False, 0.0)
 
     async def work() -> None:
-        task = asyncio.ensure_future(_quick(rented, "n-0-1-1", hire))
-        await asyncio.sleep(0.1)
-        rig.model.apply("bs/m/m-7", wire.raw(known), version)
-        await task
+        rented._adopt([rig.row("m-7")])
+        await _quick(rented, "n-0-1-9", hire)
 
     asyncio.run(work())
-    assert rig.state.version("bs/m/m-7") == version
+    groups = {name: sorted(rows) for name, (_, rows) in rig.model.groups.items()}
+    assert groups == {"n-0-1-1": ["m-7"], "n-0-1-9": ["m-8"]}
 
 
 def test_unknown_machines_are_adopted_and_failed_ones_released() -> None:
@@ -112,10 +109,10 @@
             cloud_wire.Listed("m-9", "10.1.0.9:1", "c8", "a", False, "running", 100.0),
         ]
         rented._compare(listed, rig.clock.wall())
-        for _ in range(20):
+        while rented._releasing or rented._recording:
             await asyncio.sleep(0)
 
-    asyncio.run(compare())
+    rig.run(compare())
     assert rig.model.machine("m-9") is not None
     assert rig.model.machine("m-1") is None
     assert http.sent[0][1:] == ("/machines/release", {"hosts": ["m-1"]})
@@ -148,16 +145,16 @@
     worker = Worker()
     rig.report(worker)
     rig.report(worker)
-    returns = Returns(rig.model, rig.committer, rig.planner)
+    returns = rig.returns
     team = next(t.name for t in rig.model.teams if t.share == 0)
     job = rig.job(owner=team, pieces=1)
     rig.running(job, 0, machine, worker)
-    assert not rig.run(returns.give(machine, 1))
+    assert not rig.run(returns.give([machine], 1))
     rig.model.unplace(job.attempts[0])
-    assert rig.run(returns.give(machine, 1))
+    assert rig.run(returns.give([machine], 1))
     assert machine.share == 1
     other = rig.machine("m-2", share=0)
-    assert rig.run(returns.give(other, DROP))
+    assert rig.run(returns.give([other], DROP))
     assert other.dropped
 
 
@@ -167,18 +164,18 @@
     machine = rig.machine(share=0)
     worker = Worker()
     rig.report(worker)
-    returns = Returns(rig.model, rig.committer, rig.planner)
+    returns = rig.returns
     team = next(t.name for t in rig.model.teams if t.share == 0)
     job = rig.job(owner=team, pieces=1)
     rig.running(job, 0, machine, worker)
     rig.report(worker)
-    assert rig.run(returns.give(machine, 1, vacate=True))
+    assert rig.run(returns.give([machine], 1, vacate=True))
     assert returns.vacated() == []
     rig.control.drain()
     rig.report(worker)
     rig.report(worker)
     [(empty, share_index)] = returns.vacated()
-    assert rig.run(returns.give(empty, share_index))
+    assert rig.run(returns.give([empty], share_index))
     assert machine.share == 1
 
 
@@ -233,7 +230,7 @@
 def test_room_that_is_free_before_a_boot_ends_is_not_rented() -> None:
     busy = node(0, used=8)
     for task, left in ((0, 5.0), (1, 50.0)):
-        running = pts.Running((9, task), Resources(4, 0, 8), 1, 0, 0.0, True, ends_in_s=left)
+        running = pts.Running((9, task), Resources(4, 0, 8), 1, 0, 0.0, 0.0, True, ends_at=left)
         busy.running.append(running)
     assert len(policy.decide([share([busy], 2)], set(), set(), [], choices(), 5, 20.0).rents) == 1
     assert policy.decide([share([busy], 1)], set(), set(), [], choices(), 5, 20.0).rents == []
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 
 import msgspec
 import pytest
 
 from badgerseam.model.job import FINISHED, IDLE, Phase, Stage
+from badgerseam.settings import Team
 from badgerseam.store.client import Refused, Unavailable
 from badgerseam.store.committer import Committer, Urgency
 from badgerseam.wire import state as wire
-from badgerseam.wire.state import Write, raw
-from tests.stand_ins import FakeClock, FakeState, Rig, Worker, settings, submission
+from badgerseam.wire.state import Write
+from tests.stand_ins import TYPES, FakeClock, FakeState, Rig, Worker, settings, submission
 
 
 def test_a_repeated_submission_is_accepted_once() -> None:
@@ -75,7 +77,7 @@
 
     rig.run(work())
     assert job.attempts[0].stage == Stage.PLACED
-    assert job.chunks[0].version == rig.state.version("bs/p/job-000001/0")
+    assert rig.model.pages[0][0].version == rig.state.version("bs/p/0/0")
 
 
 def test_a_placement_loses_against_a_cancellation_from_elsewhere() -> None:
@@ -92,18 +94,71 @@
     assert not machine.attempts
 
 
-def test_a_placement_loses_against_a_moved_machine() -> None:
-    rig = Rig(shares=2)
-    rig.own(0)
+def test_a_placement_on_a_machine_that_goes_meanwhile_means_nothing() -> None:
+    # The leader removes a machine that the cloud has released, while a task is being placed on it.
+    rig = Rig()
+    rig.own()
     rig.machine()
     rig.report(Worker())
-    team = next(t.name for t in rig.model.teams if t.share == 0)
-    job = rig.job(owner=team, pieces=1)
+    job = rig.job(pieces=1)
     rig.plan()
-    rig.state.put("bs/m/m-1", wire.StoredMachine(1, "c8", "a", False, "", 0.0))
-    asyncio.run(rig.settle(30))
+
+    async def work() -> None:
+        rig.ledger.flush()
+        rig.state.revision += 1
+        rig.model.apply("bs/m/g-m-1", None, rig.state.revision)
+        assert job.status[0] == IDLE
+        await rig.settle(30)
+
+    asyncio.run(work())
     assert not job.attempts
-    assert job.status[0] == IDLE
+    assert job.waiting() == 1
+
+
+def test_machines_of_one_group_are_changed_with_one_write() -> None:
+    rig = Rig(shares=2)
+    rig.own(0)
+    rows = [rig.row(f"m-{n}") for n in range(5)]
+    rig.set("bs/m/g", rows)
+    machines = list(rig.model.machines.values())
+    before = rig.state.transactions
+
+    async def work() -> list[set[str]]:
+        return list(
+            await asyncio.gather(
+                rig.returns.give(machines[:2], 1), rig.returns.give(machines[2:4], -1)
+            )
+        )
+
+    moved, dropped = rig.run(work())
+    assert (sorted(moved), sorted(dropped)) == (["m-0", "m-1"], ["m-2", "m-3"])
+    assert rig.state.transactions == before + 1
+    assert [machine.share for machine in machines] == [1, 1, 0, 0, 0]
+    assert [machine.dropped for machine in machines] == [False, False, True, True, False]
+    # Only what came to another share has a new version, hence a new term.
+    assert len({machine.version for machine in machines}) == 2
+
+
+def test_a_group_that_another_controller_wrote_is_read_again() -> None:
+    rig = Rig(shares=2)
+    rig.own(0)
+    rig.set("bs/m/g", [rig.row("m-0"), rig.row("m-1", share=1)])
+    machine = rig.model.machines[0]
+    # Another owner has given its machine of the group away; the replica does not show it yet.
+    rig.state.put("bs/m/g", [rig.row("m-0"), rig.row("m-1", share=0)])
+    assert rig.run(rig.returns.give([machine], 1)) == {"m-0"}
+    assert [m.share for m in rig.model.machines.values()] == [1, 0]
+
+
+def test_machines_are_not_passed_on_under_a_claim_that_has_gone() -> None:
+    rig = Rig(shares=2)
+    rig.own(0)
+    rig.set("bs/m/g", [rig.row("m-0")])
+    rig.state.put("bs/c/0", wire.Claim("n-1", 9))
+    machine = rig.model.machines[0]
+    assert rig.run(rig.returns.give([machine], 1)) == set()
+    assert machine.share == 0
+    assert not machine.giving
 
 
 def test_a_job_is_done_when_all_tasks_are_and_stays_so() -> None:
@@ -131,16 +186,110 @@
     assert rig.model.ended["job-000001"] == (Phase.DONE, 2)
 
 
-def test_large_jobs_lie_in_several_values_within_the_limit() -> None:
+def test_a_burst_of_many_jobs_is_one_transaction_of_few_values_within_the_limit() -> None:
+    rig = Rig([Team("red", 1e6, 1e6)])
+    rig.own()
+    machines = [rig.machine(f"m-{n:06}") for n in range(100)]
+    jobs = [rig.job(job_id=f"job-{n:06}", pieces=20) for n in range(1, 31)]
+    for n, job in enumerate(jobs):
+        for task in range(20):
+            rig.model.place(job, task, 1, machines[(n + task) % 100], Stage.PLANNED)
+    before = rig.state.transactions
+    asyncio.run(rig.settle(4))
+    assert rig.state.transactions == before + 1
+    pages = {key: value for key, (value, _, _) in rig.state.data.items() if key.startswith("bs/p/")}
+    assert 1 < len(pages) <= 4
+    limit = rig.settings.params.state.value_kb * 1024
+    assert all(len(bytes(value)) <= limit for value in pages.values())
+
+
+def test_jobs_of_100_000_tasks_fit_into_pages() -> None:
     rig = Rig()
     rig.own()
+    machine = rig.machine()
     job = rig.job(pieces=100_000)
-    machine = rig.machine("m-" + "9" * 12)
-    for task in range(job.chunk_size):
-        rig.model.place(job, task, 1_000_000, machine, Stage.PLACED)
-    value = raw(job.encode_chunk(0))
-    assert len(bytes(value)) <= rig.settings.params.state.value_kb * 1024
-    assert job.chunk_of(99_999) > 100
+    for task in range(0, 100_000, 2):
+        attempt = rig.model.place(job, task, 1, machine, Stage.RUNNING)
+        rig.model.finish(attempt, rig.clock.now())
+    asyncio.run(rig.settle(40))
+    limit = rig.settings.params.state.value_kb * 1024
+    sizes = [len(bytes(value)) for value, _, _ in rig.state.data.values()]
+    assert max(sizes) <= limit
+    assert not job.attempts
+    again = replica_of(rig)
+    copy = again.model.job(job.id)
+    assert copy is not None
+    assert copy.finished == 50_000
+
+
+def replica_of(rig: Rig) -> Rig:
+    """A controller that starts with nothing in memory."""
+    again = Rig()
+    again.model.begin_load()
+    for key in sorted(rig.state.data):
+        value, version, _ = rig.state.data[key]
+        again.model.apply(key, value, version)
+    again.model.end_load(rig.state.revision, set(rig.state.data))
+    return again
+
+
+def state_of(rig: Rig) -> dict[str, tuple[bytes, dict[int, int], dict[int, tuple[int, str]]]]:
+    found = {}
+    for job in rig.model.jobs:
+        if job is not None and not job.ending:
+            where = {t: (a.number, a.machine.name) for t, a in job.attempts.items()}
+            done = bytes(status == FINISHED for status in job.status)
+            found[job.id] = (done, dict(job.tries), where)
+    return found
+
+
+def test_pages_tell_the_same_as_the_owners_memory_whatever_has_happened() -> None:
+    # Pages are written over and over, with what still counts of them: nothing may get lost.
+    random = Random(5)
+    rig = Rig([Team("red", 1e6, 1e6)])
+    rig.own()
+    machines = [rig.machine(f"m-{n:06}") for n in range(40)]
+    follower = replica_of(rig)
+    follower.set("bs/f", msgspec.json.decode(msgspec.json.encode(TYPES)))
+    serial = 0
+
+    async def work() -> None:
+        nonlocal serial
+        for _ in range(120):
+            jobs = [job for job in rig.model.jobs if job is not None]
+            if len(jobs) < 25:
+                serial += 1
+                jobs.append(rig.job(job_id=f"job-{serial:06}", pieces=random.randint(1, 60)))
+            for job in random.sample(jobs, min(6, len(jobs))):
+                for attempt in list(job.attempts.values()):
+                    if attempt.finishing or attempt.stage == Stage.PLANNED:
+                        continue
+                    if random.random() < 0.3:
+                        rig.model.finish(attempt, rig.clock.now())
+                    elif random.random() < 0.2:
+                        rig.model.unplace(attempt)
+                while (task := job.next_idle()) is not None and random.random() < 0.9:
+                    job.idle.pop()
+                    number = job.tries.get(task, 0) + 1
+                    rig.model.place(job, task, number, random.choice(machines), Stage.PLANNED)
+            if random.random() < 0.3:
+                rig.state.script = [random.choice(["silent", "503", "lost"])]
+            share = rig.model.shares[0]
+            while share.planned or share.committing or share.bits_due:
+                await rig.settle(5)
+                await asyncio.sleep(0.001)
+                rig.clock.time += 0.1
+            for key in sorted(rig.state.data):
+                value, version, _ = rig.state.data[key]
+                follower.model.apply(key, value, version)
+            mine, theirs, fresh = state_of(rig), state_of(follower), state_of(replica_of(rig))
+            for job_id, (done, _, where) in mine.items():
+                for copy in (theirs, fresh):
+                    assert copy[job_id][0] == done
+                    assert where.items() <= copy[job_id][2].items()
+
+    asyncio.run(work())
+    assert len(rig.model.pages[0]) < 12
 
 
 def test_a_cold_start_rebuilds_everything_from_the_state_service() -> None:
@@ -157,12 +306,7 @@
     first.clock.time += 5
     first.plan()
     asyncio.run(first.settle())
-    again = Rig()
-    again.model.begin_load()
-    for key in sorted(first.state.data):
-        value, version, _ = first.state.data[key]
-        again.model.apply(key, value, version)
-    again.model.end_load(first.state.revision, set(first.state.data))
+    again = replica_of(first)
     copy = again.model.job("job-000001")
     assert copy is not None
     assert copy.status[0] == FINISHED
@@ -175,11 +319,11 @@
     rig.machine()
     spec = submission(pieces=2)
     withdrawn = wire.StoredJob("withdrawn", 2, 0.0, spec)
-    rows = wire.StoredTasks("0", [wire.TaskRow(0, 1, "m-1")])
+    rows = [rig.rows("job-000001", (0, 1, "m-1"))]
     rig.model.begin_load()
     rig.model.apply("bs/j/job-000001", wire.raw(withdrawn), 50)
-    rig.model.apply("bs/p/job-000001/0", wire.raw(rows), 49)
-    rig.model.end_load(60, {"bs/j/job-000001", "bs/p/job-000001/0", "bs/m/m-1"})
+    rig.model.apply("bs/p/0/0", wire.raw(rows), 49)
+    rig.model.end_load(60, {"bs/j/job-000001", "bs/p/0/0", "bs/m/g-m-1"})
     assert rig.model.usage(rig.model.team_index["red"]).cpus == 2.0
 
 
--- a/tests/test_pts.py
+++ b/tests/test_pts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import Any
 
 from badgerseam.model.resources import NOTHING, Resources
@@ -47,7 +48,10 @@
 
 def victim(task: int, waste: float, cpus: float = 2, **fields: Any) -> pts.Running:
     given: dict[str, Any] = {"rank": 1, "team": 0, "evictable": True, **fields}
-    return pts.Running((9, task), Resources(cpus, 0, 1), waste=waste, **given)
+    # The snapshot's time is 0.
+    return pts.Running(
+        (9, task), Resources(cpus, 0, 1), since=-waste / cpus, checkpoint_s=0.0, **given
+    )
 
 
 def snapshot(nodes: list[pts.Node], *requests: pts.Request, **fields: Any) -> pts.Snapshot:
@@ -174,3 +178,133 @@
     lender = node(0, used=8, high=8, running=[victim(0, 1.0, team=1, rank=3, high=True)])
     result = pts.plan(snapshot([lender], request(rank=3), teams=teams))
     assert (result.starts, result.stops) == ([], [])
+
+
+def plain_scan(given: pts.Snapshot) -> tuple[list[tuple[int, int]], list[tuple[int, int]]]:
+    """PTS as the paper writes it: for each task all machines are looked at, and nothing is kept."""
+    bench = pts._Bench(given, True)
+    starts, stops = [], []
+    order = {r.job: (-r.rank, not bench.claims(r), r.order) for r in given.requests}
+    for ask in sorted(given.requests, key=lambda r: order[r.job]):
+        zones = dict(ask.zones)
+        for _ in range(ask.count):
+            if not bench.within_limit(ask):
+                break
+            chosen: tuple[int, list[pts.Running]] | None = None
+            for prompt in (True, False) if ask.wait_s is not None else (False,):
+                where = [
+                    (position, machine)
+                    for position, machine in enumerate(bench.nodes)
+                    if machine.index not in ask.shunned
+                    and pts.allowed(ask, machine, zones)
+                    and (not prompt or pts.starts_in_time(ask, machine))
+                ]
+                fitting = [
+                    (pts._score(m, ask), zones.get(m.zone, 0), position)
+                    for position, m in where
+                    if ask.need.fits(m.free)
+                ]
+                if fitting:
+                    chosen = min(fitting)[-1], []
+                    break
+                costs = []
+                for position, machine in where:
+                    found = pts._victims(bench, machine, ask)
+                    if found:
+                        waste = sum(task.waste(bench.now) for task in found)
+                        costs.append((pts._cost(bench, len(found), waste), position, found))
+                if costs:
+                    chosen = min(costs, key=lambda item: item[:2])[1:]
+                    break
+            if chosen is None:
+                break
+            position, found = chosen
+            for task in found:
+                pts._evict(bench, position, task, 1)
+            pts._take(bench, position, ask, zones, 1)
+            bench.teams[ask.team].used = bench.teams[ask.team].used.plus(ask.need)
+            starts.append((ask.job, bench.nodes[position].index))
+            stops += [task.key for task in found]
+    return starts, stops
+
+
+def random_snapshot(random: Random) -> pts.Snapshot:
+    images = ["i", "j", "k"]
+    nodes = []
+    for index in range(random.randint(1, 14)):
+        machine = node(
+            index,
+            total=random.choice([8, 16]),
+            zone=random.choice("ab"),
+            type=random.choice(["c8", "big"]),
+            spot=random.random() < 0.5,
+            evictions=random.choice([0, 0, 1]),
+            images=set(random.sample(images, random.randint(0, 3))),
+        )
+        for task in range(random.randint(0, 5)):
+            high = random.random() < 0.4
+            amount = random.choice([1, 2, 2.5, 4])
+            if amount > machine.free.cpus:
+                continue
+            need = Resources(amount, 0, 1)
+            machine.running.append(
+                pts.Running(
+                    (100 + index, task),
+                    need,
+                    2 if high else random.choice([0, 1]),
+                    random.choice([0, 1]),
+                    -random.choice([3.0, 5.0, 20.0]),
+                    random.choice([0.0, 4.0]),
+                    random.random() < 0.8,
+                    high,
+                )
+            )
+            machine.free = machine.free.minus(need)
+            if high:
+                machine.high += amount
+            else:
+                machine.low += amount
+        nodes.append(machine)
+    asks = []
+    for job in range(random.randint(1, 8)):
+        rank = random.choice([0, 1, 2, 3])
+        asks.append(
+            request(
+                job,
+                random.randint(1, 9),
+                random.choice([1, 2, 2.5, 4]),
+                rank >= 2,
+                rank=rank,
+                team=random.choice([0, 1]),
+                zone=random.choice([None, None, "a"]),
+                one_zone=random.random() < 0.2,
+                zone_limit=random.choice([None, None, 2]),
+                spot=random.random() < 0.7,
+                image=random.choice(images),
+                image_gb=random.choice([0.1, 3.0]),
+                wait_s=random.choice([None, 1.0]),
+                shunned=set(random.sample(range(3), random.choice([0, 0, 2]))),
+            )
+        )
+    room = Resources(40, 0, INF)
+    teams = {
+        team: pts.TeamUse(
+            Resources(random.choice([0, 8, 30]), 0, 0),
+            Resources(random.choice([4, 20]), 0, INF),
+            room,
+        )
+        for team in (0, 1)
+    }
+    return snapshot(nodes, *asks, teams=teams, finished=random.randint(0, 9))
+
+
+def test_the_indexed_plan_is_the_one_that_a_plain_scan_gives() -> None:
+    random = Random(11)
+    for _ in range(400):
+        given = random_snapshot(random)
+        before = [(m.free, len(m.running), m.evictions) for m in given.nodes]
+        result = pts.plan(given)
+        starts, stops = plain_scan(given)
+        assert [(start.job, start.node) for start in result.starts] == starts
+        assert [stop.key for stop in result.stops] == stops
+        assert [(m.free, len(m.running), m.evictions) for m in given.nodes] == before
