Return what was passed on, move replicas together, keep a reserve for what guarantees cover

After the arrivals replicas lay scattered over machines that were paid for whole. - A machine's owner-only knowledge is forgotten when its share is not ours (test). - The leader has one machine a share and 3 s emptied whose replicas others have room for, image there, beyond the reserve (test). - The reserve covers all classes that the guarantee's wait covers, by the normal quantile of the share that operators ask for; classes with an aim of their own keep 2 deviations (1.5 before), which make up for the spare machines that were there by mistake. - A start that is likely in time goes before one that is not; large machines are preferred by a little; of empty machines, those with most images are kept.

--- a/badgerseam/fleet/demand.py
+++ b/badgerseam/fleet/demand.py
@@ -8,6 +8,9 @@
 from badgerseam.sched import pts
 from badgerseam.wire.cloud import MachineType
 
+SIZE_WEIGHT = 0.12
+"""A machine of twice the size may cost 2**SIZE_WEIGHT as much for each slot that will be used."""
+
 
 @dataclass(frozen=True, slots=True)
 class Offer:
@@ -130,6 +133,8 @@
             alike = sum(w.count for w in self._wants if pts.allowed(w.request, node, w.zones))
             crowd = head.zones.get(option.offer.zone, 0) if head.request.zone_limit else 0
             price = option.price / min(each, alike) * (1 + 0.02 * crowd)
+            # A large machine holds images for more tasks, and leaves less room unused.
+            price /= (option.total.gpus or option.total.cpus) ** SIZE_WEIGHT
             if best is None or price < best_price:
                 best, best_price = option, price
         return best
--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from random import Random
+from statistics import NormalDist
 
 import msgspec
 
@@ -14,7 +15,7 @@
 from badgerseam.fleet import policy
 from badgerseam.fleet.cloud import Cloud, CloudTrouble, NoCapacity
 from badgerseam.fleet.demand import Offer, options, virtual_node
-from badgerseam.model.job import HIGH_RANK
+from badgerseam.model.job import HIGH_RANK, Stage
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import (
     LEADER_KEY,
@@ -24,6 +25,7 @@
     claim_key,
     hire_key,
 )
+from badgerseam.model.resources import NOTHING
 from badgerseam.sched import pts
 from badgerseam.sched.planner import Planner
 from badgerseam.settings import Tunables
@@ -44,6 +46,10 @@
 TYPES_S = 20.0
 NO_CAPACITY_S = 10.0
 MOST_NO_CAPACITY_S = 30.0
+TELL_S = 10.0
+DEPARTURES = 0.8
+"""Standard deviations of arrivals that departures make room for (measured: no reserve was needed
+where four fifths are to start in time)."""
 MOST_AT_ONCE = 150
 MOST_HOSTS = 50
 MOST_RELEASED = 100
@@ -97,15 +103,26 @@
         self._serial = 0
         self._learnt_at = -1e9
         self._vacated_at: dict[int, float] = {}
+        self._told_at = -1e9
+        self._consolidated_at: dict[int, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._moved_at = -1e9
-        self._waits = {
+        self._waits: dict[str | None, float] = {
             objective.job_class: objective.within_s
             for objective in model.settings.params.objectives
-            if objective.kind == "wait"
-            and objective.job_class is not None
-            and objective.within_s is not None
+            if objective.within_s is not None
+            and (
+                objective.kind == "guarantee" or (objective.kind == "wait" and objective.job_class)
+            )
         }
+        share = max(
+            (o.share or 0.0 for o in model.settings.params.objectives if o.kind == "guarantee"),
+            default=0.0,
+        )
+        # Of a normal spread, this much is needed for the share that operators ask for; what they
+        # accept to be late without further trouble, departures make up for.
+        quantile = NormalDist().inv_cdf(min(max(share, 0.5), 0.999))
+        self._guarantee_spread = tunables.reserve_guarantee * max(0.0, quantile - DEPARTURES)
         self._list_pause_s = 1.5
 
     def _spawn(self, work: Awaitable[object]) -> None:
@@ -369,13 +386,18 @@
             boot_s,
             now,
             tunables.arrivals_s,
-            tunables.reserve_spread,
+            (self._guarantee_spread, tunables.reserve_spread),
         )
         blocked = {offer for offer, (until, _) in self._blocked.items() if until > now}
         choices = options(model.types, blocked)
         if now - self._moved_at < tunables.move_s:
             empty.clear()
-        decisions = policy.decide(snapshots, empty, idle, kept, choices, MOST_AT_ONCE, nominal_s)
+        if now - self._told_at >= TELL_S:
+            self._told_at = now
+            log.debug("%s", self._describe(kept))
+        decisions = policy.decide(
+            snapshots, empty, idle, kept, choices, MOST_AT_ONCE, nominal_s, self._rules
+        )
         moves: dict[int, list[Machine]] = {}
         for index, share in decisions.moves:
             self._moved_at = now
@@ -387,6 +409,10 @@
         ]
         for share, machines in moves.items():
             self._start_move(machines, share)
+        for index, share in decisions.vacate:
+            if now - self._consolidated_at.get(share, -1e9) >= tunables.consolidate_s:
+                self._consolidated_at[share] = now
+                self._start_move([model.machines[index]], DROP, vacate=True)
         for index, share in self._vacancies(snapshots, decisions, now):
             self._vacated_at[share] = now
             self._start_move([model.machines[index]], share, vacate=True)
@@ -422,6 +448,29 @@
                     nodes.append(node)
         return planner.snapshot(share, nodes, planner.requests(share))
 
+    def _describe(self, kept: list[policy.Reserve]) -> str:
+        """The fleet in a line: machines, the empty ones, and the slots that are used."""
+        parts = []
+        for spot in (False, True):
+            count = empty = 0
+            used = slots = 0.0
+            for machine in self._model.machines.values():
+                if machine.spot != spot:
+                    continue
+                count += 1
+                empty += not machine.attempts
+                slots += pts.slots_of(machine.total)
+                used += sum(pts.slots_of(a.job.need) for a in machine.attempts.values())
+            kind = "cheap" if spot else "ordinary"
+            parts.append(f"{count} {kind} ({empty} empty, {used:.0f} of {slots:.0f} slots used)")
+        waiting = sum(j.waiting() for jobs in self._model.open_jobs for j in jobs.values())
+        reserve = ", ".join(f"{r.tasks}x{pts.slots_of(r.need):.1f}" for r in kept)
+        return f"{'; '.join(parts)}; {waiting} tasks wait; reserve {reserve or 'none'}"
+
+    def _rules(self, index: int) -> pts.Request | None:
+        job = self._model.jobs[index]
+        return None if job is None else self._planner.request(job, 1)
+
     def _overdue(self, machine: Machine) -> bool:
         """Whether a machine should have come up by now: nobody should go on waiting for it."""
         if machine.session > 0 or machine.listed_up or machine.attempts:
@@ -692,7 +741,12 @@
         giving = []
         with self._model.lock:
             for machine in machines:
-                if vacate and not machine.draining and self._low_only(machine):
+                if vacate and share == DROP:
+                    if not machine.draining and self._movable(machine):
+                        log.info("%s is emptied: others have room", machine.name)
+                        machine.draining = True
+                        done.add(machine.name)
+                elif vacate and not machine.draining and self._low_only(machine):
                     log.info("vacating %s for share %d", machine.name, share)
                     machine.draining = True
                     machine.vacate_to = share
@@ -713,6 +767,22 @@
             attempt.job.rank < HIGH_RANK for attempt in machine.attempts.values()
         )
 
+    def _movable(self, machine: Machine) -> bool:
+        """Whether only replicas are on it, that have run for long enough to be moved."""
+        now = self._model.clock.now()
+        return (
+            self._model.shares[machine.share].owned
+            and machine.strays == NOTHING
+            and machine.recall_at is None
+            and all(
+                attempt.job.service
+                and attempt.stage == Stage.RUNNING
+                and not attempt.stopping
+                and now - attempt.started_at > policy.SETTLED_S / 2
+                for attempt in machine.attempts.values()
+            )
+        )
+
     def vacated(self) -> list[tuple[Machine, int]]:
         """Machines that have become empty for another share."""
         return [
--- a/badgerseam/fleet/policy.py
+++ b/badgerseam/fleet/policy.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from badgerseam.fleet.demand import Offer, Option, Wants
@@ -12,6 +13,10 @@
 from badgerseam.model.resources import NOTHING, Resources
 from badgerseam.sched import pts
 
+SETTLED_S = 60.0
+"""How long replicas have run before they are moved: a start that is undone soon is none."""
+MOST_LOOKED_AT = 4
+Rules = Callable[[int], pts.Request | None]
 ENDLESS = Resources(math.inf, math.inf, math.inf)
 
 
@@ -36,30 +41,37 @@
     rents: list[tuple[Offer, int]] = field(default_factory=list)
     surplus: list[int] = field(default_factory=list)
     """Empty machines that nothing needs."""
+    vacate: list[tuple[int, int]] = field(default_factory=list)
+    """Machines whose replicas others have room for, with their share."""
     waiting: list[dict[int, int]] = field(default_factory=list)
     """Of each share, the tasks a job that found no room on its machines."""
 
 
 def reserves(
     arrivals: deque[Arrival],
-    waits: dict[str, float],
+    waits: dict[str | None, float],
     boot_s: float,
     now: float,
     window_s: float,
-    spread: float,
+    spreads: tuple[float, float],
 ) -> list[Reserve]:
     """How much room the arrivals of the last while call for, by class.
 
-    Departures make up for the mean of the arrivals; what is kept is `spread` standard deviations
-    of the tasks that arrive while a machine boots, as if jobs came at random. Older arrivals count
+    `waits`: how soon work of a class should start; None: any work within its team's guarantee.
+
+    Departures make up for the mean of the arrivals; what is kept is some standard deviations of the
+    tasks that arrive while a machine boots, as if jobs came at random: `spreads` for classes that
+    only the guarantee covers, and for those with an aim of their own. Older arrivals count
     less, so that the reserve goes when a class falls silent.
     """
     found = []
-    for job_class, wait_s in waits.items():
-        if wait_s >= boot_s:
-            continue
-        recent = [a for a in arrivals if a.job_class == job_class and now - a.at <= 4 * window_s]
-        if not recent:
+    by_class: dict[str, list[Arrival]] = {}
+    for arrival in arrivals:
+        if now - arrival.at <= 4 * window_s:
+            by_class.setdefault(arrival.job_class, []).append(arrival)
+    # The classes of the highest rank choose first.
+    for job_class, recent in sorted(by_class.items(), key=lambda item: -item[1][-1].rank):
+        if min(waits.get(job_class, math.inf), waits.get(None, math.inf)) >= boot_s:
             continue
         by_share: dict[int, list[Arrival]] = {}
         for arrival in recent:
@@ -74,6 +86,7 @@
             squares = sum(a.tasks**2 * math.exp((a.at - now) / window_s) for a in came)
             deviation = math.sqrt(squares * boot_s / window_s)
             last = came[-1]
+            spread = spreads[waits.get(job_class, math.inf) < boot_s]
             found.append(
                 Reserve(round(spread * deviation), last.need, last.rank, last.spot, share, pooled)
             )
@@ -88,12 +101,13 @@
     choices: list[Option],
     most: int,
     horizon_s: float = 0.0,
+    rules: Rules | None = None,
 ) -> Decisions:
     """Moves first, then rents for waiting work, then the reserve; what is left over is surplus.
 
     `empty`: machines with nothing on them; `idle`: those that have been so for long enough;
     `horizon_s`: how long a machine boots, so that room that is free by then is as good as a new
-    one.
+    one; `rules`: the request of a job, without which no replica is moved.
     """
     result = Decisions()
     plans = [pts.plan(snapshot, evict=False) for snapshot in snapshots]
@@ -126,9 +140,70 @@
         for node in plan.nodes:
             if node.index in idle and node.index in spare and free[node.index] == node.total:
                 result.surplus.append(node.index)
+    if rules is not None and not any(not offer.spot for offer, _ in result.rents):
+        for index, plan in enumerate(plans):
+            if not plan.waiting:
+                found = _vacant(plan.nodes, free, snapshots[index].now, rules)
+                result.vacate += [(node.index, index) for node in found]
     return result
 
 
+def _vacant(
+    nodes: list[pts.Node], free: dict[int, Resources], now: float, rules: Rules
+) -> list[pts.Node]:
+    """The machine with the least on it, if that is replicas only and others have room for them.
+
+    As replicas leave, the rest lie scattered over machines that are paid for whole. `free` is what
+    the reserve leaves over; room counts where the image is, so that a move takes a moment.
+    """
+    busy = [node for node in nodes if node.running and node.index in free]
+    least = sorted(
+        (
+            node
+            for node in busy
+            if node.idle_slots >= 0.5 * node.slots
+            and all(task.service and now - task.placed_at > SETTLED_S for task in node.running)
+        ),
+        key=lambda node: node.slots - node.idle_slots,
+    )
+    for node in least[:MOST_LOOKED_AT]:
+        used = node.slots - node.idle_slots
+        targets = [
+            other
+            for other in busy
+            if other is not node and other.slots - other.idle_slots >= used and not other.spot
+        ]
+        targets.sort(key=lambda other: other.idle_slots)
+        if _move_all(node, targets, dict(free), rules):
+            return [node]
+    return []
+
+
+def _move_all(
+    node: pts.Node, targets: list[pts.Node], free: dict[int, Resources], rules: Rules
+) -> bool:
+    zones: dict[int, dict[str, int]] = {}
+    for task in node.running:
+        job = task.key[0]
+        request = rules(job)
+        if request is None:
+            return False
+        where = zones.setdefault(job, dict(request.zones))
+        where[node.zone] = where.get(node.zone, 1) - 1
+        for other in targets:
+            if (
+                task.need.fits(free[other.index])
+                and request.image in other.images
+                and pts.allowed(request, other, where)
+            ):
+                free[other.index] = free[other.index].minus(task.need)
+                where[other.zone] = where.get(other.zone, 0) + 1
+                break
+        else:
+            return False
+    return True
+
+
 def _freed_soon(node: pts.Node, now: float, horizon_s: float) -> Resources | None:
     """A machine's room after the horizon, if some of its tasks should have ended by then."""
     room = node.free
@@ -193,7 +268,9 @@
                     rooms.append((node.idle_slots / (node.slots or 1.0), node))
         if reserve.rank >= HIGH_RANK:
             missing -= int(evictable / (pts.slots_of(reserve.need) or 1.0))
-        rooms.sort(key=lambda item: item[0])
+        # Of the empty ones, those that hold the most images start work the soonest: the others are
+        # returned.
+        rooms.sort(key=lambda item: (item[0], -len(item[1].images)))
         for _, node in rooms:
             if missing <= 0:
                 break
--- a/badgerseam/model/machine.py
+++ b/badgerseam/model/machine.py
@@ -88,13 +88,17 @@
         """
         self.term = max(term, self.version)
         self.bump = 0
+        self.forget()
+        self.doubt = (self.term << BUMP_BITS) - 1
+        self.taken_at = now
+        self.answered_at = safe_at
+
+    def forget(self) -> None:
+        """Forget what only its owner knows."""
         self.session = 0
         self.seq = 0
         self.shown_token = 0
-        self.doubt = (self.term << BUMP_BITS) - 1
         self.heard_at = -1e9
-        self.taken_at = now
-        self.answered_at = safe_at
         self.recall_at = None
         self.shown = {}
         self.strays = NOTHING
@@ -135,7 +139,3 @@
             if not attempt.finishing and (attempt.sent or attempt.stage >= Stage.FETCHING):
                 total = total.plus(attempt.job.need)
         return total
-
-    def holds_anything(self) -> bool:
-        """Whether a task is, or may be, on the machine."""
-        return bool(self.attempts) or any(task.state != "exited" for task in self.shown.values())
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -460,7 +460,7 @@
             self.adopt(machine, fresh=True)
 
     def adopt(self, machine: Machine, fresh: bool) -> None:
-        """Start to act for a machine if its share is owned.
+        """Start to act for a machine if its share is owned; forget what its owner knew if not.
 
         `fresh`: the share was owned already, so nobody else can have renewed the machine's lease
         beyond its move, which an owner does only with nothing on the machine.
@@ -473,6 +473,10 @@
             machine.take_over(share.term, now, now if fresh else now + self.cut_bound_s)
             machine.idle_since = now
             self.kicks.add(machine.share)
+        else:
+            # Otherwise one that was passed on would count as draining for ever with the one that
+            # had it before: a leader neither used nor returned such machines.
+            machine.forget()
 
     @property
     def cut_bound_s(self) -> float:
@@ -624,6 +628,8 @@
         """Stop acting for a share; what is not durable is forgotten."""
         share.owned = False
         share.releasing = False
+        for machine in self.fleets[share.index].values():
+            machine.forget()
         self._reload(share)
 
     def _reload(self, share: Share) -> None:
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -125,6 +125,8 @@
                     attempt.stage >= Stage.FETCHING and attempt.stage != Stage.SAVING,
                     important,
                     self.ends_at(attempt),
+                    job.service,
+                    attempt.planned_at,
                 )
             )
         return pts.Node(
@@ -157,6 +159,10 @@
             count = min(count, count if job.gang else 1) if not job.attempts else 0
         if count <= 0:
             return None
+        return self.request(job, count)
+
+    def request(self, job: Job, count: int) -> pts.Request:
+        """So many tasks of a job, with the rules that hold for them."""
         spec = job.spec
         deadline = math.inf if spec.deadline_s is None else job.submitted + spec.deadline_s
         order = job.submitted if job.rank >= HIGH_RANK else min(deadline, job.submitted + 1e6)
--- a/badgerseam/sched/pts.py
+++ b/badgerseam/sched/pts.py
@@ -19,6 +19,12 @@
 
 from badgerseam.model.resources import NOTHING, Resources
 
+FETCH_FACTORS = (1.5, 1.0)
+"""How much longer than stated a fetch takes, surely and likely."""
+GRADES = len(FETCH_FACTORS) + 1
+START_S = 0.3
+"""What a start takes besides the fetch."""
+
 
 @dataclass(slots=True)
 class Running:
@@ -35,6 +41,8 @@
     high: bool = False
     ends_at: float = math.inf
     """When it should have ended by its owner's estimate."""
+    service: bool = False
+    placed_at: float = 0.0
 
     def waste(self, now: float) -> float:
         """Slots times the time since the last checkpoint that the declared interval implies."""
@@ -381,15 +389,17 @@
     """The machines for the tasks of one request.
 
     The paper's filter drops machines that do not meet the task's requirements; we count a start in
-    time among these where an operator has stated one, as long as some machine can meet it.
+    time among these where an operator has stated one, as long as some machine can meet it, surely
+    or else likely.
     """
 
     def __init__(self, bench: _Bench, request: Request, zones: dict[str, int]) -> None:
         self._bench = bench
         self._request = request
         self._zones = zones
-        self._prompt = _Pool(request) if bench.evict and request.wait_s is not None else None
-        self._any = _Pool(request)
+        # By how surely the start will be in time; the last takes any machine.
+        graded = bench.evict and request.wait_s is not None
+        self._pools = [_Pool(request) for _ in range(GRADES if graded else 1)]
         self._may_evict = bench.evict
         self._victims: dict[int, tuple[list[Running], float]] | None = None
         """What may be evicted, by position: the victims and their waste."""
@@ -400,9 +410,12 @@
             self._put(position, node)
 
     def _put(self, position: int, node: Node) -> None:
-        self._any.put(position, node)
-        if self._prompt is not None and starts_in_time(self._request, node):
-            self._prompt.put(position, node)
+        grade = self._grade(node)
+        for pool in self._pools[grade:]:
+            pool.put(position, node)
+
+    def _grade(self, node: Node) -> int:
+        return start_grade(self._request, node) if len(self._pools) > 1 else 0
 
     def update(self, position: int) -> None:
         """A task was placed on the machine, and victims may have left it."""
@@ -415,15 +428,12 @@
     def choose(self) -> tuple[int | None, list[tuple[Running, float]]]:
         """A machine for one task, and the victims it takes."""
         nodes = self._bench.nodes
-        for prompt in (True, False):
-            pool = self._prompt if prompt else self._any
-            if pool is None:
-                continue
+        for grade, pool in enumerate(self._pools):
             position = pool.choose(nodes, self._zones)
             if position is not None:
                 return position, []
             if self._may_evict:
-                position, victims = self._cheapest(prompt)
+                position, victims = self._cheapest(grade)
                 if position is not None:
                     return position, victims
         return None, []
@@ -435,7 +445,7 @@
             now = self._bench.now
             self._victims[position] = found, sum(victim.waste(now) for victim in found)
 
-    def _cheapest(self, prompt: bool) -> tuple[int | None, list[tuple[Running, float]]]:
+    def _cheapest(self, grade: int) -> tuple[int | None, list[tuple[Running, float]]]:
         """The machine on which room costs least, and the victims there."""
         bench, request = self._bench, self._request
         if not request.high and not bench.lends(request):
@@ -455,7 +465,7 @@
         best_cost = 0.0
         for position, (victims, waste) in self._victims.items():
             node = bench.nodes[position]
-            if prompt and not starts_in_time(request, node):
+            if self._grade(node) > grade:
                 continue
             if not allowed(request, node, self._zones):
                 continue
@@ -467,12 +477,16 @@
         return best, [(victim, best_cost) for victim in self._victims[best][0]]
 
 
-def starts_in_time(request: Request, node: Node) -> bool:
-    """Whether the image is there, or comes soon enough for the wait that is asked for."""
+def start_grade(request: Request, node: Node) -> int:
+    """How surely a task would start in the time that is asked for: 0 surely, 1 likely, 2 not."""
     if request.wait_s is None or request.image in node.images:
-        return True
-    # Fetches are up to a third slower than stated, and something is left for the rest.
-    return 1.5 * request.image_gb / max(node.fetch_gb_per_s, 1e-3) + 0.3 <= request.wait_s
+        return 0
+    # Fetches are up to a third slower or faster than stated, and something is left for the rest.
+    stated = request.image_gb / max(node.fetch_gb_per_s, 1e-3)
+    for grade, factor in enumerate(FETCH_FACTORS):
+        if factor * stated + START_S <= request.wait_s:
+            return grade
+    return len(FETCH_FACTORS)
 
 
 def _evict(bench: _Bench, position: int, victim: Running, sign: int) -> None:
--- a/badgerseam/settings.py
+++ b/badgerseam/settings.py
@@ -108,6 +108,14 @@
     idle_s: Annotated[float, Meta(ge=0, description="idle time before a machine is returned")] = (
         20.0
     )
+    consolidate_s: Annotated[
+        float,
+        Meta(
+            gt=0,
+            description="interval in which a share's replicas are moved off one machine that "
+            "others have room for",
+        ),
+    ] = 3.0
     margin_s: Annotated[float, Meta(ge=0.5, description="slack on every safety bound")] = 2.0
     arrivals_s: Annotated[
         float, Meta(gt=0, description="time in which an arrival's weight for the reserve fades")
@@ -119,7 +127,15 @@
             description="standard deviations of arrivals during a boot that are kept as free room "
             "for classes that should start sooner than a machine boots",
         ),
-    ] = 1.5
+    ] = 2.0
+    reserve_guarantee: Annotated[
+        float,
+        Meta(
+            ge=0,
+            description="part of the spread that is kept for classes that only the guarantee "
+            "covers, by the share of them that should start in time",
+        ),
+    ] = 0.5
 
 
 def load_settings(path: str) -> Settings:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -239,10 +239,57 @@
 def test_a_reserve_is_kept_as_long_as_its_class_arrives() -> None:
     need = Resources(4, 0, 8)
     arrivals = deque(Arrival(t, "fast", 0, 4, need, 2, True) for t in (0.0, 20.0, 40.0))
-    kept = policy.reserves(arrivals, {"fast": 1.0, "slow": 90.0}, 30.0, 41.0, 60.0, 1.0)
+    waits: dict[str | None, float] = {"fast": 1.0, "slow": 90.0}
+    kept = policy.reserves(arrivals, waits, 30.0, 41.0, 60.0, (1.0, 1.0))
     assert [(reserve.tasks, reserve.share) for reserve in kept] == [(4, 0)]
     shares = [share([node(0), node(1), node(2)])]
     result = policy.decide(shares, {0, 1, 2}, {0, 1, 2}, kept, choices(), 5)
     assert (result.rents, result.surplus) == ([], [2])
-    later = policy.reserves(arrivals, {"fast": 1.0}, 30.0, 400.0, 60.0, 1.0)
+    # What is within a guarantee should start soon as well, if operators say so.
+    assert policy.reserves(arrivals, {None: 5.0}, 30.0, 41.0, 60.0, (1.0, 1.0)) == kept
+    assert policy.reserves(arrivals, {"fast": 90.0}, 30.0, 41.0, 60.0, (1.0, 1.0)) == []
+    later = policy.reserves(arrivals, waits, 30.0, 400.0, 60.0, (1.0, 1.0))
     assert not any(reserve.tasks for reserve in later)
+
+
+def test_a_machine_that_was_passed_on_can_be_returned_later() -> None:
+    # Found in the status line of a quiet day: the leader saw machines that it had passed on as
+    # draining, so that they were neither used nor returned, and others were rented.
+    rig = Rig(shares=2)
+    rig.own(0)
+    rig.machine("m-1", share=0)
+    rented = fleet(rig, FakeHttp())
+    machine = rig.model.machines[0]
+    machine.listed_up = True
+    assert rig.run(rig.returns.give([machine], 1)) == {"m-1"}
+    seen = rented._snapshot(rig.model.shares[1], rig.clock.now())
+    assert [node.index for node in seen.nodes] == [machine.index]
+    assert not machine.draining
+
+
+def test_replicas_are_moved_together_where_the_image_is() -> None:
+    def replicas(index: int, count: int, images: set[str]) -> pts.Node:
+        found = node(index, used=2 * count, spot=False)
+        found.images |= images
+        for task in range(count):
+            running = pts.Running((1, 10 * index + task), Resources(2, 0, 8), 3, 0, 0.0, 0.0, True)
+            running.service = True
+            found.running.append(running)
+        return found
+
+    def rules(job: int) -> pts.Request:
+        need = Resources(2, 0, 8)
+        return pts.Request(
+            job, 1, need, 3, True, 0, None, None, False, None, False, "img", {}, set(), 0.0
+        )
+
+    def vacated(images: set[str], now: float = 100.0, kept: int = 0) -> list[tuple[int, int]]:
+        given = share([replicas(0, 1, {"img"}), replicas(1, 3, images)])
+        given.now = now
+        reserve = policy.Reserve(kept, Resources(2, 0, 8), 3, False, 0, False)
+        return policy.decide([given], set(), set(), [reserve], [], 5, 0.0, rules).vacate
+
+    assert vacated({"img"}) == [(0, 0)]
+    assert vacated(set()) == []
+    assert vacated({"img"}, now=10.0) == [], "a start that is undone soon is none"
+    assert vacated({"img"}, kept=4) == [], "the room is kept for what may come"
--- a/tests/test_pts.py
+++ b/tests/test_pts.py
@@ -160,6 +160,10 @@
     prompt = request(wait_s=1.0, image_gb=2.0)
     assert placed(pts.plan(snapshot(nodes, prompt))) == [1]
     assert placed(pts.plan(snapshot(nodes[:1], prompt))) == [0]
+    # A fetch that is likely to do is better than one that is not.
+    slow = node(0, used=6, fetch_gb_per_s=0.5)
+    prompt = request(wait_s=2.0, image_gb=1.2)
+    assert placed(pts.plan(snapshot([slow, node(1)], prompt))) == [1]
     # Better to evict where the image is than to wait for a fetch.
     full = node(3, used=8, low=8, images={"img"}, running=[victim(0, 1.0)])
     prompt = request(wait_s=1.0, image_gb=2.0)
@@ -191,13 +195,13 @@
             if not bench.within_limit(ask):
                 break
             chosen: tuple[int, list[pts.Running]] | None = None
-            for prompt in (True, False) if ask.wait_s is not None else (False,):
+            for grade in range(pts.GRADES) if ask.wait_s is not None else (pts.GRADES,):
                 where = [
                     (position, machine)
                     for position, machine in enumerate(bench.nodes)
                     if machine.index not in ask.shunned
                     and pts.allowed(ask, machine, zones)
-                    and (not prompt or pts.starts_in_time(ask, machine))
+                    and pts.start_grade(ask, machine) <= grade
                 ]
                 fitting = [
                     (pts._score(m, ask), zones.get(m.zone, 0), position)
@@ -281,7 +285,7 @@
                 zone_limit=random.choice([None, None, 2]),
                 spot=random.random() < 0.7,
                 image=random.choice(images),
-                image_gb=random.choice([0.1, 3.0]),
+                image_gb=random.choice([0.1, 0.6, 3.0]),
                 wait_s=random.choice([None, 1.0]),
                 shunned=set(random.sample(range(3), random.choice([0, 0, 2]))),
             )
