--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -72,6 +72,7 @@
     need: Resources
     rank: int
     spot: bool
+    image_gb: float = 0.0
 
 
 @dataclass(slots=True)
@@ -314,6 +315,7 @@
                 job.need,
                 job.rank,
                 spec.spot,
+                spec.image_gb,
             )
         )
 
