--- a/badgerseam/fleet/demand.py
+++ b/badgerseam/fleet/demand.py
@@ -8,9 +8,7 @@
 from badgerseam.sched import pts
 from badgerseam.wire.cloud import MachineType
 
-LATE_START = 1.4
-"""A machine may cost this much more if a fetch on it is likely to end in time."""
-SIZE_WEIGHT = 0.12
+SIZE_WEIGHT = 0.2
 """A machine of twice the size may cost 2**SIZE_WEIGHT as much for each slot that will be used."""
 
 
@@ -28,7 +26,6 @@
     offer: Offer
     total: Resources
     price: float
-    fetch_gb_per_s: float = 1.0
 
 
 def options(types: dict[str, MachineType], blocked: set[Offer]) -> list[Option]:
@@ -41,7 +38,7 @@
                 offer = Offer(entry.name, zone, spot)
                 if offer not in blocked and (not spot or entry.spot_price > 0):
                     price = entry.spot_price if spot else entry.price
-                    found.append(Option(offer, total, price, entry.fetch_gb_per_s or 1.0))
+                    found.append(Option(offer, total, price))
     return found
 
 
@@ -138,10 +135,6 @@
             price = option.price / min(each, alike) * (1 + 0.02 * crowd)
             # A large machine holds images for more tasks, and leaves less room unused.
             price /= (option.total.gpus or option.total.cpus) ** SIZE_WEIGHT
-            if head.request.high and head.request.wait_s is not None:
-                # Where the image is not yet, it comes in time or it does not.
-                node.fetch_gb_per_s = option.fetch_gb_per_s
-                price *= LATE_START if pts.start_grade(head.request, node) > 1 else 1.0
             if best is None or price < best_price:
                 best, best_price = option, price
         return best
--- a/badgerseam/fleet/policy.py
+++ b/badgerseam/fleet/policy.py
@@ -32,9 +32,6 @@
     """Where the class arrives, or most of it."""
     pooled: bool
     """Room in other shares will do."""
-    wait_s: float | None = None
-    image_gb: float = 0.0
-    """Of the middle one of its recent images."""
 
 
 @dataclass(slots=True)
@@ -74,8 +71,7 @@
             by_class.setdefault(arrival.job_class, []).append(arrival)
     # The classes of the highest rank choose first.
     for job_class, recent in sorted(by_class.items(), key=lambda item: -item[1][-1].rank):
-        wait_s = min(waits.get(job_class, math.inf), waits.get(None, math.inf))
-        if wait_s >= boot_s:
+        if min(waits.get(job_class, math.inf), waits.get(None, math.inf)) >= boot_s:
             continue
         by_share: dict[int, list[Arrival]] = {}
         for arrival in recent:
@@ -92,16 +88,7 @@
             last = came[-1]
             spread = spreads[waits.get(job_class, math.inf) < boot_s]
             found.append(
-                Reserve(
-                    round(spread * deviation),
-                    last.need,
-                    last.rank,
-                    last.spot,
-                    share,
-                    pooled,
-                    wait_s,
-                    sorted(arrival.image_gb for arrival in recent)[len(recent) // 2],
-                )
+                Reserve(round(spread * deviation), last.need, last.rank, last.spot, share, pooled)
             )
     return found
 
@@ -254,7 +241,7 @@
             0,
             reserve.need,
             -1,
-            reserve.rank >= HIGH_RANK,
+            False,
             0,
             None,
             None,
@@ -265,8 +252,6 @@
             {},
             set(),
             float(position),
-            wait_s=reserve.wait_s,
-            image_gb=reserve.image_gb,
         )
         missing = reserve.tasks
         rooms: list[tuple[float, pts.Node]] = []
--- a/badgerseam/settings.py
+++ b/badgerseam/settings.py
@@ -106,7 +106,7 @@
         float, Meta(ge=0, le=2, description="how long finished tasks are gathered for one write")
     ] = 0.7
     idle_s: Annotated[float, Meta(ge=0, description="idle time before a machine is returned")] = (
-        20.0
+        30.0
     )
     consolidate_s: Annotated[
         float,
