--- a/badgerseam/model/machine.py
+++ b/badgerseam/model/machine.py
@@ -7,7 +7,7 @@
 
 from badgerseam.model.job import Attempt, Stage
 from badgerseam.model.resources import NOTHING, Resources
-from badgerseam.sched.pts import Node
+from badgerseam.sched.snapshot import Node
 from badgerseam.wire.workers import TaskReport
 
 BUMP_BITS = 24
--- /dev/null
+++ b/badgerseam/sched/bench.py
@@ -0,0 +1,262 @@
+"""The machines and teams as a plan changes them, and the rules of where a task may go.
+
+Each rule stands here once: planning asks whether any of them bars a machine, an explanation
+(`sched/diagnosis.py`) asks which.
+"""
+
+from __future__ import annotations
+
+from enum import IntFlag
+
+from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.sched.snapshot import (
+    Node,
+    Plan,
+    Request,
+    Running,
+    Snapshot,
+    TeamUse,
+    slots_of,
+)
+
+
+class Bench:
+    """The machines and teams as a plan changes them."""
+
+    def __init__(self, snapshot: Snapshot, evict: bool) -> None:
+        self.evict = evict
+        self.now = snapshot.now
+        self.finished = snapshot.finished
+        self.evicted = snapshot.evicted
+        self.beta = snapshot.beta
+        self.window_s = snapshot.window_s
+        self.total_slots = sum(node.slots for node in snapshot.nodes) or 1.0
+        self.nodes = list(snapshot.nodes)
+        self.teams = {
+            index: TeamUse(team.used, team.guarantee, team.limit)
+            for index, team in snapshot.teams.items()
+        }
+        self.result = Plan(nodes=self.nodes, teams=self.teams)
+        self._own: set[int] = set()
+        needs = [request.need for request in snapshot.requests] or [NOTHING]
+        self._least = Resources(*(min(amounts) for amounts in zip(*needs, strict=True)))
+        self.roomy = {
+            position: None
+            for position, node in enumerate(self.nodes)
+            if self._least.fits(node.free)
+        }
+        """Positions of the machines with room for the smallest request."""
+        self.full: list[Request] = []
+        """Requests that found no room: what takes no less finds none either."""
+        self.changes = 0
+        """Counts what was pretended; between two equal counts nothing has changed."""
+
+    def node(self, position: int) -> Node:
+        """A machine that may be changed: the snapshot's own is left alone."""
+        if position not in self._own:
+            self._own.add(position)
+            self.nodes[position] = self.nodes[position].copy()
+        return self.nodes[position]
+
+    def changed(self, position: int) -> None:
+        """A machine's room has changed, and with it what its team uses."""
+        self.changes += 1
+        if self._least.fits(self.nodes[position].free):
+            if position not in self.roomy:
+                self.roomy[position] = None
+        else:
+            self.roomy.pop(position, None)
+
+    def within_limit(self, request: Request) -> bool:
+        team = self.teams[request.team]
+        return team.used.plus(request.need).fits(team.limit)
+
+    def claims(self, request: Request) -> bool:
+        """Whether a task of the request is within its team's guarantee."""
+        own = self.teams[request.team]
+        return own.used.plus(request.need).fits(own.guarantee)
+
+    def lends(self, request: Request) -> bool:
+        """Whether another team has anything that the request's team may claim."""
+        return self.claims(request) and any(
+            index != request.team and not team.used.fits(team.guarantee)
+            for index, team in self.teams.items()
+        )
+
+    def hopeless(self, request: Request) -> bool:
+        """Whether a request like this one, and no larger, has found no room."""
+        return any(
+            other.need.fits(request.need)
+            and other.rank >= request.rank
+            and other.high >= request.high
+            and other.team == request.team
+            and (other.spot or not request.spot)
+            for other in self.full
+        )
+
+
+def pretend_evicted(bench: Bench, position: int, victim: Running, sign: int) -> None:
+    """Pretend that a victim has left its machine, or (-1) that it came back."""
+    node = bench.node(position)
+    other = bench.teams[victim.team]
+    if sign > 0:
+        node.running.remove(victim)
+        node.free = node.free.plus(victim.need)
+        other.used = other.used.minus(victim.need)
+    else:
+        node.running.append(victim)
+        node.free = node.free.minus(victim.need)
+        other.used = other.used.plus(victim.need)
+    node.low -= sign * slots_of(victim.need)
+    node.evictions += sign
+    bench.evicted += sign
+    bench.changed(position)
+
+
+def pretend_taken(
+    bench: Bench, position: int, request: Request, zones: dict[str, int], sign: int
+) -> None:
+    """Pretend that a task of the request is on a machine, or (-1) that it is not."""
+    node = bench.node(position)
+    if sign > 0:
+        node.free = node.free.minus(request.need)
+    else:
+        node.free = node.free.plus(request.need)
+    if request.high:
+        node.high += sign * slots_of(request.need)
+    else:
+        node.low += sign * slots_of(request.need)
+    count = zones.get(node.zone, 0) + sign
+    if count:
+        zones[node.zone] = count
+    else:
+        del zones[node.zone]
+    bench.changed(position)
+
+
+class Bar(IntFlag):
+    """What keeps a task off a machine. Bits, since several may hold at once."""
+
+    TYPE = 1
+    ZONE = 2
+    SPOT = 4
+    """The job may use ordinary machines only."""
+    ONE_ZONE = 8
+    """All of the job's tasks have to be where the first ones are."""
+    SCATTER = 16
+    """Half of the job's tasks are in the machine's zone already."""
+    SHUNNED = 32
+    """Tasks of the job have failed there."""
+    SIZE = 64
+    """A task is larger than the whole machine."""
+    ROOM = 128
+    """Others have the room, and none of them may be evicted for it."""
+    LIMIT = 256
+    """Of the team, wherever the machine is."""
+
+
+# Plain numbers: a plan asks some hundred thousand times a second, and flags are slow.
+_TYPE, _ZONE, _SPOT, _ONE_ZONE, _SCATTER = 1, 2, 4, 8, 16
+_SHUNNED, _SIZE, _ROOM, _LIMIT = 32, 64, 128, 256
+
+
+def barred(
+    request: Request, node: Node, zones: dict[str, int] | None = None, every: bool = False
+) -> int:
+    """Which of the job's own rules (bits of Bar) keep a task of it off the machine; 0 if none.
+
+    `zones`: where its tasks are meanwhile, if not where the request says.
+    `every`: all that do; otherwise the first one found is enough.
+    """
+    if zones is None:
+        zones = request.zones
+    found = 0
+    if request.types is not None and node.type not in request.types:
+        if not every:
+            return _TYPE
+        found |= _TYPE
+    if request.zone is not None and node.zone != request.zone:
+        if not every:
+            return _ZONE
+        found |= _ZONE
+    if node.spot and not request.spot:
+        if not every:
+            return _SPOT
+        found |= _SPOT
+    if request.one_zone and zones and node.zone not in zones:
+        if not every:
+            return _ONE_ZONE
+        found |= _ONE_ZONE
+    if request.zone_limit is not None and zones.get(node.zone, 0) >= request.zone_limit:
+        if not every:
+            return _SCATTER
+        found |= _SCATTER
+    return found
+
+
+def allowed(request: Request, node: Node, zones: dict[str, int] | None = None) -> bool:
+    """Whether the job's own rules let a task of it start on the machine."""
+    return not barred(request, node, zones)
+
+
+def bars(bench: Bench, request: Request, node: Node, zones: dict[str, int]) -> int:
+    """All that keeps the next task of a request off a machine (bits of Bar); 0 if it fits.
+
+    A plan places a task on a machine exactly where this is 0 (tests/test_diagnosis.py).
+    """
+    found = barred(request, node, zones, every=True)
+    if node.index in request.shunned:
+        found |= _SHUNNED
+    if not bench.within_limit(request):
+        found |= _LIMIT
+    if request.need.fits(node.free):
+        return found
+    if not request.need.fits(node.total):
+        return found | _SIZE
+    if bench.evict and (request.high or bench.lends(request)) and victims_on(bench, node, request):
+        return found
+    return found | _ROOM
+
+
+def may_evict(bench: Bench, request: Request, victim: Running, freed: Resources) -> bool:
+    """HP and LP are relative: a lower rank, or borrowed room when a team claims its own."""
+    if not victim.evictable:
+        return False
+    if victim.rank < request.rank and request.high:
+        return True
+    if victim.team == request.team or victim.high or victim.rank > request.rank:
+        # The protocol would let borrowed room of any rank be claimed. The paper never evicts HP
+        # work: a replica stopped for another task waited for a minute where that one would have
+        # waited for a boot.
+        return False
+    if not bench.claims(request):
+        return False
+    other = bench.teams[victim.team]
+    # The other team has to stay beyond its guarantee up to this victim.
+    return not other.used.minus(freed).fits(other.guarantee)
+
+
+def victims_on(bench: Bench, node: Node, request: Request) -> list[Running]:
+    """Whose room on a machine would do for a task, the greatest waste spared; empty if none."""
+    victims: list[Running] = []
+    freed: dict[int, Resources] = {}
+    room = node.free
+    for candidate in node.running:
+        gone = freed.get(candidate.team, NOTHING)
+        if may_evict(bench, request, candidate, gone):
+            freed[candidate.team] = gone.plus(candidate.need)
+            victims.append(candidate)
+            room = room.plus(candidate.need)
+    if not victims or not request.need.fits(room):
+        return []
+    for candidate in sorted(victims, key=lambda victim: -victim.waste(bench.now)):
+        if request.need.fits(room.minus(candidate.need)):
+            room = room.minus(candidate.need)
+            victims.remove(candidate)
+    return victims
+
+
+def eviction_cost(bench: Bench, count: int, waste: float) -> float:
+    evicted = bench.evicted + count
+    rate = evicted / (bench.finished + evicted)
+    return rate + bench.beta * waste / (bench.total_slots * bench.window_s)
--- /dev/null
+++ b/badgerseam/sched/diagnosis.py
@@ -0,0 +1,183 @@
+"""Why a request finds no room: the plan's own walk over a snapshot, with a look at what stops it.
+
+Nothing here knows a rule of its own. The walk is `pts.place`, the bars are `bench.bars`; a machine
+that nothing bars is one on which the plan places a task.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Iterator
+from dataclasses import dataclass, field, replace
+
+from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.sched import pts
+from badgerseam.sched.bench import Bar, Bench, bars
+from badgerseam.sched.snapshot import Node, Request, Snapshot
+
+NO_BAR = Bar(0)
+MOST_AHEAD = 5
+"""Jobs ahead that are named; the others are counted."""
+
+
+@dataclass(slots=True)
+class Holder:
+    """Work that has the room: of one team and rank, over the machines that lack nothing else."""
+
+    team: int
+    rank: int
+    tasks: int = 0
+    room: Resources = NOTHING
+
+
+@dataclass(slots=True)
+class Barred:
+    """Over the machines of a snapshot, what keeps the next task off them."""
+
+    machines: int = 0
+    counts: dict[Bar, int] = field(default_factory=dict)
+    """Machines that each bar rules out, whatever else does."""
+    alone: dict[Bar, int] = field(default_factory=dict)
+    """Machines that nothing else rules out."""
+    binding: Bar = NO_BAR
+    """The fewest bars that have to go for a task to be placed; of equals, those of most machines.
+    None if there is no machine at all."""
+    holders: list[Holder] = field(default_factory=list)
+    """Who has the room where room alone is lacking, most first."""
+    room_in_s: float = math.inf
+    """When room alone should free on some machine, by the owners' estimates of run times."""
+    most_free: Resources = NOTHING
+    """The largest room that is free on one of the machines that only room bars."""
+
+
+@dataclass(slots=True)
+class Finding:
+    """What became of one request in the walk."""
+
+    request: Request
+    placed: int
+    """Tasks that the plan places now. Of a gang: all or none."""
+    reached: int
+    """Tasks that found room before the next one did not; of a gang they are given back."""
+    barred: Barred | None
+    """What stops the next task; None if all are placed."""
+    ahead: list[int]
+    """Jobs that wait before this one in the plan's order, the first of them."""
+    jobs_ahead: int
+    tasks_ahead: int
+    used: Resources
+    """What the team may be using when the request has its turn."""
+
+
+def survey(snapshot: Snapshot, asked: Collection[int] | None = None) -> Iterator[Finding | None]:
+    """Walk through a snapshot as the plan does; a finding for each request of an asked job.
+
+    Yields after each request, None where nothing was asked, so that the caller can let others have
+    the processor, and ends after the last asked one. `asked`: jobs; all if None.
+    The snapshot's requests must not change meanwhile (see `still`).
+    """
+    bench = Bench(snapshot, True)
+    left = None if asked is None else {r.job for r in snapshot.requests} & set(asked)
+    ahead: list[int] = []
+    jobs = tasks = 0
+    known: dict[tuple[object, ...], Barred] = {}
+    for request in pts.in_order(bench, snapshot.requests):
+        if left is not None and not left:
+            return
+        if left is not None and request.job not in left:
+            placed = pts.place(bench, request)
+            yield None
+        else:
+            used = bench.teams[request.team].used
+            seen: list[tuple[int, Barred]] = []
+
+            def look(
+                zones: dict[str, int],
+                reached: int,
+                request: Request = request,
+                seen: list[tuple[int, Barred]] = seen,
+            ) -> None:
+                key = (bench.changes, *_kind(request, zones))
+                if key not in known:
+                    known[key] = _look(bench, request, zones)
+                seen.append((reached, known[key]))
+
+            placed = pts.place(bench, request, look)
+            reached, barred = seen[0] if seen else (placed, None)
+            yield Finding(request, placed, reached, barred, list(ahead), jobs, tasks, used)
+            if left is not None:
+                left.discard(request.job)
+        if placed < request.count:
+            jobs += 1
+            tasks += request.count - placed
+            if len(ahead) < MOST_AHEAD:
+                ahead.append(request.job)
+
+
+def still(requests: list[Request]) -> list[Request]:
+    """The requests apart from the jobs' own books, which go on changing during a walk."""
+    return [replace(r, zones=dict(r.zones), shunned=set(r.shunned)) for r in requests]
+
+
+def _kind(request: Request, zones: dict[str, int]) -> tuple[object, ...]:
+    """What decides where a task may go: requests of one kind share what was found."""
+    where = tuple(sorted(zones.items())) if request.one_zone or request.zone_limit else ()
+    return (
+        request.need,
+        request.rank,
+        request.team,
+        request.types,
+        request.zone,
+        request.one_zone,
+        request.zone_limit,
+        request.spot,
+        where,
+        frozenset(request.shunned),
+    )
+
+
+def _look(bench: Bench, request: Request, zones: dict[str, int]) -> Barred:
+    result = Barred(machines=len(bench.nodes))
+    by_mask: dict[int, int] = {}
+    short: list[Node] = []
+    for node in bench.nodes:
+        mask = bars(bench, request, node, zones)
+        by_mask[mask] = by_mask.get(mask, 0) + 1
+        if mask & ~Bar.LIMIT == Bar.ROOM:
+            short.append(node)
+    for mask, count in by_mask.items():
+        flags = list(Bar(mask))
+        for flag in flags:
+            result.counts[flag] = result.counts.get(flag, 0) + count
+        if len(flags) == 1:
+            result.alone[flags[0]] = result.alone.get(flags[0], 0) + count
+    if by_mask:
+        least = min(by_mask, key=lambda mask: (mask.bit_count(), -by_mask[mask], mask))
+        result.binding = Bar(least)
+    elif not bench.within_limit(request):
+        result.binding = Bar.LIMIT
+    _holders(result, short, request, bench.now)
+    return result
+
+
+def _holders(result: Barred, short: list[Node], request: Request, now: float) -> None:
+    """Who has the room that alone is lacking, and when it should free."""
+    found: dict[tuple[int, int], Holder] = {}
+    for node in short:
+        free = node.free
+        if pts.slots_of(free) > pts.slots_of(result.most_free):
+            result.most_free = free
+        for running in sorted(node.running, key=lambda item: item.ends_at):
+            holder = found.setdefault(
+                (running.team, running.rank), Holder(running.team, running.rank)
+            )
+            holder.tasks += 1
+            holder.room = holder.room.plus(running.need)
+            if not request.need.fits(free):
+                free = free.plus(running.need)
+                if request.need.fits(free):
+                    # What is overdue by its owner's estimate may end at any moment.
+                    result.room_in_s = min(result.room_in_s, max(0.0, running.ends_at - now))
+    result.holders = sorted(
+        found.values(), key=lambda item: (-pts.slots_of(item.room), item.team, item.rank)
+    )
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -20,6 +20,8 @@
 HOPEFUL = 0.5
 """The part of its estimate in which a task may well be done, estimates being as wrong as that."""
 LATE_S = 1e7
+FAILING = 6
+"""A job with so many failures in a row is tried one task at a time."""
 MOST_STARTS = 400
 """Tasks planned at once; more are planned in the next round."""
 
@@ -79,15 +81,25 @@
 
     def usable(self, machine: Machine, now: float) -> bool:
         """Whether tasks may be placed on the machine now."""
-        return (
-            machine.session > 0
-            and not machine.draining
-            and not machine.dropped
-            and not machine.lost
-            and machine.total.cpus > 0
-            and now - machine.heard_at < 3 * self._model.settings.params.workers.report_s + 0.5
-            and machine.failures < 3
-        )
+        return self.out_of_use(machine, now) is None
+
+    def out_of_use(self, machine: Machine, now: float) -> str | None:
+        """Why no tasks may be placed on the machine now; None if they may."""
+        if machine.dropped:
+            return "released"
+        if machine.lost:
+            return "lost"
+        if machine.session == 0:
+            return "not_heard"
+        if machine.draining:
+            return "draining"
+        if now - machine.heard_at >= 3 * self._model.settings.params.workers.report_s + 0.5:
+            return "silent"
+        if machine.failures >= 3:
+            return "unreachable"
+        if machine.total.cpus <= 0:
+            return "unknown_type"
+        return None
 
     def node(self, machine: Machine, now: float) -> pts.Node:
         """A machine as PTS sees it, made anew only when it has changed."""
@@ -151,16 +163,24 @@
         return (attempt.started_at or attempt.planned_at) + attempt.job.spec.estimate_s
 
     def _request(self, job: Job, now: float) -> pts.Request | None:
-        count = job.waiting()
-        if count <= 0 or job.phase != Phase.OPEN or now < job.retry_at or job.next_idle() is None:
-            return None
-        if job.errors >= 6:
-            # Fails wherever it runs: one task at a time tells when that changes.
-            count = min(count, count if job.gang else 1) if not job.attempts else 0
-        if count <= 0:
+        if job.waiting() <= 0 or self.held_back(job, now) is not None:
             return None
+        # One that fails wherever it runs: one task at a time tells when that changes.
+        count = 1 if job.errors >= FAILING and not job.gang else job.waiting()
         return self.request(job, count)
 
+    def held_back(self, job: Job, now: float) -> str | None:
+        """Why no task of a job with waiting tasks is planned now; None if they are."""
+        if job.phase != Phase.OPEN:
+            return "ended"
+        if now < job.retry_at:
+            return "backoff"
+        if job.errors >= FAILING and job.attempts:
+            return "failing"
+        if job.next_idle() is None:
+            return "unsettled"
+        return None
+
     def request(self, job: Job, count: int) -> pts.Request:
         """So many tasks of a job, with the rules that hold for them."""
         spec = job.spec
--- /dev/null
+++ b/badgerseam/sched/snapshot.py
@@ -0,0 +1,172 @@
+"""What PTS starts from and what it yields: plain data, written down once a plan."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from badgerseam.model.resources import Resources
+
+
+@dataclass(slots=True)
+class Running:
+    """Work on a machine that may be a victim."""
+
+    key: tuple[int, int]
+    need: Resources
+    rank: int
+    team: int
+    since: float | None
+    """When it was seen to run; None if it was not yet."""
+    checkpoint_s: float
+    evictable: bool
+    high: bool = False
+    ends_at: float = math.inf
+    """When it should have ended by its owner's estimate."""
+    service: bool = False
+    placed_at: float = 0.0
+
+    def waste(self, now: float) -> float:
+        """Slots times the time since the last checkpoint that the declared interval implies."""
+        if self.since is None:
+            return 0.0
+        ran = now - self.since
+        if self.checkpoint_s > 0:
+            ran = math.fmod(ran, self.checkpoint_s)
+        return slots_of(self.need) * ran
+
+
+@dataclass(slots=True)
+class Node:
+    """A machine that takes tasks."""
+
+    index: int
+    type: str
+    zone: str
+    spot: bool
+    total: Resources
+    free: Resources
+    high: float
+    """Slots of high-priority work."""
+    low: float
+    evictions: int
+    images: set[str]
+    running: list[Running] = field(default_factory=list)
+    fetch_gb_per_s: float = 1.0
+
+    def copy(self) -> Node:
+        """The same machine, to be changed by a plan."""
+        return Node(
+            self.index,
+            self.type,
+            self.zone,
+            self.spot,
+            self.total,
+            self.free,
+            self.high,
+            self.low,
+            self.evictions,
+            self.images,
+            list(self.running),
+            self.fetch_gb_per_s,
+        )
+
+    @property
+    def slots(self) -> float:
+        return self.total.gpus or self.total.cpus
+
+    @property
+    def idle_slots(self) -> float:
+        return self.free.gpus if self.total.gpus else self.free.cpus
+
+
+@dataclass(slots=True)
+class Request:
+    """Tasks of one job to be placed; each is a task of one pod."""
+
+    job: int
+    count: int
+    need: Resources
+    rank: int
+    high: bool
+    team: int
+    types: frozenset[str] | None
+    zone: str | None
+    one_zone: bool
+    zone_limit: int | None
+    """Most tasks of the job that may be in one zone."""
+    spot: bool
+    image: str
+    zones: dict[str, int]
+    """Where tasks of the job are, or may be."""
+    shunned: set[int]
+    order: float
+    """Less goes first within a rank."""
+    gang: bool = False
+    """All of its tasks are placed, or none."""
+    wait_s: float | None = None
+    """How soon the operator wants its tasks started."""
+    image_gb: float = 0.0
+
+    @property
+    def plain(self) -> bool:
+        """Nothing but its size and its rank decides where it may go."""
+        return (
+            self.types is None
+            and self.zone is None
+            and not self.one_zone
+            and self.zone_limit is None
+            and not self.shunned
+        )
+
+
+@dataclass(slots=True)
+class TeamUse:
+    used: Resources
+    guarantee: Resources
+    limit: Resources
+
+
+@dataclass(slots=True)
+class Snapshot:
+    """What a plan starts from; planning changes none of it."""
+
+    nodes: list[Node]
+    requests: list[Request]
+    teams: dict[int, TeamUse]
+    finished: int
+    evicted: int
+    beta: float
+    window_s: float
+    now: float = 0.0
+
+
+@dataclass(slots=True)
+class Start:
+    job: int
+    node: int
+
+
+@dataclass(slots=True)
+class Stop:
+    key: tuple[int, int]
+    cost: float
+    """Of the machine's victims together."""
+    wait_s: float | None
+    """How soon the work that needs the room should start."""
+
+
+@dataclass(slots=True)
+class Plan:
+    starts: list[Start] = field(default_factory=list)
+    stops: list[Stop] = field(default_factory=list)
+    waiting: dict[int, int] = field(default_factory=dict)
+    """Tasks a job that found no room (those over a team's limit are not counted)."""
+    nodes: list[Node] = field(default_factory=list)
+    """The snapshot's machines, in its order, as they are after the plan."""
+    teams: dict[int, TeamUse] = field(default_factory=dict)
+
+
+def slots_of(need: Resources) -> float:
+    """What a task counts in the paper's slots: accelerators if it takes any, else processors."""
+    return need.gpus or need.cpus
--- /dev/null
+++ b/tests/test_diagnosis.py
@@ -0,0 +1,184 @@
+"""The diagnosis against the plan: what it says fits is placed, what it names is what stops."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.sched import pts
+from badgerseam.sched.bench import Bar, Bench, bars
+from badgerseam.sched.diagnosis import Finding, survey
+from tests.test_pts import node, request, snapshot, victim
+
+INF = float("inf")
+
+
+@st.composite
+def nodes(draw: st.DrawFn, index: int) -> pts.Node:
+    running: list[pts.Running] = []
+    room = 8.0
+    for task in range(draw(st.integers(0, 3))):
+        cpus = draw(st.sampled_from([1.0, 2.0, 4.0]))
+        if cpus <= room:
+            room -= cpus
+            rank = draw(st.integers(0, 3))
+            running.append(
+                victim(
+                    index * 10 + task,
+                    draw(st.sampled_from([1.0, 30.0])),
+                    cpus,
+                    rank=rank,
+                    team=draw(st.integers(0, 1)),
+                    high=rank >= 2,
+                    evictable=draw(st.booleans()),
+                )
+            )
+    return node(
+        index,
+        used=8 - room,
+        type=draw(st.sampled_from(["c8", "g8"])),
+        zone=draw(st.sampled_from(["a", "b"])),
+        spot=draw(st.booleans()),
+        running=running,
+    )
+
+
+@st.composite
+def requests(draw: st.DrawFn, job: int) -> pts.Request:
+    rank = draw(st.integers(0, 3))
+    return request(
+        job,
+        draw(st.integers(1, 6)),
+        draw(st.sampled_from([1.0, 2.0, 4.0, 9.0])),
+        rank >= 2,
+        rank=rank,
+        team=draw(st.integers(0, 1)),
+        types=draw(st.sampled_from([None, frozenset(["c8"]), frozenset(["x1"])])),
+        zone=draw(st.sampled_from([None, None, "a"])),
+        one_zone=draw(st.booleans()),
+        zone_limit=draw(st.sampled_from([None, 1, 2])),
+        spot=draw(st.booleans()),
+        zones=draw(st.sampled_from([{}, {"a": 1}, {"b": 2}])),
+        shunned=draw(st.sampled_from([set(), {0}, {0, 1}])),
+        gang=draw(st.booleans()),
+        wait_s=draw(st.sampled_from([None, 1.0])),
+        image_gb=2.0,
+    )
+
+
+@st.composite
+def snapshots(draw: st.DrawFn, most: int = 4) -> pts.Snapshot:
+    machines = [draw(nodes(index)) for index in range(draw(st.integers(0, 4)))]
+    asked = [draw(requests(job)) for job in range(draw(st.integers(1, most)))]
+    teams = {
+        team: pts.TeamUse(
+            Resources(
+                sum(r.need.cpus for m in machines for r in m.running if r.team == team), 0, 0
+            ),
+            Resources(draw(st.sampled_from([0.0, 8.0])), 0, INF),
+            Resources(draw(st.sampled_from([4.0, 12.0, 64.0])), 0, INF),
+        )
+        for team in (0, 1)
+    }
+    return snapshot(machines, *asked, teams=teams)
+
+
+def findings(given: pts.Snapshot) -> dict[int, Finding]:
+    return {found.request.job: found for found in survey(given) if found is not None}
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(snapshots())
+def test_what_is_said_to_fit_is_what_the_plan_places(given: pts.Snapshot) -> None:
+    plan = pts.plan(given)
+    for job, found in findings(given).items():
+        assert found.placed == sum(start.job == job for start in plan.starts)
+        assert (found.barred is None) == (found.placed == found.request.count)
+        if found.barred is not None:
+            # No machine was free of bars, or the plan would have gone on.
+            assert found.barred.binding or found.barred.machines == 0
+            assert sum(found.barred.alone.values()) <= found.barred.machines
+
+
+def _without(given: pts.Snapshot, binding: Bar) -> pts.Snapshot:
+    """The same, but for the bars named: of the only request, its team, and the machines' room."""
+    [asked] = given.requests
+    bench = Bench(given, True)
+    machines = list(given.nodes)
+    for place, machine in enumerate(given.nodes):
+        mask = Bar(bars(bench, asked, machine, asked.zones))
+        if mask & ~binding or not mask & (Bar.SIZE | Bar.ROOM):
+            continue
+        changed = machine.copy()
+        changed.total = changed.total.plus(asked.need)
+        changed.free = changed.free.plus(asked.need)
+        machines[place] = changed
+    rules = replace(
+        asked,
+        types=None if Bar.TYPE in binding else asked.types,
+        zone=None if Bar.ZONE in binding else asked.zone,
+        spot=True if Bar.SPOT in binding else asked.spot,
+        one_zone=False if Bar.ONE_ZONE in binding else asked.one_zone,
+        zone_limit=None if Bar.SCATTER in binding else asked.zone_limit,
+        shunned=set() if Bar.SHUNNED in binding else asked.shunned,
+    )
+    teams = dict(given.teams)
+    if Bar.LIMIT in binding:
+        own = teams[asked.team]
+        teams[asked.team] = pts.TeamUse(own.used, own.guarantee, Resources(INF, INF, INF))
+    return replace(given, nodes=machines, requests=[rules], teams=teams)
+
+
+@settings(max_examples=500, deadline=None, derandomize=True)
+@given(snapshots(most=1))
+def test_without_the_binding_bars_and_nothing_else_a_task_is_placed(given: pts.Snapshot) -> None:
+    [asked] = given.requests
+    given.requests[0] = asked = replace(asked, count=1, gang=False)
+    found = findings(given)[asked.job]
+    if found.barred is None or not found.barred.machines:
+        return
+    assert pts.plan(_without(given, found.barred.binding)).starts
+    for bar in found.barred.binding:
+        # Each of them is needed: with one of them left, nothing is placed.
+        assert not pts.plan(_without(given, found.barred.binding & ~bar)).starts
+
+
+def test_who_has_the_room_and_when_it_should_free() -> None:
+    held = node(0, used=8, running=[victim(0, 4.0, 6.0, ends_at=30.0), victim(1, 4.0, 2.0)])
+    found = findings(snapshot([held, node(1, zone="b")], request(cpus=2, high=False, zone="a")))
+    barred = found[0].barred
+    assert barred is not None and barred.binding in (Bar.ROOM, Bar.ZONE)
+    assert barred.counts == {Bar.ROOM: 1, Bar.ZONE: 1} and barred.room_in_s == 30.0
+    [holder] = barred.holders
+    assert (holder.tasks, holder.room.cpus) == (2, 8.0)
+
+
+def test_jobs_ahead_are_those_that_wait_before_it_in_the_plans_order() -> None:
+    full = node(0, used=8)
+    asks = [request(job, 2, high=False, order=-float(job)) for job in range(8)]
+    found = findings(snapshot([full], *asks))
+    assert found[7].ahead == [] and found[7].jobs_ahead == 0
+    assert found[0].ahead == [7, 6, 5, 4, 3] and (found[0].jobs_ahead, found[0].tasks_ahead) == (
+        7,
+        14,
+    )
+    only = [f for f in survey(snapshot([full], *asks), {5}) if f is not None]
+    assert [f.request.job for f in only] == [5], "the walk ends behind the last one asked"
+
+
+def test_a_gang_tells_how_far_it_came() -> None:
+    found = findings(snapshot([node(0)], request(count=6, cpus=2, gang=True)))[0]
+    assert (found.placed, found.reached) == (0, 4)
+    assert found.barred is not None and found.barred.binding == Bar.ROOM
+
+
+def test_a_team_without_any_machine_is_told_of_its_limit_as_well() -> None:
+    room = Resources(INF, INF, INF)
+    teams = {0: pts.TeamUse(NOTHING, NOTHING, Resources(1, 0, INF))}
+    assert findings(snapshot([], request(), teams=teams))[0].barred is not None
+    teams = {0: pts.TeamUse(NOTHING, room, room)}
+    found = findings(snapshot([], request(), teams=teams))[0]
+    assert found.barred is not None and not found.barred.binding
--- a/tests/test_pts.py
+++ b/tests/test_pts.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.sched import bench as bench_of
 from badgerseam.sched import pts
 
 INF = float("inf")
@@ -186,7 +187,7 @@
 
 def plain_scan(given: pts.Snapshot) -> tuple[list[tuple[int, int]], list[tuple[int, int]]]:
     """PTS as the paper writes it: for each task all machines are looked at, and nothing is kept."""
-    bench = pts._Bench(given, True)
+    bench = bench_of.Bench(given, True)
     starts, stops = [], []
     order = {r.job: (-r.rank, not bench.claims(r), r.order) for r in given.requests}
     for ask in sorted(given.requests, key=lambda r: order[r.job]):
@@ -213,10 +214,12 @@
                     break
                 costs = []
                 for position, machine in where:
-                    found = pts._victims(bench, machine, ask)
+                    found = bench_of.victims_on(bench, machine, ask)
                     if found:
                         waste = sum(task.waste(bench.now) for task in found)
-                        costs.append((pts._cost(bench, len(found), waste), position, found))
+                        costs.append(
+                            (bench_of.eviction_cost(bench, len(found), waste), position, found)
+                        )
                 if costs:
                     chosen = min(costs, key=lambda item: item[:2])[1:]
                     break
@@ -224,8 +227,8 @@
                 break
             position, found = chosen
             for task in found:
-                pts._evict(bench, position, task, 1)
-            pts._take(bench, position, ask, zones, 1)
+                bench_of.pretend_evicted(bench, position, task, 1)
+            bench_of.pretend_taken(bench, position, ask, zones, 1)
             bench.teams[ask.team].used = bench.teams[ask.team].used.plus(ask.need)
             starts.append((ask.job, bench.nodes[position].index))
             stops += [task.key for task in found]
