--- /dev/null
+++ b/badgerseam/api/questions.py
@@ -0,0 +1,109 @@
+"""What users ask about waiting: why one job waits, and the list of all open jobs."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from urllib.parse import parse_qsl
+
+from badgerseam.explain.explainer import Explainer
+from badgerseam.http.budget import Budget
+from badgerseam.http.server import Reply, error_reply
+from badgerseam.model.job import Job
+from badgerseam.model.model import Model
+from badgerseam.settings import ExplainOptions
+from badgerseam.wire.explain import QueueLine, Why, encode
+
+RETRY_S = 1
+MOST_LINES = 500
+LINES_A_QUESTION = 50
+"""Lines of the list that count as one question."""
+NDJSON = "application/x-ndjson"
+FILTERS = ("after", "limit", "team", "class", "reasons", "waiting")
+
+
+class Questions:
+    """Admits questions at a set rate, so that no number of them hurts what the service is for."""
+
+    def __init__(self, model: Model, explainer: Explainer, options: ExplainOptions) -> None:
+        self._model = model
+        self._explainer = explainer
+        self._door = Budget(model.clock, options.questions_per_s, 2.0)
+
+    def turned_away(self, questions: float = 1.0) -> Reply | None:
+        """The refusal of one question too many, or None."""
+        if self._door.take(questions):
+            return None
+        wait_s = max(1, math.ceil(self._door.wait_s(questions)))
+        return error_reply(429, "too many questions", wait_s)
+
+    async def why(self, job: Job) -> Reply:
+        """Why an open job waits; the caller has confirmed that it is open."""
+        answer = await self._explainer.ask(job)
+        if answer is None:
+            return error_reply(503, "nobody can vouch for an answer now", RETRY_S)
+        return Reply(200, encode(answer))
+
+    async def queue(self, query: str) -> Reply:
+        """Open jobs in the order of their ids, a line each."""
+        filters = dict(parse_qsl(query, keep_blank_values=True))
+        unknown = sorted(filters.keys() - set(FILTERS))
+        if unknown:
+            text = f"unknown: {', '.join(unknown)[:100]}; known are {', '.join(FILTERS)}"
+            return Reply(400, encode({"error": text}))
+        limit = filters.get("limit", "100")
+        if not limit.isdecimal() or not 1 <= int(limit) <= MOST_LINES:
+            return Reply(400, encode({"error": f"limit: a number from 1 to {MOST_LINES}"}))
+        refusal = self.turned_away(1 + int(limit) / LINES_A_QUESTION)
+        if refusal is not None:
+            return refusal
+        model = self._model
+        with model.lock:
+            jobs = [job for share in model.open_jobs for job in share.values() if _open(job)]
+            jobs = [job for job in jobs if _matches(job, filters)]
+            jobs.sort(key=lambda job: job.id)
+            jobs = jobs[: int(limit)]
+        answers: dict[str, Why] = {}
+        if filters.get("reasons") in ("1", "true"):
+            by_share: dict[int, list[str]] = {}
+            for job in jobs:
+                by_share.setdefault(job.share, []).append(job.id)
+            found = await asyncio.gather(
+                *(self._explainer.ask_all(share, ids) for share, ids in by_share.items())
+            )
+            answers = {answer.id: answer for part in found for answer in part}
+        with model.lock:
+            lines = [encode(self._line(job, answers.get(job.id))) for job in jobs]
+        return Reply(200, b"".join(line + b"\n" for line in lines), content_type=NDJSON)
+
+    def _line(self, job: Job, answer: Why | None) -> QueueLine:
+        spec = job.spec
+        running = job.running()
+        reasons = [] if answer is None else [r for group in answer.groups for r in group.reasons]
+        return QueueLine(
+            job.id,
+            "running" if running else "pending",
+            spec.team,
+            spec.job_class,
+            spec.priority,
+            spec.tasks,
+            max(0, job.waiting()),
+            running,
+            job.finished,
+            round(max(0.0, self._model.clock.wall() - job.submitted), 1),
+            list(dict.fromkeys(r.code for r in reasons if r.binding)),
+            reasons[0].text if reasons else None,
+        )
+
+
+def _open(job: Job) -> bool:
+    return job.phase == 0
+
+
+def _matches(job: Job, filters: dict[str, str]) -> bool:
+    return (
+        job.id > filters.get("after", "")
+        and filters.get("team", job.spec.team) == job.spec.team
+        and filters.get("class", job.spec.job_class) == job.spec.job_class
+        and (filters.get("waiting") not in ("1", "true") or job.waiting() > 0)
+    )
--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -6,9 +6,11 @@
 import logging
 import re
 from collections.abc import Callable
+from typing import TypeVar
 
 import msgspec
 
+from badgerseam.api.questions import Questions
 from badgerseam.cluster.member import Member
 from badgerseam.http.server import Reply, error_reply
 from badgerseam.model.job import Job, Phase
@@ -16,14 +18,18 @@
 from badgerseam.model.resources import Resources
 from badgerseam.store.client import Refused, StateClient, Unavailable
 from badgerseam.store.ledger import Ledger
+from badgerseam.wire import explain
 from badgerseam.wire import users as wire
 from badgerseam.wire.state import Condition
 from badgerseam.workers.control import Control
 
+T = TypeVar("T")
+
 log = logging.getLogger("badgerseam.api")
 
 JOB_ID = re.compile(r"job-[0-9]{1,18}")
 ROOT = "/submissions"
+QUEUE = "/queue"
 GATHER_S = 0.004
 RETRY_S = 1
 
@@ -89,8 +95,10 @@
         member: Member,
         control: Control,
         alone: Callable[[], str | None],
+        questions: Questions | None = None,
     ) -> None:
         self._model = model
+        self._questions = questions
         self._alone = alone
         self._ledger = ledger
         self._member = member
@@ -110,7 +118,7 @@
             if method != "POST":
                 return error_reply(405, "POST only")
             return self._control.checkin(body)
-        if path == "/ready":
+        if path.partition("?")[0] == "/ready":
             return self._ready()
         return self.handle(method, path, body)
 
@@ -122,6 +130,13 @@
         return error_reply(503, "not ready", RETRY_S)
 
     async def _route(self, method: str, path: str, body: bytes) -> Reply:
+        path, _, query = path.partition("?")
+        if path == QUEUE and self._questions is not None:
+            if method != "GET":
+                return error_reply(405, "GET only")
+            if not self._model.loaded:
+                return error_reply(503, "starting", RETRY_S)
+            return await self._questions.queue(query)
         if path == ROOT:
             if method != "POST":
                 return error_reply(405, "POST only")
@@ -138,6 +153,8 @@
             return await self._show(job_id) if method == "GET" else error_reply(405, "GET only")
         if action == "abort":
             return await self._abort(job_id) if method == "POST" else error_reply(405, "POST only")
+        if action == "why" and self._questions is not None:
+            return await self._why(job_id) if method == "GET" else error_reply(405, "GET only")
         return error_reply(404, "no such path")
 
     # ---- submissions ----
@@ -193,21 +210,39 @@
     # ---- polls ----
 
     async def _show(self, job_id: str) -> Reply:
+        found = await self._current(job_id, lambda job: _status(200, _open(job)))
+        if isinstance(found, wire.JobStatus):
+            return _status(200, found)
+        return found
+
+    async def _why(self, job_id: str) -> Reply:
+        assert self._questions is not None
+        refusal = self._questions.turned_away()
+        if refusal is not None:
+            return refusal
+        found = await self._current(job_id, lambda job: job)
+        if isinstance(found, wire.JobStatus):
+            return Reply(200, explain.encode(explain.Why(job_id, found.state)))
+        return await self._questions.why(found) if isinstance(found, Job) else found
+
+    async def _current(self, job_id: str, view: Callable[[Job], T]) -> T | wire.JobStatus | Reply:
+        """What is seen of an open job, confirmed not to have changed since; the final state of an
+        ended one; or why neither can be told."""
         model = self._model
         for _ in range(3):
             with model.lock:
                 ended = model.ended.get(job_id)
                 job = model.job(job_id)
                 if ended is not None:
-                    return _status(200, _ended(job_id, *ended))
-                view = None if job is None else (job.version, _open(job))
-            if view is None:
+                    return _ended(job_id, *ended)
+                seen = None if job is None else (job.version, view(job))
+            if seen is None:
                 if await self._ledger.read(job_id) is None:
                     return error_reply(404, "no such job")
                 continue
             # Another node may have told the user of an end that has not reached us.
-            if await self._confirm.unchanged(job_key(job_id), view[0]):
-                return _status(200, view[1])
+            if await self._confirm.unchanged(job_key(job_id), seen[0]):
+                return seen[1]
             await self._ledger.read(job_id)
         return error_reply(503, "changing", RETRY_S)
 
--- a/badgerseam/cluster/peers.py
+++ b/badgerseam/cluster/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
@@ -13,13 +14,20 @@
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
 from badgerseam.store.client import StateClient
+from badgerseam.wire import explain
 from badgerseam.wire import peers as wire
+from badgerseam.wire.explain import CloudView
 
 log = logging.getLogger("badgerseam.cluster")
 
 STALE_S = 3.0
 """Without an answer of the state service for so long, something is wrong."""
 HEALTH_S = 0.7
+LEADER_S = 0.5
+"""What the leader gets to say what it knows of the cloud: a user waits for the answer."""
+
+LocalAnswers = Callable[[int, list[str]], Awaitable[list[explain.Why] | None]]
+"""Answers about jobs of a share; None if this controller does not plan for it."""
 
 
 class Peers:
@@ -28,6 +36,8 @@
     def __init__(self, model: Model, http: Client, returns: Returns, state: StateClient) -> None:
         settings = model.settings
         self._state = state
+        self._local: LocalAnswers | None = None
+        self._view: Callable[[], CloudView | None] = lambda: None
         self._served: str | None = None
         self._served_at = -1e9
         self._model = model
@@ -40,6 +50,15 @@
         """A sibling's request."""
         if path == "/health" and method == "GET":
             return Reply(200, wire.encode(wire.Health(self._state_age_s())))
+        if path == "/cloud" and method == "GET":
+            view = self._view()
+            return (
+                error_reply(421, "not the leader")
+                if view is None
+                else Reply(200, explain.encode(view))
+            )
+        if path == "/why" and method == "POST":
+            return await self._why(body)
         if path != "/give" or method != "POST":
             return error_reply(404, "no such path")
         try:
@@ -59,6 +78,59 @@
             done |= await self._returns.give(machines, give.share, give.vacate)
         return Reply(200, wire.encode(wire.Given(sorted(done))))
 
+    # ---- why a job waits ----
+
+    def answer_with(self, local: LocalAnswers, view: Callable[[], CloudView | None]) -> None:
+        """Answer siblings' questions from now on."""
+        self._local = local
+        self._view = view
+
+    async def _why(self, body: bytes) -> Reply:
+        if self._local is None:
+            return error_reply(404, "explanations are switched off")
+        try:
+            question = explain.question_decoder.decode(body)
+        except msgspec.DecodeError:
+            return error_reply(400, "not a question")
+        if not 0 <= question.share < len(self._model.shares):
+            return error_reply(400, "no such share")
+        answers = await self._local(question.share, question.jobs)
+        if answers is None:
+            return error_reply(421, "not the owner")
+        return Reply(200, explain.encode(explain.Answers(answers)))
+
+    async def ask_owner(
+        self, node: str, question: explain.Question, deadline_s: float
+    ) -> list[explain.Why] | None:
+        """Another controller's answers; None if there are none in time."""
+        body = explain.encode(question)
+        reply = await self._ask(node, "POST", "/why", body, deadline_s)
+        return None if reply is None else explain.answers_decoder.decode(reply).answers
+
+    async def ask_leader(self) -> CloudView | None:
+        """The leader's view of the cloud; None if it cannot be asked."""
+        view = self._view()
+        leader = self._model.leader
+        if view is not None or leader is None or leader.claim.node == self._node:
+            return view
+        reply = await self._ask(leader.claim.node, "GET", "/cloud", None, LEADER_S)
+        return None if reply is None else explain.cloud_view_decoder.decode(reply)
+
+    async def _ask(
+        self, node: str, method: str, path: str, body: bytes | None, deadline_s: float
+    ) -> bytes | None:
+        address = self._addresses.get(node)
+        if address is None:
+            return None
+        try:
+            response = await self._http.request(address, method, path, body, deadline_s)
+        except NoResponse as error:
+            log.debug("%s: no answer to %s: %s", node, path, error)
+            return None
+        return response.body if response.status == 200 else None
+
+    # ---- health ----
+
     def _state_age_s(self) -> float:
         return self._model.clock.now() - self._state.confirmed_at
 
--- /dev/null
+++ b/badgerseam/explain/explainer.py
@@ -0,0 +1,213 @@
+"""Answers by the controller that plans for a job, and the way of a question to it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from badgerseam.cluster.member import Member
+from badgerseam.explain.history import History
+from badgerseam.explain.reasons import Context, ahead, groups
+from badgerseam.explain.supply import AskLeader, CloudWord
+from badgerseam.explain.surveys import NotOwner, Survey, Surveys
+from badgerseam.model.job import Job
+from badgerseam.model.model import Model, Share
+from badgerseam.sched.planner import Planner
+from badgerseam.settings import ExplainOptions
+from badgerseam.wire.explain import Code, Group, Question, Reason, Why
+
+log = logging.getLogger("badgerseam.explain")
+
+PLANS_S = 5.0
+"""An owner whose lease was not confirmed for so long plans nothing, and says nothing."""
+ASK_S = 1.3
+"""What an owner gets to answer: users wait 2 s, and the way to them takes a part of it."""
+AGAIN_S = 0.1
+
+AskOwner = Callable[[str, Question, float], Awaitable[list[Why] | None]]
+"""Asks another controller, within so many seconds; None if it cannot or does not answer."""
+
+
+class Explainer:
+    """Answers for shares that are owned; passes on what concerns others."""
+
+    def __init__(
+        self,
+        model: Model,
+        planner: Planner,
+        member: Member,
+        options: ExplainOptions,
+        ask_owner: AskOwner,
+        ask_leader: AskLeader,
+    ) -> None:
+        self._model = model
+        self._member = member
+        self._clock = model.clock
+        self._options = options
+        self._ask_owner = ask_owner
+        self.surveys = Surveys(
+            model,
+            planner,
+            CloudWord(model.clock, ask_leader),
+            options.processor_part,
+            options.slice_ms / 1000,
+        )
+        self.history = History(options.most_jobs, options.most_transitions, options.gap_s)
+
+    # ---- as the owner ----
+
+    async def local(self, share_index: int, ids: list[str]) -> list[Why]:
+        """Answers about jobs of a share that this controller plans for; NotOwner if it does not,
+        or cannot vouch for it. Jobs that it has not read yet are left out."""
+        model = self._model
+        share = model.shares[share_index]
+        self._vouch(share)
+        with model.lock:
+            jobs = [
+                job
+                for job in map(model.job, ids)
+                if job is not None and job.share == share_index and model.jobs[job.index] is job
+            ]
+            waiting = {job for job in jobs if job.waiting() > 0}
+        survey = Survey(self._clock.now(), model.revision, {}, {})
+        if waiting:
+            survey = await self.surveys.ask(share, waiting)
+        self._vouch(share)
+        with model.lock:
+            return [self._answer(share, job, survey) for job in jobs]
+
+    async def for_sibling(self, share_index: int, ids: list[str]) -> list[Why] | None:
+        """As `local`; None instead of NotOwner."""
+        try:
+            return await self.local(share_index, ids)
+        except NotOwner:
+            return None
+
+    def _vouch(self, share: Share) -> None:
+        if (
+            not share.owned
+            or share.releasing
+            or not self._member.entitled(share)
+            or not self._member.fresh(PLANS_S)
+        ):
+            raise NotOwner(str(share.index))
+
+    def _answer(self, share: Share, job: Job, survey: Survey) -> Why:
+        now = self._clock.now()
+        context = Context(self._model, job, survey, survey.supply, now)
+        found = groups(context)
+        self.history.observe(job.id, [r.code for g in found for r in g.reasons], now)
+        since = self.history.since_s(job.id, now)
+        return Why(
+            job.id,
+            "running" if job.running() else "pending",
+            [_dated(group, since) for group in found],
+            ahead(context),
+            self._member.node,
+            survey.revision,
+            round(now - survey.at, 3),
+            round(now - max(share.owned_since, job.seen_at), 3),
+            self.history.transitions(job.id, now),
+        )
+
+    @property
+    def samples(self) -> bool:
+        """Whether the operator wants looks that nobody has asked for."""
+        return self._options.sample_s > 0
+
+    async def keep_samples(self) -> None:
+        """Look at all that waits, at the interval that the operator has set, so that a question
+        asked later finds since when its reasons hold."""
+        while True:
+            await asyncio.sleep(self._options.sample_s)
+            for share in self._model.shares:
+                ids = [job.id for job in self._model.open_jobs[share.index].values()]
+                try:
+                    if share.owned and ids:
+                        await self.local(share.index, ids)
+                except NotOwner:
+                    log.debug("share %d: given up while it was looked at", share.index)
+
+    # ---- for any job ----
+
+    async def ask(self, job: Job) -> Why | None:
+        """The answer about an open job from whoever plans for it; None if nobody can vouch for
+        one in time."""
+        found = await self.ask_all(job.share, [job.id])
+        return found[0] if found else None
+
+    async def ask_all(self, share_index: int, ids: list[str]) -> list[Why]:
+        """Answers about jobs of one share; those that nobody can vouch for in time are missing."""
+        try:
+            async with asyncio.timeout(ASK_S):
+                return await self._route(share_index, ids)
+        except TimeoutError:
+            return []
+
+    async def _route(self, share_index: int, ids: list[str]) -> list[Why]:
+        model = self._model
+        share = model.shares[share_index]
+        deadline = self._clock.now() + ASK_S
+        while True:
+            held = share.held
+            if held is None:
+                return [self._no_owner(share, job_id) for job_id in ids]
+            answers: list[Why] | None = None
+            if held.claim.node == self._member.node:
+                try:
+                    answers = await self.local(share_index, ids)
+                except NotOwner:
+                    log.debug("share %d: not acted for yet", share_index)
+            else:
+                left = max(0.1, deadline - self._clock.now())
+                answers = await self._ask_owner(held.claim.node, Question(share_index, ids), left)
+            if answers:
+                return answers
+            # It has just been passed on, or its owner has not read the job yet.
+            await asyncio.sleep(AGAIN_S)
+
+    def _no_owner(self, share: Share, job_id: str) -> Why:
+        vacant = self._clock.now() - share.vacant_since
+        reason = Reason(
+            "no_owner",
+            "No controller acts for the share of its team now; one takes it over.",
+            binding=True,
+            since_s=round(vacant, 1) if share.vacant_since else None,
+            change="A controller has claimed the share and has read what is in it.",
+        )
+        with self._model.lock:
+            job = self._model.job(job_id)
+            waiting = 0 if job is None else job.waiting()
+            phase = "running" if job is not None and job.running() else "pending"
+        return Why(
+            job_id,
+            phase,
+            [Group("waiting", waiting, [reason])] if waiting else [],
+            node=self._member.node,
+            revision=self._model.revision,
+        )
+
+
+def _dated(group: Group, since: dict[Code, float]) -> Group:
+    """The group with the time that each reason has held at least, where none is known better."""
+    reasons = [
+        reason
+        if reason.since_s is not None
+        else _with_since(reason, round(since.get(reason.code, 0.0), 2))
+        for reason in group.reasons
+    ]
+    return Group(group.state, group.tasks, reasons)
+
+
+def _with_since(reason: Reason, since_s: float) -> Reason:
+    return Reason(
+        reason.code,
+        reason.text,
+        reason.binding,
+        reason.machines,
+        since_s,
+        reason.expected_s,
+        reason.change,
+        reason.who,
+    )
--- /dev/null
+++ b/badgerseam/explain/reasons.py
@@ -0,0 +1,355 @@
+"""Findings and stages put into plain statements. No rule is decided here."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from badgerseam.explain.supply import Supply, supply_reasons
+from badgerseam.explain.surveys import Survey
+from badgerseam.model.job import HIGH_RANK, RANKS, Attempt, Job, Stage
+from badgerseam.model.model import Model
+from badgerseam.model.resources import Resources
+from badgerseam.sched.bench import Bar
+from badgerseam.sched.diagnosis import Barred, Finding
+from badgerseam.sched.snapshot import slots_of
+from badgerseam.wire.explain import Ahead, Code, Group, Reason, State
+
+RANK_NAMES = {number: name for name, number in RANKS.items()}
+MOST_NAMED = 5
+
+CODES: dict[Bar, Code] = {
+    Bar.TYPE: "machine_type",
+    Bar.ZONE: "zone",
+    Bar.SPOT: "ordinary_only",
+    Bar.ONE_ZONE: "one_zone",
+    Bar.SCATTER: "scatter",
+    Bar.SHUNNED: "shunned",
+    Bar.SIZE: "too_large",
+    Bar.ROOM: "no_room",
+    Bar.LIMIT: "team_limit",
+}
+
+
+@dataclass(slots=True)
+class Context:
+    """What statements about one job are made from."""
+
+    model: Model
+    job: Job
+    survey: Survey
+    supply: Supply
+    now: float
+
+
+def amount(room: Resources) -> str:
+    """Such as '4 CPUs, 14 GB'."""
+    parts = [f"{room.cpus:g} CPUs"]
+    if room.gpus:
+        parts.append(f"{room.gpus:g} GPUs")
+    if room.memory_gb not in (0.0, float("inf")):
+        parts.append(f"{room.memory_gb:g} GB")
+    return ", ".join(parts)
+
+
+def groups(context: Context) -> list[Group]:
+    """All tasks of a job, those that are alike together."""
+    job = context.job
+    found: list[Group] = []
+    waiting = job.waiting()
+    if waiting > 0:
+        found.append(Group("waiting", waiting, waiting_reasons(context)))
+    by_kind: dict[tuple[State, Code | None], list[Attempt]] = {}
+    for attempt in job.attempts.values():
+        if not attempt.finishing:
+            by_kind.setdefault(_kind(context, attempt), []).append(attempt)
+    for (state, code), attempts in sorted(by_kind.items(), key=lambda item: str(item[0])):
+        reasons = [] if code is None else [_stage_reason(context, code, attempts)]
+        found.append(Group(state, len(attempts), reasons))
+    if job.finished:
+        found.append(Group("done", job.finished))
+    return found
+
+
+def ahead(context: Context) -> Ahead | None:
+    """What waits before the job; None if it is not in the plan's order now."""
+    finding = context.survey.findings.get(context.job)
+    if finding is None:
+        return None
+    jobs = [context.model.jobs[index] for index in finding.ahead]
+    return Ahead(
+        finding.jobs_ahead, finding.tasks_ahead, [job.id for job in jobs if job is not None]
+    )
+
+
+# ---- tasks that have no machine ----
+
+
+def waiting_reasons(context: Context) -> list[Reason]:
+    """What holds the unplaced tasks back, the binding things first."""
+    held = context.survey.held_back.get(context.job)
+    if held is not None:
+        return [_held_back(context, held)]
+    finding = context.survey.findings.get(context.job)
+    if finding is None or finding.barred is None:
+        return [
+            Reason(
+                "next_plan",
+                "Room was found; the tasks are placed with the next plan.",
+                binding=True,
+                expected_s=0.2,
+            )
+        ]
+    barred = finding.barred
+    found: list[Reason] = []
+    if not barred.machines:
+        found.append(
+            Reason(
+                "no_machine",
+                "Its share has no machine in use.",
+                binding=True,
+                change="A machine is rented for the share, or passed on to it.",
+            )
+        )
+    others = sorted(barred.counts, key=lambda bar: (-barred.counts[bar], bar))
+    for bar in [*barred.binding, *(bar for bar in others if bar not in barred.binding)]:
+        found.append(_bar_reason(context, finding, barred, bar))
+    if context.job.gang and finding.placed == 0:
+        found.append(
+            Reason(
+                "gang",
+                f"Its {finding.request.count} tasks run only together, and {finding.reached} of "
+                "them would find room.",
+                binding=True,
+                change="Room for all of them at once.",
+            )
+        )
+    if not barred.machines or Bar.LIMIT not in barred.binding:
+        found += supply_reasons(context.model, context.supply, finding.request)
+    return found
+
+
+def _held_back(context: Context, why: str) -> Reason:
+    job = context.job
+    if why == "backoff":
+        machines = [context.model.machines.get(index) for index in sorted(job.shunned)]
+        return Reason(
+            "backoff",
+            f"Its tasks have failed {job.errors} times in a row; they are tried again after a "
+            "pause that doubles.",
+            binding=True,
+            expected_s=round(max(0.0, job.retry_at - context.now), 1),
+            change="The pause ends. If the job fails on every machine, look at its output and "
+            "cancel it.",
+            who=[machine.name for machine in machines if machine is not None][:MOST_NAMED],
+        )
+    if why == "failing":
+        return Reason(
+            "failing",
+            f"Its tasks have failed {job.errors} times in a row: one at a time is tried, and the "
+            "others wait for that one.",
+            binding=True,
+            change="The task that is being tried runs, or the job is corrected and submitted anew.",
+        )
+    if why == "ended":
+        return Reason("ended", "The job has ended; its last tasks are being stopped.", binding=True)
+    return Reason("unsettled", "Where its tasks were is being read from the records.", binding=True)
+
+
+def _bar_reason(context: Context, finding: Finding, barred: Barred, bar: Bar) -> Reason:
+    text, change, who = _statement(context, finding, barred, bar)
+    expected = None
+    if bar == Bar.ROOM and barred.room_in_s != float("inf"):
+        expected = round(barred.room_in_s, 1)
+    return Reason(
+        CODES[bar],
+        text,
+        binding=bar in barred.binding,
+        machines=barred.counts.get(bar),
+        expected_s=expected,
+        change=change,
+        who=who,
+    )
+
+
+def _statement(
+    context: Context, finding: Finding, barred: Barred, bar: Bar
+) -> tuple[str, str, list[str]]:
+    """The sentence, what would change it, and who it is about."""
+    request, job, model = finding.request, context.job, context.model
+    count = barred.counts.get(bar, 0)
+    machines = f"{count} of {barred.machines} machines"
+    if bar == Bar.LIMIT:
+        return _limit_statement(context, finding)
+    if bar == Bar.TYPE:
+        allowed = ", ".join(sorted(request.types or ()))
+        return (
+            f"{machines} are not of a type that the job allows ({allowed}).",
+            "A machine of an allowed type, or a job that allows more types.",
+            [],
+        )
+    if bar == Bar.ZONE:
+        return (
+            f"{machines} are not in the zone that the job names ({request.zone}).",
+            "A machine in that zone, or a job that names none.",
+            [],
+        )
+    if bar == Bar.SPOT:
+        return (
+            f"{machines} are spot machines, and the job may use ordinary ones only.",
+            "An ordinary machine, or a job that may use spot machines.",
+            [],
+        )
+    if bar == Bar.ONE_ZONE:
+        zones = ", ".join(sorted(job.zones))
+        return (
+            f"{machines} are outside the zone of the job's other tasks ({zones}), and all of them "
+            "have to be in one.",
+            "Room in that zone.",
+            [],
+        )
+    if bar == Bar.SCATTER:
+        return (
+            f"{machines} are in zones that hold as many of the job's tasks as may be in one "
+            f"({request.zone_limit}).",
+            "Room in another zone.",
+            [],
+        )
+    if bar == Bar.SHUNNED:
+        names = [m.name for i in sorted(request.shunned) if (m := model.machines.get(i))]
+        return (
+            f"Tasks of the job have failed on {machines}.",
+            "Room on another machine.",
+            names[:MOST_NAMED],
+        )
+    if bar == Bar.SIZE:
+        return (
+            f"{machines} are smaller than one task ({amount(request.need)}), even when empty.",
+            "A larger machine.",
+            [],
+        )
+    return _room_statement(context, finding, barred, count)
+
+
+def _limit_statement(context: Context, finding: Finding) -> tuple[str, str, list[str]]:
+    model, request = context.model, finding.request
+    team = model.teams[request.team]
+    own = [
+        (job.live * slots_of(job.need), job)
+        for job in model.open_jobs[team.share].values()
+        if job.team == request.team and job.live
+    ]
+    own.sort(key=lambda item: (-item[0], item[1].id))
+    return (
+        f"The team {team.name} uses {amount(finding.used)} of at most {amount(team.limit)}, and a "
+        f"task takes {amount(request.need)}.",
+        "Tasks of the team end, or its limit is raised.",
+        [job.id for _, job in own[:MOST_NAMED]],
+    )
+
+
+def _room_statement(
+    context: Context, finding: Finding, barred: Barred, count: int
+) -> tuple[str, str, list[str]]:
+    model, request = context.model, finding.request
+    who = [
+        f"{model.teams[h.team].name}: {h.tasks} tasks of {RANK_NAMES[h.rank]}, {amount(h.room)}"
+        for h in barred.holders[:MOST_NAMED]
+    ]
+    team = model.teams[request.team]
+    text = (
+        f"{count} of {barred.machines} machines have no room for a task ({amount(request.need)}); "
+        f"the most that is free on one of them is {amount(barred.most_free)}."
+    )
+    within = finding.used.plus(request.need).fits(team.guarantee)
+    if request.high:
+        text += " Nothing there may be evicted for it: no work of a lower rank, or it is only"
+        text += " just starting or already being stopped."
+    elif within:
+        text += " Its team is within its guarantee, but no other team's low-priority work beyond"
+        text += " the guarantee is there to be claimed."
+    else:
+        text += " Low-priority work evicts nothing, and its team is at or beyond its guarantee."
+    lower = any(holder.rank < HIGH_RANK for holder in barred.holders)
+    change = "Tasks there end" + ("" if request.high or not lower else ", or machines are added")
+    return text, change + ".", who
+
+
+# ---- tasks that have one ----
+
+
+def _kind(context: Context, attempt: Attempt) -> tuple[State, Code | None]:
+    """How far an attempt has come, and what it waits for."""
+    machine = attempt.machine
+    if attempt.stopping:
+        return "stopping", "stopping"
+    if attempt.stage == Stage.PLANNED:
+        return "recording", "recording"
+    if attempt.stage == Stage.FETCHING:
+        return "fetching", "fetching"
+    if attempt.stage == Stage.SAVING:
+        return "stopping", "stopping"
+    if attempt.stage == Stage.RUNNING:
+        return "running", None
+    if any(other.stopping for other in machine.attempts.values()) and not attempt.sent:
+        return "launching", "victims_leaving"
+    report_s = context.model.settings.params.workers.report_s
+    if context.now - max(machine.heard_at, machine.taken_at) > 3 * report_s:
+        return "launching", "worker_silent"
+    if not machine.clear:
+        return "launching", "worker_unconfirmed"
+    return "launching", "launching"
+
+
+def _stage_reason(context: Context, code: Code, attempts: list[Attempt]) -> Reason:
+    now, job = context.now, context.job
+    names = sorted({attempt.machine.name for attempt in attempts})
+    since = round(now - min(attempt.planned_at for attempt in attempts), 2)
+    expected: float | None = None
+    who = names[:MOST_NAMED]
+    where = f"on {', '.join(who)}{' and others' if len(names) > MOST_NAMED else ''}"
+    if code == "recording":
+        text = f"Placed {where}; launched as soon as that is durable in the state service."
+        change = "The state service takes the write; it is slow, or its changes a second are used."
+    elif code == "fetching":
+        spec = job.spec
+        rates = [
+            entry.fetch_gb_per_s
+            for attempt in attempts
+            if (entry := context.model.types.get(attempt.machine.type)) is not None
+        ]
+        if rates:
+            expected = max(0.0, round(spec.image_gb / max(max(rates), 1e-3) - since, 1))
+        text = f"Fetching the image {spec.image} ({spec.image_gb:g} GB) {where}."
+        change = "The fetch ends; several on one machine share its rate."
+    elif code == "victims_leaving":
+        leaving = [o for a in attempts for o in a.machine.attempts.values() if o.stopping]
+        who = sorted({other.name for other in leaving})[:MOST_NAMED]
+        grace = max((other.grace_s for other in leaving), default=0.0)
+        text = f"Its room {where} is being left by {len(leaving)} tasks that were stopped."
+        change = "They have saved and exited."
+        expected = round(grace, 1)
+    elif code == "worker_silent":
+        text = f"Placed {where}, where the worker has not been heard for a while."
+        change = "The worker reports, or its lease ends and the tasks go elsewhere."
+    elif code == "worker_unconfirmed":
+        text = (
+            f"Placed {where}; an earlier command to the worker got no answer and could still be "
+            "executed."
+        )
+        change = "The worker has shown the higher warrant that fences that command."
+    elif code == "stopping":
+        saving = sum(attempt.stage == Stage.SAVING for attempt in attempts)
+        text = f"Being stopped {where} ({saving} of {len(attempts)} saving); placed anew after it."
+        change = "The worker shows that they have exited."
+    else:
+        text = f"Placed {where}; the launch is on its way to the worker."
+        change = "The worker's next report shows it."
+    return Reason(
+        code,
+        text,
+        binding=True,
+        since_s=since,
+        expected_s=expected,
+        change=change,
+        who=who,
+    )
--- /dev/null
+++ b/badgerseam/explain/surveys.py
@@ -0,0 +1,129 @@
+"""Surveys of a share on demand: questions gather, and all get their answer from one walk.
+
+A walk costs as much as a plan. Its processor time is drawn from an allowance, so that no number
+of questions takes more than a set part of it from leases and plans, and it is done in slices with
+the loop free in between.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+from badgerseam.explain.supply import CloudWord, Supply, supply_of
+from badgerseam.http.budget import Budget
+from badgerseam.model.job import Job
+from badgerseam.model.model import Model, Share
+from badgerseam.sched.diagnosis import Finding, still, survey
+from badgerseam.sched.planner import Planner
+from badgerseam.wire.explain import CloudView
+
+
+class NotOwner(Exception):
+    """This controller does not plan for the share, or cannot vouch for it now."""
+
+
+@dataclass(slots=True)
+class Survey:
+    """What one walk found, and when."""
+
+    at: float
+    revision: int
+    findings: dict[Job, Finding]
+    held_back: dict[Job, str]
+    """Jobs with waiting tasks that the plan leaves out now, and why."""
+    supply: Supply = field(default_factory=Supply)
+    """What is on its way to the share."""
+
+
+@dataclass(slots=True)
+class _Batch:
+    jobs: set[Job] = field(default_factory=set)
+    future: asyncio.Future[Survey] = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future()
+    )
+
+
+class Surveys:
+    """Gathers the questions of each share into walks."""
+
+    def __init__(
+        self, model: Model, planner: Planner, cloud: CloudWord, part: float, slice_s: float
+    ) -> None:
+        self._model = model
+        self._cloud = cloud
+        self._planner = planner
+        clock = model.clock
+        self._clock = clock
+        self._slice_s = slice_s
+        self._allowance = Budget(clock, part, 2.0, least_burst=slice_s)
+        self._waiting: dict[int, _Batch] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.walks = 0
+        self.longest_slice_s = 0.0
+
+    async def ask(self, share: Share, jobs: set[Job]) -> Survey:
+        """A survey of jobs of one share that began after the question; NotOwner if it was given up
+        meanwhile."""
+        batch = self._waiting.get(share.index)
+        if batch is None:
+            batch = self._waiting[share.index] = _Batch()
+            task = asyncio.ensure_future(self._run(share, batch))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        batch.jobs |= jobs
+        # Whoever gives up waiting must not take the answer from the others.
+        return await asyncio.shield(batch.future)
+
+    async def _run(self, share: Share, batch: _Batch) -> None:
+        await asyncio.sleep(0)
+        cloud = await self._cloud.get()
+        while (pause := self._allowance.wait_s(0.0)) > 0:
+            await asyncio.sleep(pause)
+        # From here on questions go into the next walk: this one's snapshot would be too old.
+        del self._waiting[share.index]
+        try:
+            result = await self._walk(share, batch.jobs, cloud)
+        except Exception as error:
+            batch.future.set_exception(error)
+            # Nobody may be waiting any more.
+            batch.future.exception()
+        else:
+            batch.future.set_result(result)
+
+    async def _walk(self, share: Share, jobs: set[Job], cloud: CloudView | None) -> Survey:
+        model, planner = self._model, self._planner
+        begun = time.perf_counter()
+        with model.lock:
+            if not share.owned:
+                raise NotOwner(str(share.index))
+            term = share.term
+            now = self._clock.now()
+            requests = still(planner.requests(share))
+            snapshot = planner.snapshot(share, planner.nodes(share), requests)
+            by_index = {job.index: job for job in jobs}
+            result = Survey(now, model.revision, {}, {})
+            result.supply = supply_of(model, planner, share, cloud)
+            for job in jobs:
+                if job.waiting() > 0:
+                    why = planner.held_back(job, now)
+                    if why is not None:
+                        result.held_back[job] = why
+        self.walks += 1
+        for found in survey(snapshot, set(by_index)):
+            if found is not None:
+                result.findings[by_index[found.request.job]] = found
+            spent = time.perf_counter() - begun
+            if spent >= self._slice_s:
+                self._charge(spent)
+                await asyncio.sleep(0)
+                begun = time.perf_counter()
+        self._charge(time.perf_counter() - begun)
+        if not share.owned or share.term != term:
+            raise NotOwner(str(share.index))
+        return result
+
+    def _charge(self, seconds: float) -> None:
+        self._allowance.charge(seconds)
+        self.longest_slice_s = max(self.longest_slice_s, seconds)
--- a/badgerseam/fleet/cloud.py
+++ b/badgerseam/fleet/cloud.py
@@ -26,7 +26,10 @@
     def __init__(self, clock: Clock, http: Client, address: str, rps: float) -> None:
         self._http = http
         self._address = address
+        self._clock = clock
         self.budget = Budget(clock, 0.85 * rps)
+        self.trouble: tuple[float, str] | None = None
+        """Since when the cloud has executed nothing, and what came last."""
 
     async def turn(self) -> None:
         """Wait until a call may be made at once."""
@@ -34,6 +37,22 @@
             await asyncio.sleep(self.budget.wait_s() + 0.01)
 
     async def _call(self, method: str, path: str, body: bytes | None) -> tuple[int, bytes]:
+        try:
+            status, reply = await self._send(method, path, body)
+        except CloudTrouble as error:
+            self._note(str(error))
+            raise
+        self._note(str(status) if status >= 500 and b"no capacity" not in reply else None)
+        return status, reply
+
+    def _note(self, error: str | None) -> None:
+        if error is None:
+            self.trouble = None
+        else:
+            since = self._clock.now() if self.trouble is None else self.trouble[0]
+            self.trouble = since, error
+
+    async def _send(self, method: str, path: str, body: bytes | None) -> tuple[int, bytes]:
         while not self.budget.take():
             await asyncio.sleep(self.budget.wait_s() + 0.01)
         try:
--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -33,6 +33,7 @@
 from badgerseam.store.roster import NOT_WRITTEN, Roster
 from badgerseam.wire import cloud as cloud_wire
 from badgerseam.wire import state as wire
+from badgerseam.wire.explain import Blocked, CloudView
 
 log = logging.getLogger("badgerseam.fleet")
 
@@ -205,6 +206,19 @@
             except Exception:
                 log.exception("fleet round failed")
 
+    def view(self) -> CloudView:
+        """What the leader knows of the cloud, for others to tell users."""
+        now = self._clock.now()
+        blocked = [
+            Blocked(offer.type, offer.zone, offer.spot, round(until - now, 1))
+            for offer, (until, _) in self._blocked.items()
+            if until > now
+        ]
+        trouble = self._cloud.trouble
+        if trouble is None:
+            return CloudView(blocked)
+        return CloudView(blocked, round(now - trouble[0], 1), trouble[1])
+
     # ---- the list ----
 
     def learn_addresses(self) -> None:
--- a/badgerseam/http/budget.py
+++ b/badgerseam/http/budget.py
@@ -8,10 +8,12 @@
 class Budget:
     """A token bucket; urgent use may draw on a reserve that other use leaves alone."""
 
-    def __init__(self, clock: Clock, per_s: float, burst_s: float = 1.0) -> None:
+    def __init__(
+        self, clock: Clock, per_s: float, burst_s: float = 1.0, least_burst: float = 1.0
+    ) -> None:
         self._clock = clock
         self.per_s = per_s
-        self._burst = max(1.0, per_s * burst_s)
+        self._burst = max(least_burst, per_s * burst_s)
         self._level = self._burst
         self._at = clock.now()
 
@@ -34,6 +36,11 @@
         missing = min(amount, self._burst) + reserve - self.available()
         return max(0.0, missing / self.per_s)
 
+    def charge(self, amount: float) -> None:
+        """Use an amount that is known only afterwards; what is overdrawn has to come back."""
+        self.available()
+        self._level -= amount
+
     def penalize(self, seconds: float) -> None:
         """After a refusal for rate: act as if that much had been used."""
         self.available()
--- a/badgerseam/http/client.py
+++ b/badgerseam/http/client.py
@@ -30,16 +30,18 @@
 
 
 class Response:
-    __slots__ = ("body", "status")
+    __slots__ = ("body", "retry_after", "status")
 
-    def __init__(self, status: int, body: bytes) -> None:
+    def __init__(self, status: int, body: bytes, retry_after: str | None = None) -> None:
         self.status = status
         self.body = body
+        self.retry_after = retry_after
 
 
 class _Collector(HTTPMessageDelegate):
     def __init__(self) -> None:
         self.status = 0
+        self.retry_after: str | None = None
         self.chunks: list[bytes] = []
 
     def headers_received(
@@ -47,6 +49,7 @@
     ) -> None:
         if isinstance(start_line, ResponseStartLine):
             self.status = start_line.code
+            self.retry_after = headers.get("Retry-After")
 
     def data_received(self, chunk: bytes) -> None:
         self.chunks.append(chunk)
@@ -105,7 +108,7 @@
             raise NoResponse(f"{address}{path}: closed before a response")
         if not stream.closed():
             self._put(address, stream)
-        return Response(collector.status, b"".join(collector.chunks))
+        return Response(collector.status, b"".join(collector.chunks), collector.retry_after)
 
     def _put(self, address: str, stream: IOStream) -> None:
         self._idle[stream] = address
--- a/badgerseam/http/server.py
+++ b/badgerseam/http/server.py
@@ -27,6 +27,7 @@
     status: int
     body: bytes = b"{}"
     retry_after_s: int | None = None
+    content_type: str = "application/json"
 
 
 Handler = Callable[[str, str, bytes], Awaitable[Reply] | Reply]
@@ -38,7 +39,7 @@
 
 
 class Server:
-    """Serves one address with one handler of (method, path, body)."""
+    """Serves one address with one handler of (method, path with its query, body)."""
 
     def __init__(self, handler: Handler) -> None:
         self._handler = handler
@@ -64,7 +65,7 @@
             self._send(request, error_reply(400, "body over 64 KiB"))
             return
         try:
-            outcome = self._handler(request.method or "", request.path, request.body)
+            outcome = self._handler(request.method or "", request.uri or "", request.body)
         except Exception:
             log.exception("request %s %s failed", request.method, request.path)
             outcome = error_reply(503, "internal error", 1)
@@ -88,7 +89,7 @@
         if connection is None:
             return
         headers = HTTPHeaders(
-            {"Content-Type": "application/json", "Content-Length": str(len(reply.body))}
+            {"Content-Type": reply.content_type, "Content-Length": str(len(reply.body))}
         )
         if reply.retry_after_s is not None:
             headers["Retry-After"] = str(reply.retry_after_s)
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -112,6 +112,7 @@
     finished: int = 0
     evicted: int = 0
     counts_version: int = 0
+    owned_since: float = 0.0
     vacant_since: float = 0.0
     ever_held: bool = False
     planned: list[Attempt] = field(default_factory=list)
@@ -620,6 +621,7 @@
         share.releasing = False
         # Owned first: cancelled jobs that linger are settled by their owner, who stops their tasks.
         share.owned = True
+        share.owned_since = self.clock.now()
         self._reload(share)
         for machine in self.fleets[share.index].values():
             self.adopt(machine, fresh=alone)
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -8,10 +8,12 @@
 from random import Random
 from typing import cast
 
+from badgerseam.api.questions import Questions
 from badgerseam.api.users import Api
 from badgerseam.clock import Clock
 from badgerseam.cluster.member import Member
 from badgerseam.cluster.peers import Peers
+from badgerseam.explain.explainer import Explainer
 from badgerseam.fleet.cloud import Cloud
 from badgerseam.fleet.manager import Fleet, Returns
 from badgerseam.http.client import Client
@@ -81,8 +83,30 @@
             self.pulse,
         )
         self.replica = Replica(self.model, self.state, self.pulse)
+        self.explainer: Explainer | None = None
+        questions: Questions | None = None
+        if tunables.explain is not None:
+            self.explainer = Explainer(
+                self.model,
+                self.planner,
+                self.member,
+                tunables.explain,
+                self.peers.ask_owner,
+                self.peers.ask_leader,
+            )
+            questions = Questions(self.model, self.explainer, tunables.explain)
+            self.peers.answer_with(
+                self.explainer.for_sibling,
+                lambda: self.fleet.view() if self.member.is_leader else None,
+            )
         self.api = Api(
-            self.model, self.state, self.ledger, self.member, self.control, self.peers.alone
+            self.model,
+            self.state,
+            self.ledger,
+            self.member,
+            self.control,
+            self.peers.alone,
+            questions,
         )
         self._pulse_at: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -168,4 +192,6 @@
             group.create_task(self.fleet.keep_list())
             group.create_task(self.fleet.keep_fleet())
             group.create_task(self.peers.keep_health())
+            if self.explainer is not None and self.explainer.samples:
+                group.create_task(self.explainer.keep_samples())
             group.create_task(self._tick())
--- a/badgerseam/settings.py
+++ b/badgerseam/settings.py
@@ -92,6 +92,31 @@
     siblings: list[Sibling] = field(default_factory=list)
 
 
+class ExplainOptions(Struct, frozen=True, forbid_unknown_fields=True):
+    """Why a job waits: answered on every controller if this section is there."""
+
+    questions_per_s: Annotated[
+        float, Meta(gt=0, le=1000, description="questions a controller admits a second")
+    ] = 20.0
+    processor_part: Annotated[
+        float,
+        Meta(gt=0, le=0.5, description="part of a core that surveys of a share may take"),
+    ] = 0.05
+    slice_ms: Annotated[
+        float, Meta(gt=0, le=50, description="how long a survey holds the event loop at a time")
+    ] = 4.0
+    sample_s: Annotated[
+        float,
+        Meta(ge=0, description="interval of looking at all that waits; 0: only when asked"),
+    ] = 0.0
+    gap_s: Annotated[
+        float,
+        Meta(gt=0, description="looks further apart than this do not count as one spell"),
+    ] = 10.0
+    most_jobs: Annotated[int, Meta(ge=1, description="jobs whose transitions are kept")] = 2000
+    most_transitions: Annotated[int, Meta(ge=2, description="transitions kept of each")] = 16
+
+
 class Tunables(Struct, frozen=True, forbid_unknown_fields=True):
     """Operators' own settings. Times are in seconds unless the name says otherwise."""
 
@@ -136,6 +161,9 @@
             "covers, by the share of them that should start in time",
         ),
     ] = 0.5
+    explain: Annotated[
+        ExplainOptions | None, Meta(description="why a job waits; answered if this is there")
+    ] = None
 
 
 def load_settings(path: str) -> Settings:
--- a/run.py
+++ b/run.py
@@ -9,6 +9,6 @@
 
 if __name__ == "__main__":
     arguments = sys.argv[1:]
-    if arguments[:1] == ["--config"]:
+    if arguments and arguments[0] in ("--config", "--options"):
         arguments = ["serve", *arguments]
     sys.exit(main(arguments))
