--- /dev/null
+++ b/badgerseam/lab/worker.py
@@ -0,0 +1,304 @@
+"""A worker's rules: tokens, sessions, leases, commands, images, and tasks that only pass time."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from badgerseam.clock import Clock
+from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.wire import workers as wire
+
+
+@dataclass(frozen=True, slots=True)
+class Description:
+    """What a worker gets of a job: how much a task takes, and how long it really runs."""
+
+    need: Resources
+    image: str = "img"
+    image_gb: float = 0.0
+    run_s: float = float("inf")
+    """Real run time; services never end."""
+    checkpoint_s: float = 0.0
+    save_s: float = 0.0
+    broken: bool = False
+    """Submitted with a mistake: fails on every machine."""
+
+
+Describe = Callable[[str], Description | None]
+"""The description of a task's job, or None if the job was never submitted."""
+Watch = Callable[[str, str, str, int], None]
+"""Is told of (event, machine, task, attempt): on, run, off (it is on its machine from `on`)."""
+
+
+def unwatched(event: str, machine: str, task: str, attempt: int) -> None:
+    """For workers that nobody keeps a history of."""
+
+
+@dataclass(slots=True)
+class Results:
+    """What outlives machines: results of completed tasks and saved progress, by task."""
+
+    done: set[str] = field(default_factory=set)
+    progress_s: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Held:
+    """An attempt on the machine."""
+
+    task: str
+    attempt: int
+    phase: str
+    job: Description
+    cause: str | None = None
+    saved: bool | None = None
+    ran_s: float = 0.0
+    """Of the task's whole run time, saved progress included."""
+    left_s: float = 0.0
+    """Of a save."""
+    on: bool = False
+
+    def wire(self) -> wire.TaskReport:
+        return wire.TaskReport(self.task, self.attempt, self.phase, self.cause, self.saved)
+
+
+@dataclass(slots=True)
+class Identity:
+    name: str
+    addr: str
+    type: str
+    zone: str
+    spot: bool
+
+
+class WorkerCore:
+    """One machine. Time passes for its tasks in `advance`."""
+
+    def __init__(
+        self,
+        who: Identity,
+        clock: Clock,
+        lease_s: float,
+        total: Resources,
+        describe: Describe,
+        results: Results,
+        watch: Watch = unwatched,
+        fetch_gb_per_s: float = 1.0,
+        cache_gb: float = float("inf"),
+    ) -> None:
+        self.who = who
+        self._clock = clock
+        self._lease_s = lease_s
+        self._total = total
+        self._describe = describe
+        self._results = results
+        self._watch = watch
+        self._fetch_gb_per_s = fetch_gb_per_s
+        self._cache_gb = cache_gb
+        self.session = 1
+        self.seq = 0
+        self.token = 0
+        self.notice_at: float | None = None
+        self.tasks: dict[str, Held] = {}
+        self.images: OrderedDict[str, float] = OrderedDict()
+        self._fetched: dict[str, float] = {}
+        """GB that have come, of images being fetched."""
+        self.speed = 1.0
+        self.faulty = False
+        self.hung = False
+        self._at = clock.now()
+        self._renewed = clock.now()
+        self.changed = False
+        """Something changed that is reported at once."""
+
+    # ---- messages ----
+
+    def report(self) -> wire.Report:
+        """The next report; its number is used up."""
+        self.seq += 1
+        who = self.who
+        left = None if self.notice_at is None else max(0.0, self.notice_at - self._clock.now())
+        return wire.Report(
+            who.name,
+            who.addr,
+            who.type,
+            who.zone,
+            who.spot,
+            self.session,
+            self.seq,
+            self.token,
+            left,
+            [held.wire() for held in self.tasks.values()],
+        )
+
+    def answered(self, sent_at: float, session: int, orders: wire.Orders) -> bool:
+        """A response to a report; False if it had to be dropped."""
+        if session != self.session or not self._show(orders.token):
+            return False
+        self._renewed = max(self._renewed, sent_at)
+        self._execute(orders.commands)
+        return True
+
+    def direct(self, orders: wire.DirectOrders) -> bool:
+        """Commands on `/do`; they don't renew the lease. False (409) if nothing was executed."""
+        if orders.session != self.session or not self._show(orders.token):
+            return False
+        self._execute(orders.commands)
+        return True
+
+    def _show(self, token: int) -> bool:
+        if token < self.token:
+            return False
+        if token > self.token:
+            self.token = token
+            self.changed = True
+        return True
+
+    # ---- commands ----
+
+    def _execute(self, commands: list[wire.Command]) -> None:
+        for command in commands:
+            held = self.tasks.get(command.task)
+            if command.op == "launch":
+                self._launch(command, held)
+            elif held is not None and held.attempt == command.attempt:
+                if command.op == "halt":
+                    self._halt(held, command.grace_s or 0.0)
+                elif command.op == "reap" and held.phase == "exited":
+                    del self.tasks[command.task]
+
+    def _launch(self, command: wire.Command, held: Held | None) -> None:
+        if held is not None and held.attempt == command.attempt:
+            return
+        job = self._describe(command.task)
+        new = Held(command.task, command.attempt, "fetching", job or Description(NOTHING))
+        if job is None:
+            self._refuse(new, "no_such")
+        elif held is not None:
+            # In use: the report goes on showing the attempt that is there.
+            return
+        elif not job.need.fits(self._total.minus(self.used())):
+            self._refuse(new, "full")
+        else:
+            self.tasks[new.task] = new
+            self.changed = True
+            if job.image in self.images or job.image_gb <= 0:
+                self._start(new)
+            else:
+                self._fetched.setdefault(job.image, 0.0)
+
+    def _refuse(self, held: Held, cause: str) -> None:
+        if held.task not in self.tasks:
+            held.phase, held.cause = "exited", cause
+            self.tasks[held.task] = held
+            self.changed = True
+
+    def _halt(self, held: Held, grace_s: float) -> None:
+        if held.phase == "exited" or (held.phase == "saving" and grace_s > 0):
+            return
+        saves = held.job.checkpoint_s > 0 and held.phase == "running"
+        if saves and grace_s >= held.job.save_s:
+            held.phase, held.left_s = "saving", held.job.save_s
+            self.changed = True
+        else:
+            self._exit(held, "halted", saved=False if held.job.checkpoint_s > 0 else None)
+
+    def used(self) -> Resources:
+        """What the tasks take that have not exited."""
+        total = NOTHING
+        for held in self.tasks.values():
+            if held.phase != "exited":
+                total = total.plus(held.job.need)
+        return total
+
+    # ---- tasks ----
+
+    def _start(self, held: Held) -> None:
+        image = held.job.image
+        self.images[image] = held.job.image_gb
+        self.images.move_to_end(image)
+        while sum(self.images.values()) > self._cache_gb and len(self.images) > 1:
+            self.images.popitem(last=False)
+        held.on = True
+        held.phase = "running"
+        held.ran_s = self._results.progress_s.get(held.task, 0.0)
+        self.changed = True
+        self._watch("on", self.who.name, held.task, held.attempt)
+        if held.task in self._results.done:
+            self._exit(held, "done")
+        elif held.job.broken or self.faulty:
+            self._exit(held, "error")
+
+    def _exit(self, held: Held, cause: str, saved: bool | None = None) -> None:
+        held.phase, held.cause, held.saved = "exited", cause, saved
+        self.changed = True
+        if cause == "done":
+            self._results.done.add(held.task)
+        if held.on:
+            held.on = False
+            self._watch("off", self.who.name, held.task, held.attempt)
+        image = held.job.image
+        if image in self._fetched and not any(
+            h.phase == "fetching" and h.job.image == image for h in self.tasks.values()
+        ):
+            del self._fetched[image]
+
+    def advance(self) -> None:
+        """Let the time since the last call pass; a hung machine's tasks do not see it."""
+        now = self._clock.now()
+        passed, self._at = now - self._at, now
+        if self.hung:
+            return
+        if now - self._renewed > self._lease_s:
+            self.end_session()
+            return
+        if self._fetched:
+            each = passed * self._fetch_gb_per_s / len(self._fetched)
+            for image in self._fetched:
+                self._fetched[image] += each
+        for held in list(self.tasks.values()):
+            self._pass(held, passed)
+
+    def _pass(self, held: Held, passed: float) -> None:
+        job = held.job
+        if held.phase == "fetching" and self._fetched.get(job.image, 0.0) >= job.image_gb:
+            alike = [h for h in self.tasks.values() if h.job.image == job.image]
+            self._fetched.pop(job.image, None)
+            for other in alike:
+                if other.phase == "fetching":
+                    self._start(other)
+        elif held.phase == "running":
+            held.ran_s += passed * self.speed
+            if job.checkpoint_s > 0:
+                saved_s = held.ran_s // job.checkpoint_s * job.checkpoint_s
+                before_s = self._results.progress_s.get(held.task, 0.0)
+                self._results.progress_s[held.task] = max(saved_s, before_s)
+            if held.ran_s >= job.run_s:
+                self._exit(held, "done")
+        elif held.phase == "saving":
+            held.left_s -= passed
+            if held.left_s <= 0:
+                self._results.progress_s[held.task] = held.ran_s
+                self._exit(held, "halted", saved=True)
+
+    def end_session(self) -> None:
+        """Kill and forget all tasks: the lease is over, or the machine is gone."""
+        for held in self.tasks.values():
+            if held.on:
+                held.on = False
+                self._watch("off", self.who.name, held.task, held.attempt)
+        self.tasks.clear()
+        self._fetched.clear()
+        self.session += 1
+        self._renewed = self._clock.now()
+        self.changed = True
+
+    def inspect(self) -> dict[str, Any]:
+        """For the lab's status: counts of tasks by state."""
+        counts: dict[str, int] = {}
+        for held in self.tasks.values():
+            counts[held.phase] = counts.get(held.phase, 0) + 1
+        return counts
