--- a/badgerseam/cli/__init__.py
+++ b/badgerseam/cli/__init__.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 
 from badgerseam import __version__, logs
-from badgerseam.cli import client
+from badgerseam.cli import client, lab
 from badgerseam.cli.exits import EXIT_FAILED, EXIT_OK, EXIT_USAGE, fail
 from badgerseam.settings import (
     SettingsError,
@@ -44,6 +44,7 @@
         )
     commands.add_parser("schema", help="print the JSON Schema of the operators' settings")
     client.add_commands(commands)
+    lab.add_commands(commands)
     return parser
 
 
@@ -61,6 +62,8 @@
         if options.command == "schema":
             print(json.dumps(tunables_schema(), indent=2))
             return EXIT_OK
+        if options.command == "lab":
+            return lab.run(options)
         return asyncio.run(client.run(options))
     except SettingsError as error:
         return fail(str(error), EXIT_USAGE)
--- /dev/null
+++ b/badgerseam/cli/lab.py
@@ -0,0 +1,276 @@
+"""`badgerseam lab`: a whole site on this machine."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import tempfile
+from pathlib import Path
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from badgerseam.cli.exits import EXIT_FAILED, EXIT_OK, EXIT_UNREACHABLE, EXIT_USAGE, fail
+
+if TYPE_CHECKING:
+    from badgerseam.lab.report import Report
+
+Commands = argparse._SubParsersAction
+
+MISSING = (
+    "the lab's libraries are not installed: python3 -m pip install -r requirements-lab.txt "
+    "(or the extra badgerseam[lab])"
+)
+
+
+def default_directory() -> Path:
+    """Where a lab keeps its files if nothing else is said."""
+    return Path(tempfile.gettempdir()) / f"badgerseam-lab-{os.getuid()}"
+
+
+def add_commands(commands: Commands[argparse.ArgumentParser]) -> None:
+    """Declare `lab` and its own commands."""
+    lab = commands.add_parser("lab", help="a whole site on this machine, simulated around it")
+    orders = lab.add_subparsers(dest="order", required=True)
+    up = orders.add_parser("up", help="start a site and stay until Ctrl-C")
+    up.add_argument("--site", help="the site (JSON; `lab schema` prints its schema)")
+    up.add_argument("--port", type=int, default=8080, help="for users (default %(default)s)")
+    up.add_argument("--load", type=float, help="begin with users, so many times the site's rates")
+    up.add_argument("--seed", type=int, default=1)
+    up.add_argument("--keep", action="store_true", help="keep logs and history afterwards")
+    run = orders.add_parser("run", help="play an experiment and judge it")
+    run.add_argument("experiment", help="the experiment (JSON; `lab schema --experiment`)")
+    run.add_argument("--out", help="folder for the report (default: next to the experiment)")
+    run.add_argument("--seed", type=int, help="instead of the experiment's own")
+    status = orders.add_parser("status", help="the running lab in figures")
+    load = orders.add_parser("load", help="have users submit jobs to the running lab")
+    load.add_argument("factor", type=float, nargs="?", default=1.0, help="times the site's rates")
+    fault = orders.add_parser("fault", help="break something in the running lab")
+    fault.add_argument("do", help="kill, hang, cut, state-down, take, ...: see docs/lab.md")
+    fault.add_argument("target", nargs="?", default="")
+    fault.add_argument("to", nargs="?", default="")
+    fault.add_argument("--for", dest="for_s", type=float, default=0.0, help="seconds until mended")
+    fault.add_argument("--count", type=int, default=1, help="machines")
+    fault.add_argument("--factor", type=float, default=0.3, help="of speed, or of arrivals")
+    orders.add_parser("mend", help="mend all that is broken")
+    orders.add_parser("check", help="judge what has happened so far by the protocol's rules")
+    schema = orders.add_parser("schema", help="print the JSON Schema of a site file")
+    schema.add_argument("--experiment", action="store_true", help="of an experiment instead")
+    for order in (up, run, status, load, fault, *(orders.choices[n] for n in ("mend", "check"))):
+        order.add_argument(
+            "--dir", type=Path, default=default_directory(), help="the lab's files (%(default)s)"
+        )
+    status.add_argument("--json", action="store_true", help="as JSON")
+
+
+def run(options: argparse.Namespace) -> int:
+    """Carry out an order; the exit code."""
+    try:
+        from badgerseam.lab import lab as lab_module
+    except ModuleNotFoundError as error:
+        return fail(f"{error.name}: {MISSING}", EXIT_USAGE)
+    try:
+        if options.order == "schema":
+            return _schema(options)
+        if options.order == "up":
+            return asyncio.run(_up(options))
+        if options.order == "run":
+            return asyncio.run(_experiment(options))
+        return asyncio.run(_order(options))
+    except lab_module.LabError as error:
+        return fail(str(error), EXIT_FAILED)
+
+
+def _schema(options: argparse.Namespace) -> int:
+    import msgspec
+
+    from badgerseam.lab.experiment import Experiment
+    from badgerseam.lab.site import site_schema
+
+    schema = msgspec.json.schema(Experiment) if options.experiment else site_schema()
+    print(json.dumps(schema, indent=2))
+    return EXIT_OK
+
+
+def _options_file(directory: Path) -> Path:
+    """The service's own options, all that a lab shows switched on."""
+    path = directory / "options.json"
+    path.write_text('{"explain": {}}\n')
+    return path
+
+
+async def _up(options: argparse.Namespace) -> int:
+    from badgerseam import logs
+    from badgerseam.clock import Clock
+    from badgerseam.lab.control import ControlPort
+    from badgerseam.lab.faults import Breaker
+    from badgerseam.lab.lab import Lab, free_ports, read_card
+    from badgerseam.lab.site import load_site
+
+    logs.configure("error")
+    site = load_site(options.site)
+    options.dir.mkdir(parents=True, exist_ok=True)
+    lab = Lab(
+        site, options.dir, Clock(), Random(options.seed), options.port, _options_file(options.dir)
+    )
+    stop = asyncio.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    await lab.start()
+    control = ControlPort(lab, Breaker(lab))
+    try:
+        port = free_ports(1)[0]
+        control.listen(port)
+        card = read_card(options.dir) | {"control": f"127.0.0.1:{port}"}
+        (options.dir / "lab.json").write_text(json.dumps(card))
+        print(f"users      127.0.0.1:{lab.front_port}   (--node of the commands)")
+        for node, address in lab.addresses.items():
+            print(f"{node:<10} {address}   log {lab.controllers[node].log_path}")
+        print(f"state service, cloud and workers are simulated; files in {options.dir}")
+        waiting = asyncio.ensure_future(lab.ready())
+        stopping = asyncio.ensure_future(stop.wait())
+        await asyncio.wait({waiting, stopping}, return_when=asyncio.FIRST_COMPLETED)
+        if waiting.done():
+            waiting.result()
+            print("ready; Ctrl-C ends it", flush=True)
+            if options.load is not None:
+                lab.begin_load(options.load)
+            seen = 0
+            while not stop.is_set():
+                for note in lab.notes[seen:]:
+                    print(note, flush=True)
+                seen = len(lab.notes)
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(stop.wait(), 0.5)
+        waiting.cancel()
+        breaches = lab.breaches()
+    finally:
+        stopping.cancel()
+        control.stop()
+        await lab.stop()
+        if not options.keep:
+            _clean(options.dir)
+    for breach in breaches:
+        print(f"broken rule: {breach}")
+    print("ended")
+    return EXIT_FAILED if breaches else EXIT_OK
+
+
+def _clean(directory: Path) -> None:
+    for pattern in ("*.log", "history.jsonl", "options.json", "lab.lock"):
+        for path in directory.glob(pattern):
+            path.unlink(missing_ok=True)
+    with contextlib.suppress(OSError):
+        directory.rmdir()
+
+
+async def _experiment(options: argparse.Namespace) -> int:
+    from rich.console import Console
+    from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
+
+    from badgerseam import logs
+    from badgerseam.clock import Clock
+    from badgerseam.lab.experiment import load_experiment, play
+    from badgerseam.lab.lab import Lab
+    from badgerseam.lab.report import write_report
+    from badgerseam.lab.site import Site
+
+    logs.configure("error")
+    experiment = load_experiment(options.experiment)
+    seed = experiment.seed if options.seed is None else options.seed
+    out = Path(options.out or Path(options.experiment).with_suffix("").as_posix() + "-report")
+    out.mkdir(parents=True, exist_ok=True)
+    lab = Lab(experiment.site or Site(), out, Clock(), Random(seed), 0, _options_file(out))
+    console = Console()
+    await lab.start()
+    try:
+        with Progress(
+            TextColumn("{task.description}"), BarColumn(), TimeElapsedColumn(), console=console
+        ) as progress:
+            bar = progress.add_task("playing", total=1.0)
+
+            def told(part: float, text: str) -> None:
+                progress.update(bar, completed=part)
+                if text:
+                    progress.console.print(f"{lab.history.now():7.1f} s  {text}")
+
+            report = await play(lab, experiment, told)
+    finally:
+        await lab.stop()
+    paths = write_report(report, out)
+    _print_report(report, console)
+    console.print("written: " + ", ".join(str(path) for path in paths), soft_wrap=True)
+    return EXIT_FAILED if report.breaches else EXIT_OK
+
+
+def _print_report(report: Report, console: Any) -> None:
+    from rich.table import Table
+
+    table = Table(title="simulated machines, real controllers")
+    for column in ("class", "jobs", "ended", "starts", "first start 50/90/99/100 %", "in time"):
+        table.add_column(column, justify="left" if column == "class" else "right")
+    for name, figures in report.classes.items():
+        table.add_row(
+            name,
+            str(figures.jobs),
+            str(figures.ended),
+            f"{figures.tasks_started}+{figures.again}",
+            " / ".join(f"{value:.2f}" for value in figures.first_start_s),
+            "" if figures.in_time is None else f"{figures.in_time:.3f}",
+        )
+    console.print(table)
+    console.print(
+        f"accepted within {' / '.join(f'{v:.3f}' for v in report.accept_s)} s; "
+        f"{report.polls_failed} of {report.polls} polls failed; {report.machines_rented} machines, "
+        f"{report.money:.3f} spent; {report.controllers_started} controller starts, "
+        f"{report.ended_by_themselves} ends by themselves"
+    )
+    if report.questions:
+        console.print(
+            f"questions by status {report.questions}; answered within "
+            f"{' / '.join(f'{v:.3f}' for v in report.answer_s)} s; reasons {report.reasons}"
+        )
+    console.print(f"broken rules: {len(report.breaches)}")
+    for breach in report.breaches:
+        console.print(breach)
+
+
+async def _order(options: argparse.Namespace) -> int:
+    """Send an order to the running lab."""
+    from badgerseam.http.client import Client, NoResponse
+    from badgerseam.lab.lab import LabError, read_card
+
+    address = read_card(options.dir).get("control")
+    if not isinstance(address, str):
+        raise LabError(f"no lab runs in {options.dir}: start one with `badgerseam lab up`")
+    body: bytes | None = b"{}"
+    if options.order == "load":
+        body = json.dumps({"factor": options.factor}).encode()
+    elif options.order == "fault":
+        names = ("do", "target", "to", "for_s", "count", "factor")
+        body = json.dumps({name: getattr(options, name) for name in names}).encode()
+    reading = options.order in ("status", "check")
+    try:
+        response = await Client().request(
+            address,
+            "GET" if reading else "POST",
+            f"/{options.order}",
+            None if reading else body,
+            5.0,
+        )
+    except NoResponse:
+        return fail(f"the lab at {address} does not answer", EXIT_UNREACHABLE)
+    answer = json.loads(response.body)
+    if response.status != 200:
+        return fail(str(answer.get("error", answer)), EXIT_FAILED)
+    if options.order == "status":
+        print(json.dumps(answer, indent=None if options.json else 2))
+    elif options.order == "check":
+        print("\n".join(answer) if answer else "no rule is broken")
+        return EXIT_FAILED if answer else EXIT_OK
+    else:
+        print(answer)
+    return EXIT_OK
--- /dev/null
+++ b/badgerseam/lab/checker.py
@@ -0,0 +1,234 @@
+"""Judges a history by the protocol's rules. It knows nothing of how badgerseam works."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from badgerseam.lab.history import Event
+from badgerseam.model.resources import Resources
+from badgerseam.settings import Team
+from badgerseam.wire.users import Submission
+
+FORGOTTEN_S = 90.0
+MOST_POLLS = 0.5
+"""Part of the other polls that have to be answered for a job's silence to count."""
+
+
+@dataclass(frozen=True, slots=True)
+class Breach:
+    """A broken rule."""
+
+    t: float
+    rule: str
+    subject: str
+    text: str
+
+    def __str__(self) -> str:
+        return f"{self.t:9.3f} s  {self.rule}: {self.subject}: {self.text}"
+
+
+@dataclass(slots=True)
+class _Job:
+    spec: Submission
+    accepted: bool = False
+    asked_abort: float | None = None
+    cancelled_at: float | None = None
+    """When its user was told."""
+    ended: str = ""
+    done: set[int] = field(default_factory=set)
+    unanswered_since: float | None = None
+    """Since when every poll has failed, and how many polls of others were answered meanwhile."""
+    others: int = 0
+    others_ok: int = 0
+
+
+class Checker:
+    """Takes events in order; what it found broken is in `breaches`."""
+
+    def __init__(self, teams: Iterable[Team], cancel_s: float) -> None:
+        self._limits = {t.name: Resources(t.cpus_max, t.gpus_max, float("inf")) for t in teams}
+        self._cancel_s = cancel_s
+        self._jobs: dict[str, _Job] = {}
+        self._machines: dict[str, Event] = {}
+        self._on: dict[str, dict[str, int]] = defaultdict(dict)
+        """By task: the machines it is on, with the attempt."""
+        self._used: dict[str, Resources] = defaultdict(lambda: Resources(0, 0, 0))
+        self._zones: dict[str, Counter[str]] = defaultdict(Counter)
+        self._late: dict[str, float] = {}
+        """Cancelled jobs with tasks on machines, by the time they have to be gone."""
+        self._silent: dict[str, _Job] = {}
+        """Jobs whose latest poll failed."""
+        self.started = 0
+        self.breaches: list[Breach] = []
+
+    def _breach(self, event: Event, rule: str, subject: str, text: str) -> None:
+        self.breaches.append(Breach(event.t, rule, subject, text))
+
+    def take(self, event: Event) -> None:
+        """Look at the next event."""
+        for late, until in list(self._late.items()):
+            if event.t > until:
+                del self._late[late]
+                left = [task for task, on in self._on.items() if on and _job(task) == late]
+                if left:
+                    text = f"on a machine {self._cancel_s} s after the cancellation"
+                    self._breach(event, "ran_cancelled", left[0], text)
+        if event.kind == "submit" and event.spec is not None:
+            if event.job not in self._jobs:
+                self._jobs[event.job] = _Job(msgspec.convert(event.spec, Submission))
+        elif event.kind == "machine":
+            self._machines[event.machine] = event
+        elif event.kind == "abort" and event.job in self._jobs:
+            job = self._jobs[event.job]
+            job.asked_abort = event.t if job.asked_abort is None else job.asked_abort
+        elif event.kind == "answer":
+            self._answer(event)
+        elif event.kind == "on":
+            self._start(event)
+        elif event.kind == "off":
+            self._stop(event)
+
+    def finish(self, t: float) -> list[Breach]:
+        """The history is over; all that was found."""
+        if not self.started and any(job.accepted for job in self._jobs.values()):
+            self.breaches.append(Breach(t, "nothing_ran", "-", "no task was started"))
+        return self.breaches
+
+    # ---- tasks ----
+
+    def _start(self, event: Event) -> None:
+        self.started += 1
+        task, name = event.job, _job(event.job)
+        job = self._jobs.get(name)
+        others = [machine for machine in self._on[task] if machine != event.machine]
+        if others:
+            self._breach(event, "ran_twice", task, f"on {event.machine} while on {others[0]}")
+        self._on[task][event.machine] = event.attempt
+        if job is None:
+            self._breach(event, "invented", task, "started, and nobody submitted it")
+            return
+        spec = job.spec
+        if job.cancelled_at is not None and event.t > job.cancelled_at + self._cancel_s:
+            self._breach(event, "ran_cancelled", task, "started after the time for it")
+        elif job.cancelled_at is not None:
+            self._late.setdefault(name, job.cancelled_at + self._cancel_s)
+        machine = self._machines.get(event.machine)
+        if machine is not None:
+            wrong = self._wrong(job, machine)
+            if wrong:
+                self._breach(event, "wrong_place", task, f"{event.machine}: {wrong}")
+            self._zones[name][machine.zone] += 1
+        need = Resources(spec.cpus, spec.gpus, spec.memory_gb)
+        self._used[spec.team] = used = self._used[spec.team].plus(need)
+        limit = self._limits.get(spec.team)
+        if limit is not None and not used.fits(limit):
+            self._breach(event, "quota", spec.team, f"{used.cpus:g} of {limit.cpus:g} CPUs")
+
+    def _wrong(self, job: _Job, machine: Event) -> str:
+        spec, zones = job.spec, +self._zones[job.spec.id]
+        if spec.types is not None and machine.type not in spec.types:
+            return f"type {machine.type}"
+        if spec.zone is not None and machine.zone != spec.zone:
+            return f"zone {machine.zone}"
+        if machine.spot and not spec.spot:
+            return "a spot machine"
+        if spec.one_zone and any(zone != machine.zone for zone in zones):
+            return f"zone {machine.zone}, others are elsewhere"
+        if spec.spread and zones[machine.zone] + 1 > (spec.tasks + 1) // 2:
+            return f"more than half in zone {machine.zone}"
+        return ""
+
+    def _stop(self, event: Event) -> None:
+        task, name = event.job, _job(event.job)
+        if self._on[task].pop(event.machine, None) is None:
+            return
+        job = self._jobs.get(name)
+        if job is None:
+            return
+        spec = job.spec
+        if event.text == "done":
+            job.done.add(int(task.rpartition("/")[2]))
+        need = Resources(spec.cpus, spec.gpus, spec.memory_gb)
+        self._used[spec.team] = self._used[spec.team].minus(need)
+        machine = self._machines.get(event.machine)
+        if machine is not None:
+            self._zones[name][machine.zone] -= 1
+
+    # ---- answers ----
+
+    def _answer(self, event: Event) -> None:
+        job = self._jobs.get(event.job)
+        if event.status == 200 and job is None:
+            self._breach(event, "invented", event.job, "answered 200, and nobody submitted it")
+        if event.about == "poll":
+            self._poll(event, job)
+        if job is None:
+            return
+        if event.about == "submit":
+            if event.status in (200, 201):
+                job.accepted = True
+            elif event.status in (400, 422) and job.accepted:
+                self._breach(event, "forgotten", event.job, f"submitted again: {event.status}")
+        elif event.status == 404 and job.accepted:
+            self._breach(event, "forgotten", event.job, f"{event.about}: 404")
+        if event.status in (200, 201):
+            self._phase(event, job)
+
+    def _phase(self, event: Event, job: _Job) -> None:
+        phase = event.phase
+        if job.ended and phase != job.ended:
+            self._breach(event, "went_back", event.job, f"{phase} after {job.ended}")
+        if phase == "done" and len(job.done) < job.spec.tasks:
+            text = f"called done with {len(job.done)} of {job.spec.tasks} tasks done"
+            self._breach(event, "not_done", event.job, text)
+        if phase == "withdrawn":
+            if job.asked_abort is None:
+                self._breach(event, "went_back", event.job, "cancelled, and its user did not ask")
+            if job.cancelled_at is None:
+                job.cancelled_at = event.t
+                if any(on and _job(task) == event.job for task, on in self._on.items()):
+                    self._late[event.job] = event.t + self._cancel_s
+        if phase in ("done", "withdrawn"):
+            job.ended = phase
+
+    def _poll(self, event: Event, job: _Job | None) -> None:
+        """A job whose every poll fails for long, while most polls of others are answered."""
+        ok = event.status in (200, 404)
+        for name, other in self._silent.items():
+            if name != event.job:
+                other.others += 1
+                other.others_ok += ok
+        if job is None or not job.accepted:
+            return
+        if ok:
+            if self._silent.pop(event.job, None) is not None:
+                job.unanswered_since, job.others, job.others_ok = None, 0, 0
+        elif job.unanswered_since is None:
+            job.unanswered_since = event.asked or event.t
+            self._silent[event.job] = job
+        elif (
+            event.t - job.unanswered_since > FORGOTTEN_S
+            and job.others
+            and job.others_ok > MOST_POLLS * job.others
+        ):
+            self._breach(event, "forgotten", event.job, f"no answer for {FORGOTTEN_S:.0f} s")
+            del self._silent[event.job]
+            job.unanswered_since = None
+
+
+def _job(task: str) -> str:
+    return task.partition("/")[0]
+
+
+def check(events: Iterable[Event], teams: Iterable[Team], cancel_s: float) -> list[Breach]:
+    """All rules broken in a history."""
+    checker = Checker(teams, cancel_s)
+    t = 0.0
+    for event in events:
+        checker.take(event)
+        t = event.t
+    return checker.finish(t)
--- /dev/null
+++ b/badgerseam/lab/control.py
@@ -0,0 +1,54 @@
+"""The address at which a running lab takes orders from `badgerseam lab ...`."""
+
+from __future__ import annotations
+
+import msgspec
+
+from badgerseam.http.server import Reply, Server, error_reply
+from badgerseam.lab.faults import Breaker, fault_decoder
+from badgerseam.lab.lab import Lab, LabError
+
+
+class LoadOrder(msgspec.Struct, forbid_unknown_fields=True):
+    """How many times as many jobs as the site says; 0 stops arrivals."""
+
+    factor: float
+
+
+_load: msgspec.json.Decoder[LoadOrder] = msgspec.json.Decoder(LoadOrder)
+
+
+class ControlPort:
+    """Serves status, faults, load and judgement."""
+
+    def __init__(self, lab: Lab, breaker: Breaker) -> None:
+        self._lab = lab
+        self._breaker = breaker
+        self._server = Server(self._handle)
+
+    def listen(self, port: int) -> None:
+        self._server.listen(f"127.0.0.1:{port}")
+
+    def stop(self) -> None:
+        self._server.stop()
+
+    def _handle(self, method: str, uri: str, body: bytes) -> Reply:
+        try:
+            if method == "GET" and uri == "/status":
+                return _json(self._lab.status())
+            if method == "GET" and uri == "/check":
+                return _json([str(breach) for breach in self._lab.breaches()])
+            if method == "POST" and uri == "/fault":
+                return _json(self._breaker.apply(fault_decoder.decode(body)))
+            if method == "POST" and uri == "/mend":
+                return _json(self._breaker.mend_all())
+            if method == "POST" and uri == "/load":
+                self._lab.begin_load(max(0.0, _load.decode(body).factor))
+                return _json("users submit jobs")
+        except (LabError, msgspec.DecodeError) as error:
+            return Reply(400, msgspec.json.encode({"error": str(error)}))
+        return error_reply(404, "no such order")
+
+
+def _json(value: object) -> Reply:
+    return Reply(200, msgspec.json.encode(value))
--- /dev/null
+++ b/badgerseam/lab/controllers.py
@@ -0,0 +1,160 @@
+"""Real controller processes: started, watched, started again, and ended with the lab."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import ctypes
+import logging
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+from badgerseam.clock import Clock
+
+log = logging.getLogger("badgerseam.lab")
+
+BACK_S = 3.0
+"""How long after its end a controller is started again, as on the users' platform."""
+SHORT_S = 5.0
+MOST_SHORT = 3
+"""A controller that ends so often, each time shortly after its start, is not started again."""
+END_S = 3.0
+_PR_SET_PDEATHSIG = 1
+_libc = ctypes.CDLL(None) if sys.platform == "linux" else None
+
+
+def _die_with_parent() -> None:
+    # A lab that is killed outright must leave no controller behind.
+    if _libc is not None:
+        _libc.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class Controller:
+    """One controller: wanted or not, whatever its process does meanwhile."""
+
+    def __init__(
+        self,
+        node: str,
+        settings: Path,
+        options: Path | None,
+        log_path: Path,
+        clock: Clock,
+        told: Callable[[str], None],
+    ) -> None:
+        self.node = node
+        self._settings = settings
+        self._options = options
+        self.log_path = log_path
+        self._clock = clock
+        self._told = told
+        self._process: subprocess.Popen[bytes] | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._started_at = 0.0
+        self._short = 0
+        self.starts = 0
+        self.unasked = 0
+        """Ends that nobody asked for."""
+        self._expected = False
+        self.state = "stopped"
+
+    @property
+    def pid(self) -> int | None:
+        return None if self._process is None else self._process.pid
+
+    def start(self) -> None:
+        """Have it run from now on."""
+        if self._task is None or self._task.done():
+            self._task = asyncio.ensure_future(self._keep())
+
+    async def _keep(self) -> None:
+        while True:
+            self._launch()
+            assert self._process is not None
+            while self._process.poll() is None:
+                await asyncio.sleep(0.05)
+            code = self._process.returncode
+            self._process = None
+            self.state = "down"
+            lived = self._clock.now() - self._started_at
+            if not self._expected:
+                self.unasked += 1
+                self._told(f"{self.node} ended by itself with code {code}; see {self.log_path}")
+                self._short = self._short + 1 if lived < SHORT_S else 0
+                if self._short >= MOST_SHORT:
+                    self.state = "given up"
+                    self._told(f"{self.node} keeps ending at its start: not started again")
+                    return
+            self._expected = False
+            await asyncio.sleep(BACK_S)
+
+    def _launch(self) -> None:
+        arguments = [sys.executable, "-m", "badgerseam", "serve", "--config", str(self._settings)]
+        if self._options is not None:
+            arguments += ["--options", str(self._options)]
+        paths = [str(Path(__file__).resolve().parents[2]), os.environ.get("PYTHONPATH", "")]
+        environment = os.environ | {"PYTHONPATH": os.pathsep.join(filter(None, paths))}
+        environment.setdefault("LOG_LEVEL", "info")
+        with self.log_path.open("ab") as output:
+            self._process = subprocess.Popen(
+                arguments,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                env=environment,
+                process_group=0,
+                preexec_fn=_die_with_parent,
+            )
+        self.starts += 1
+        self._started_at = self._clock.now()
+        self.state = "running"
+
+    def _signal(self, number: int) -> bool:
+        if self._process is None or self._process.poll() is not None:
+            return False
+        self._process.send_signal(number)
+        return True
+
+    def kill(self) -> bool:
+        """End it without a warning; it comes back by itself. False if it is not running."""
+        self._expected = True
+        if self._signal(signal.SIGKILL):
+            return True
+        self._expected = False
+        return False
+
+    def hang(self) -> bool:
+        """Stop it in its tracks; its connections stay open."""
+        if self._signal(signal.SIGSTOP):
+            self.state = "hung"
+            return True
+        return False
+
+    def go_on(self) -> bool:
+        """Let a hung one go on."""
+        if self._signal(signal.SIGCONT):
+            self.state = "running"
+            return True
+        return False
+
+    async def stop(self) -> None:
+        """End it for good."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+        process, self._process = self._process, None
+        self.state = "stopped"
+        if process is None or process.poll() is not None:
+            return
+        process.send_signal(signal.SIGCONT)
+        process.terminate()
+        until = self._clock.now() + END_S
+        while process.poll() is None and self._clock.now() < until:
+            await asyncio.sleep(0.02)
+        if process.poll() is None:
+            process.kill()
+        process.wait()
--- /dev/null
+++ b/badgerseam/lab/experiment.py
@@ -0,0 +1,111 @@
+"""Experiments: a file of load and faults, played on a lab and judged."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+from badgerseam.lab.faults import Breaker, Fault
+from badgerseam.lab.lab import Lab, LabError
+from badgerseam.lab.report import Report, summarize
+from badgerseam.lab.site import Site
+from badgerseam.settings import SettingsError
+
+SAMPLE_S = 1.0
+
+
+class Step(Struct, frozen=True, forbid_unknown_fields=True):
+    """A fault at a time."""
+
+    at: Annotated[float, Meta(ge=0, description="seconds after the load began")]
+    fault: Fault
+
+
+class Experiment(Struct, frozen=True, forbid_unknown_fields=True):
+    """What is played."""
+
+    seconds: Annotated[float, Meta(gt=0, description="how long users submit jobs")] = 60.0
+    settle_s: Annotated[
+        float, Meta(ge=0, description="how long the last jobs have afterwards, at most")
+    ] = 60.0
+    load: Annotated[float, Meta(ge=0, description="times the site's rates")] = 1.0
+    seed: int = 1
+    questions_per_s: Annotated[
+        float, Meta(ge=0, description="how often users ask why a job waits")
+    ] = 0.0
+    site: Site | None = None
+    steps: list[Step] = field(default_factory=list)
+
+
+def load_experiment(path: str) -> Experiment:
+    """Read and check an experiment."""
+    try:
+        return msgspec.json.decode(Path(path).read_bytes(), type=Experiment)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+
+
+class Sample(Struct, frozen=True):
+    """The lab at one moment."""
+
+    t: float
+    machines: int
+    running: int
+    waiting: int
+    healthy: int
+
+
+async def play(lab: Lab, experiment: Experiment, told: Callable[[float, str], None]) -> Report:
+    """Play an experiment on a lab that has been started; `told` hears of the progress (0 to 1)."""
+    from badgerseam.lab.questions import Asker
+
+    await lab.ready()
+    breaker = Breaker(lab)
+    samples: list[Sample] = []
+    lab.begin_load(experiment.load)
+    begun = lab.history.now()
+    whole = experiment.seconds + experiment.settle_s
+    steps = sorted(experiment.steps, key=lambda step: step.at)
+    asker = Asker(lab, experiment.questions_per_s)
+    asker.start()
+    try:
+        while (passed := lab.history.now() - begun) < experiment.seconds:
+            while steps and steps[0].at <= passed:
+                step = steps.pop(0)
+                try:
+                    told(passed / whole, breaker.apply(step.fault))
+                except LabError as error:
+                    told(passed / whole, f"left out: {error}")
+            _sample(lab, samples)
+            told(passed / whole, "")
+            await asyncio.sleep(0.1)
+        assert lab.load is not None
+        lab.load.stop_arrivals()
+        breaker.mend_all()
+        until = lab.history.now() + experiment.settle_s
+        while lab.load.open and lab.history.now() < until:
+            _sample(lab, samples)
+            told(min(1.0, (lab.history.now() - begun) / whole), "")
+            await asyncio.sleep(0.1)
+    finally:
+        asker.stop()
+    return summarize(lab, samples, asker)
+
+
+def _sample(lab: Lab, samples: list[Sample]) -> None:
+    t = lab.history.now()
+    if samples and t - samples[-1].t < SAMPLE_S:
+        return
+    running = waiting = 0
+    for machine in lab.machines.values():
+        counts = machine.core.inspect()
+        running += counts.get("running", 0) + counts.get("saving", 0)
+        waiting += counts.get("fetching", 0)
+    samples.append(Sample(round(t, 2), len(lab.machines), running, waiting, len(lab.front.healthy)))
--- /dev/null
+++ b/badgerseam/lab/front.py
@@ -0,0 +1,156 @@
+"""The load balancer of a lab: one address for users, and the history of what they were told.
+
+It chooses a healthy node for each request (the users' own works by connections), and knows what was
+submitted: workers fetch jobs' descriptions from here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+import msgspec
+
+from badgerseam.http.client import Client, NoResponse, NotSent
+from badgerseam.http.server import Reply, Server, error_reply
+from badgerseam.lab.history import History
+from badgerseam.lab.worker import Description
+from badgerseam.model.resources import Resources
+from badgerseam.wire import users as wire
+
+PROBE_S = 1.0
+TRIES = 3
+RESPONSE_S = 6.0
+
+
+@dataclass(slots=True)
+class Truth:
+    """What a job really does, whatever its owner believes."""
+
+    run_s: float | None = None
+    """None: what the owner guessed."""
+    broken: bool = False
+
+
+class Front:
+    """Forwards users' requests, and notes what they asked and were told."""
+
+    def __init__(self, nodes: dict[str, str], history: History) -> None:
+        self._nodes = nodes
+        self._history = history
+        self._http = Client(connect_s=0.5, keep=256)
+        self._failures = dict.fromkeys(nodes, 2)
+        self._turn = 0
+        self._specs: dict[str, wire.Submission] = {}
+        self.truths: dict[str, Truth] = {}
+        self._server: Server | None = None
+        self._probes: asyncio.Task[None] | None = None
+
+    def start(self, port: int) -> None:
+        self._server = Server(self._handle)
+        self._server.listen(f"127.0.0.1:{port}")
+        self._probes = asyncio.ensure_future(self._probe())
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.stop()
+        if self._probes is not None:
+            self._probes.cancel()
+
+    @property
+    def healthy(self) -> list[str]:
+        """The nodes that take requests."""
+        return [node for node, failures in self._failures.items() if failures < 2]
+
+    async def _probe(self) -> None:
+        async def once(node: str, address: str) -> None:
+            try:
+                ok = (await self._http.request(address, "GET", "/ready", None, 1.0)).status == 200
+            except NoResponse:
+                ok = False
+            self._failures[node] = 0 if ok else self._failures[node] + 1
+
+        while True:
+            await asyncio.gather(*(once(*item) for item in self._nodes.items()))
+            await asyncio.sleep(PROBE_S)
+
+    # ---- jobs ----
+
+    def describe(self, task: str) -> Description | None:
+        """What a worker fetches of a task's job."""
+        spec = self._specs.get(task.partition("/")[0])
+        if spec is None:
+            return None
+        truth = self.truths.get(spec.id) or Truth()
+        run_s = spec.estimate_s if truth.run_s is None else truth.run_s
+        return Description(
+            Resources(spec.cpus, spec.gpus, spec.memory_gb),
+            spec.image,
+            spec.image_gb,
+            float("inf") if spec.kind == "standing" else run_s,
+            spec.checkpoint_s,
+            spec.save_s,
+            truth.broken,
+        )
+
+    # ---- requests ----
+
+    async def _handle(self, method: str, uri: str, body: bytes) -> Reply:
+        path = uri.partition("?")[0]
+        if path == "/ready":
+            return Reply(200) if self.healthy else error_reply(503, "no node is ready", 1)
+        about, job = self._note_request(method, path, body)
+        asked = self._history.now()
+        reply = await self._forward(method, uri, body)
+        if about:
+            phase = ""
+            if reply.status in (200, 201):
+                phase = str(msgspec.json.decode(reply.body).get("phase", ""))
+            self._history.add(
+                "answer",
+                job=job,
+                about=about,
+                status=reply.status,
+                phase=phase,
+                asked=round(asked, 4),
+            )
+        return reply
+
+    def _note_request(self, method: str, path: str, body: bytes) -> tuple[str, str]:
+        """What the request is about, and whose job; empty for what users' rules don't cover."""
+        if path == "/submissions" and method == "POST":
+            try:
+                spec = wire.submission_decoder.decode(body)
+            except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+                return "", ""
+            self._specs.setdefault(spec.id, spec)
+            self._history.add("submit", job=spec.id, spec=msgspec.to_builtins(spec))
+            return "submit", spec.id
+        parts = path.strip("/").split("/")
+        if parts[0] != "submissions" or len(parts) < 2:
+            return "", ""
+        if len(parts) == 2 and method == "GET":
+            return "poll", parts[1]
+        if parts[2:] == ["abort"] and method == "POST":
+            self._history.add("abort", job=parts[1])
+            return "abort", parts[1]
+        return "", ""
+
+    async def _forward(self, method: str, uri: str, body: bytes) -> Reply:
+        names = self.healthy or sorted(self._nodes)
+        for _ in range(min(TRIES, len(names))):
+            node = names[self._turn % len(names)]
+            self._turn += 1
+            try:
+                response = await self._http.request(
+                    self._nodes[node], method, uri, body or None, RESPONSE_S
+                )
+            except NotSent:
+                continue
+            except NoResponse:
+                # It may have been executed: that is for the user to find out.
+                return error_reply(504, "no answer", 1)
+            retry = response.retry_after
+            after = int(retry) if retry is not None and retry.isdecimal() else None
+            return Reply(response.status, response.body, after)
+        return error_reply(503, "no node takes the request", 1)
--- /dev/null
+++ b/badgerseam/lab/history.py
@@ -0,0 +1,80 @@
+"""What happened in a lab: one event a line, in the order it happened."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import IO, Literal
+
+import msgspec
+from msgspec import Struct
+
+Kind = Literal[
+    "submit",  # a user sends a submission; spec
+    "answer",  # a user gets an answer: about, status, phase
+    "abort",  # a user asks for a cancellation
+    "machine",  # a machine is rented; its type, zone, kind
+    "gone",  # a machine and all on it is gone
+    "on",  # a task is on its machine, with its image
+    "off",  # it is not any more
+    "fault",  # something is broken on purpose, or mended
+    "note",
+]
+
+
+class Event(Struct, frozen=True, omit_defaults=True, rename="camel"):
+    """Times are in seconds since the lab began."""
+
+    t: float
+    kind: Kind
+    job: str = ""
+    """The job, or the task for `on` and `off`."""
+    machine: str = ""
+    attempt: int = 0
+    about: str = ""
+    """submit, poll or abort for `answer`; what is broken for `fault`."""
+    status: int = 0
+    """0: no response."""
+    phase: str = ""
+    asked: float = 0.0
+    """When the request was sent that this is the answer to."""
+    spec: dict[str, object] | None = None
+    type: str = ""
+    zone: str = ""
+    spot: bool = False
+    text: str = ""
+
+
+class History:
+    """Keeps events in memory, writes them to a file, and shows them to listeners."""
+
+    def __init__(self, now: Callable[[], float], path: Path | None = None) -> None:
+        self._begun = now()
+        self._now = now
+        self._file: IO[bytes] | None = None if path is None else path.open("ab")
+        self.events: list[Event] = []
+
+    def now(self) -> float:
+        """Seconds since the lab began."""
+        return self._now() - self._begun
+
+    def add(self, kind: Kind, **fields: object) -> None:
+        """Note an event that happens now."""
+        event = msgspec.convert({"t": round(self.now(), 4), "kind": kind, **fields}, Event)
+        self.events.append(event)
+        if self._file is not None:
+            self._file.write(msgspec.json.encode(event) + b"\n")
+
+    def close(self) -> None:
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+
+
+def read_history(path: Path) -> Iterator[Event]:
+    """The events of a file; a last line that was cut off is left out."""
+    decoder: msgspec.json.Decoder[Event] = msgspec.json.Decoder(Event)
+    with path.open("rb") as lines:
+        for line in lines:
+            if line.endswith(b"\n"):
+                yield decoder.decode(line)
--- /dev/null
+++ b/badgerseam/lab/links.py
@@ -0,0 +1,121 @@
+"""Links between the parts of a site, to be cut, slowed and refused on purpose."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Literal
+
+from badgerseam.http.server import Reply, error_reply
+
+Trouble = Literal["cut", "refused", "lossy", "slow"]
+SLOW_S = 0.8
+LOSSY = 0.3
+"""Part of the requests of a lossy link whose answer is lost; half of them are never executed."""
+
+
+@dataclass(slots=True)
+class _Broken:
+    trouble: Trouble
+    healed: asyncio.Event
+
+
+class Links:
+    """What is broken now, by the two ends of a link."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._broken: dict[tuple[str, str], _Broken] = {}
+
+    def break_(self, source: str, target: str, trouble: Trouble) -> None:
+        """Break a link in one direction of asking."""
+        self.heal(source, target)
+        self._broken[source, target] = _Broken(trouble, asyncio.Event())
+
+    def heal(self, source: str, target: str) -> None:
+        """Mend a link: what it held back goes on."""
+        broken = self._broken.pop((source, target), None)
+        if broken is not None:
+            broken.healed.set()
+
+    def trouble(self, source: str, target: str) -> Trouble | None:
+        broken = self._broken.get((source, target))
+        return None if broken is None else broken.trouble
+
+    def open(self) -> list[tuple[str, str, Trouble]]:
+        """All that is broken."""
+        return [(a, b, broken.trouble) for (a, b), broken in sorted(self._broken.items())]
+
+    async def passed(self, source: str, target: str) -> None:
+        """Return when nothing holds packets back."""
+        while (broken := self._broken.get((source, target))) and broken.trouble == "cut":
+            await broken.healed.wait()
+
+    async def request(
+        self, source: str, target: str, execute: Callable[[], Awaitable[Reply] | Reply]
+    ) -> Reply:
+        """Execute a request that came over a link, as late as the link brings it."""
+        broken = self._broken.get((source, target))
+        if broken is None:
+            return await _done(execute())
+        if broken.trouble == "refused":
+            return error_reply(503, "trouble")
+        if broken.trouble == "slow":
+            await asyncio.sleep(SLOW_S * self._random.random())
+            return await _done(execute())
+        if broken.trouble == "cut":
+            await self.passed(source, target)
+            return await _done(execute())
+        if self._random.random() < LOSSY:
+            if self._random.random() < 0.5:
+                await _done(execute())
+            # No answer ever comes; the other side gives up long before.
+            await broken.healed.wait()
+            return error_reply(503, "lost")
+        return await _done(execute())
+
+
+async def _done(outcome: Awaitable[Reply] | Reply) -> Reply:
+    return outcome if isinstance(outcome, Reply) else await outcome
+
+
+class Relay:
+    """Forwards one controller's connections to another's peer address, until the link is cut."""
+
+    def __init__(self, links: Links, source: str, target: str, port: int) -> None:
+        self._links = links
+        self._ends = source, target
+        self._port = port
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, port: int) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            await self._links.passed(*self._ends)
+            there, back = await asyncio.open_connection("127.0.0.1", self._port)
+            try:
+                await asyncio.gather(
+                    self._pump(reader, back, self._ends), self._pump(there, writer, self._ends)
+                )
+            finally:
+                back.close()
+        writer.close()
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, ends: tuple[str, str]
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                await self._links.passed(*ends)
+                writer.write(data)
+                await writer.drain()
+        writer.close()
--- /dev/null
+++ b/badgerseam/lab/load.py
@@ -0,0 +1,169 @@
+"""Users of a lab: they submit jobs of the site's classes, poll, and cancel some."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from badgerseam.http.client import Client, NoResponse
+from badgerseam.lab.front import Front, Truth
+from badgerseam.lab.site import JobClass
+from badgerseam.wire import users as wire
+
+PATIENCE_S = 60.0
+POLL_S = 2.0
+SIGMA = 0.25
+"""Of the lognormal run times within a class."""
+
+
+def make_job(job_class: JobClass, number: int, random: Random) -> tuple[wire.Submission, Truth]:
+    """A job of a class, as its owner describes it, and what it really does."""
+    low, high = job_class.tasks
+    run_s = job_class.run_s * random.lognormvariate(-(SIGMA**2) / 2, SIGMA)
+    guess_s = run_s * random.lognormvariate(0.0, job_class.guess_error)
+    service = job_class.shape == "standing"
+    spec = wire.Submission(
+        id=f"job-{number:06d}",
+        job_class=job_class.name,
+        team=random.choice(job_class.teams),
+        kind=job_class.shape,
+        priority=job_class.rank,
+        tasks=random.randint(low, high),
+        cpus=job_class.cpus,
+        gpus=0.0,
+        memory_gb=job_class.memory_gb,
+        image=job_class.image,
+        image_gb=job_class.image_gb,
+        one_zone=job_class.one_zone,
+        spread=job_class.scatter,
+        spot=job_class.spot,
+        estimate_s=0.0 if service else round(guess_s, 2),
+        checkpoint_s=job_class.checkpoint_s,
+        save_s=job_class.save_s,
+        types=job_class.types,
+        zone=job_class.zone,
+        deadline_s=None
+        if job_class.due_times is None
+        else round(max(5.0, guess_s * job_class.due_times), 1),
+    )
+    return spec, Truth(run_s, random.random() < job_class.broken)
+
+
+class Load:
+    """Drives users until it is stopped."""
+
+    def __init__(
+        self,
+        front: Front,
+        address: str,
+        classes: list[JobClass],
+        random: Random,
+        numbers: Callable[[], int],
+        factor: float = 1.0,
+    ) -> None:
+        self._front = front
+        self._address = address
+        self._classes = classes
+        self._random = random
+        self._numbers = numbers
+        self.factor = factor
+        self._http = Client(keep=128)
+        self._users: set[asyncio.Task[None]] = set()
+        self._sources: list[asyncio.Task[None]] = []
+        self.submitted = self.accepted = self.ended = self.given_up = 0
+
+    def start(self) -> None:
+        """Begin to submit."""
+        for job_class in self._classes:
+            for _ in range(job_class.at_start):
+                self._user(job_class)
+            self._sources.append(asyncio.ensure_future(self._arrive(job_class)))
+
+    def stop_arrivals(self) -> None:
+        """No more jobs; those that were submitted go on."""
+        for source in self._sources:
+            source.cancel()
+        self._sources.clear()
+
+    def stop(self) -> None:
+        """Users go away."""
+        self.stop_arrivals()
+        for user in self._users:
+            user.cancel()
+
+    @property
+    def open(self) -> int:
+        """Users whose job has not ended."""
+        return len(self._users)
+
+    async def _arrive(self, job_class: JobClass) -> None:
+        while True:
+            rate = job_class.per_minute * self.factor / 60
+            # Looked at once a second at least, so that a changed factor is felt.
+            pause = self._random.expovariate(rate) if rate > 0 else math.inf
+            await asyncio.sleep(min(pause, 1.0))
+            if pause <= 1.0:
+                self._user(job_class)
+
+    def _user(self, job_class: JobClass) -> None:
+        task = asyncio.ensure_future(self._live(job_class))
+        self._users.add(task)
+        task.add_done_callback(self._users.discard)
+
+    async def _live(self, job_class: JobClass) -> None:
+        spec, truth = make_job(job_class, self._numbers(), self._random)
+        self._front.truths[spec.id] = truth
+        self.submitted += 1
+        if not await self._insist("/submissions", msgspec.json.encode(spec), (200, 201)):
+            self.given_up += 1
+            return
+        self.accepted += 1
+        cancel_at = math.inf
+        if job_class.life_s is not None:
+            cancel_at = job_class.life_s * self._random.uniform(0.5, 1.5)
+        elif self._random.random() < job_class.cancelled:
+            cancel_at = job_class.run_s * self._random.uniform(0.2, 1.5)
+        waited = 0.0
+        while True:
+            pause = POLL_S * self._random.uniform(0.8, 1.2)
+            await asyncio.sleep(min(pause, max(0.05, cancel_at - waited)))
+            waited += pause
+            if waited >= cancel_at:
+                cancel_at = math.inf
+                await self._insist(f"/submissions/{spec.id}/abort", b"{}", (200,))
+            if await self._poll(spec.id) in ("done", "withdrawn"):
+                self.ended += 1
+                return
+
+    async def _poll(self, job: str) -> str:
+        try:
+            response = await self._http.request(
+                self._address, "GET", f"/submissions/{job}", None, 2.0
+            )
+        except NoResponse:
+            return ""
+        return str(json.loads(response.body).get("phase")) if response.status == 200 else ""
+
+    async def _insist(self, path: str, body: bytes, good: tuple[int, ...]) -> bool:
+        """Repeat a request as the protocol says; whether it was granted in time."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + PATIENCE_S
+        while loop.time() < until:
+            pause = 1.0
+            try:
+                response = await self._http.request(self._address, "POST", path, body, 5.0)
+                if response.status in good:
+                    return True
+                if response.status in (400, 404, 422):
+                    return False
+                if response.retry_after is not None and response.retry_after.isdecimal():
+                    pause = min(max(pause, float(response.retry_after)), 30.0)
+            except NoResponse:
+                pause = 1.0
+            await asyncio.sleep(pause * self._random.uniform(1.0, 1.2))
+        return False
--- /dev/null
+++ b/badgerseam/lab/questions.py
@@ -0,0 +1,70 @@
+"""Users of a lab who ask, again and again, why jobs wait."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from hdrh.histogram import HdrHistogram
+
+from badgerseam.http.client import Client, NoResponse
+from badgerseam.wire import explain
+
+if TYPE_CHECKING:
+    from badgerseam.lab.lab import Lab
+
+MOST_IN_FLIGHT = 400
+
+
+class Asker:
+    """Asks about open jobs at a rate, and keeps what came of it."""
+
+    def __init__(self, lab: Lab, per_s: float) -> None:
+        self._lab = lab
+        self._per_s = per_s
+        self._http = Client(keep=128)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._loop: asyncio.Task[None] | None = None
+        self.statuses: Counter[int] = Counter()
+        self.codes: Counter[str] = Counter()
+        """Binding reasons seen."""
+        self.times = HdrHistogram(1, 10_000_000, 3)
+        """Of answers, in microseconds."""
+
+    def start(self) -> None:
+        if self._per_s > 0:
+            self._loop = asyncio.ensure_future(self._ask())
+
+    def stop(self) -> None:
+        for task in [self._loop, *self._tasks]:
+            if task is not None:
+                task.cancel()
+
+    async def _ask(self) -> None:
+        lab = self._lab
+        due = 0.0
+        while True:
+            await asyncio.sleep(0.02)
+            due = min(due + 0.02 * self._per_s, self._per_s)
+            jobs = list(lab.front.truths)[-200:]
+            while due >= 1 and jobs and len(self._tasks) < MOST_IN_FLIGHT:
+                due -= 1
+                task = asyncio.ensure_future(self._one(lab.random.choice(jobs)))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    async def _one(self, job: str) -> None:
+        clock = self._lab.clock
+        address = self._lab.random.choice(list(self._lab.addresses.values()))
+        begun = clock.now()
+        try:
+            path = f"/submissions/{job}/why"
+            response = await self._http.request(address, "GET", path, None, 2.0)
+        except NoResponse:
+            self.statuses[0] += 1
+            return
+        self.statuses[response.status] += 1
+        if response.status == 200:
+            self.times.record_value(max(1, round((clock.now() - begun) * 1e6)))
+            self.codes.update(explain.why_decoder.decode(response.body).binding)
--- /dev/null
+++ b/badgerseam/lab/site.py
@@ -0,0 +1,201 @@
+"""A site of the lab: operators' JSON with a schema, and the settings made from it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+import tomli_w
+from msgspec import Meta, Struct, field
+
+from badgerseam.settings import (
+    CloudParams,
+    MachineLimits,
+    Objective,
+    Outside,
+    Params,
+    Settings,
+    SettingsError,
+    Sibling,
+    StateParams,
+    Team,
+    WorkerParams,
+)
+from badgerseam.wire.cloud import MachineType
+
+Part = Annotated[float, Meta(ge=0, le=1)]
+Positive = Annotated[float, Meta(gt=0)]
+Name = Annotated[str, Meta(pattern=r"^[a-z][a-z0-9-]{0,30}$")]
+
+
+class JobClass(Struct, frozen=True, forbid_unknown_fields=True):
+    """Jobs that the load tool makes. Times are in seconds."""
+
+    name: Name
+    teams: Annotated[list[Name], Meta(min_length=1)]
+    shape: Literal["sweep", "standing"] = "sweep"
+    rank: Literal["production", "high", "standard", "best_effort"] = "standard"
+    per_minute: Annotated[float, Meta(ge=0, description="jobs a minute, Poisson")] = 6.0
+    at_start: Annotated[int, Meta(ge=0)] = 0
+    tasks: Annotated[list[int], Meta(min_length=2, max_length=2)] = field(
+        default_factory=lambda: [1, 6]
+    )
+    cpus: Positive = 2.0
+    memory_gb: Positive = 4.0
+    image: str = "img-1"
+    image_gb: Annotated[float, Meta(ge=0)] = 0.4
+    run_s: Annotated[float, Meta(gt=0, description="mean of a lognormal run time")] = 8.0
+    guess_error: Annotated[
+        float, Meta(ge=0, le=2, description="sigma of the owner's lognormal error")
+    ] = 0.3
+    checkpoint_s: Annotated[float, Meta(ge=0)] = 0.0
+    save_s: Annotated[float, Meta(ge=0)] = 0.0
+    due_times: (
+        Annotated[float, Meta(gt=0, description="deadline, as a multiple of the estimate")] | None
+    ) = None
+    spot: bool = True
+    scatter: bool = False
+    one_zone: bool = False
+    zone: str | None = None
+    types: list[str] | None = None
+    cancelled: Annotated[Part, Meta(description="part of the jobs that are cancelled")] = 0.0
+    broken: Annotated[Part, Meta(description="part submitted with a mistake")] = 0.0
+    life_s: Annotated[float, Meta(gt=0, description="services: until cancelled")] | None = None
+
+
+class Site(Struct, frozen=True, forbid_unknown_fields=True):
+    """Everything a lab is made of."""
+
+    zones: Annotated[list[Name], Meta(min_length=1)] = field(default_factory=lambda: ["a", "b"])
+    controllers: Annotated[int, Meta(ge=1, le=9)] = 3
+    shares: Annotated[int, Meta(ge=1)] = 3
+    teams: Annotated[list[Team], Meta(min_length=1)] = field(
+        default_factory=lambda: [Team("blue", 16, 48), Team("red", 16, 48)]
+    )
+    types: Annotated[list[MachineType], Meta(min_length=1)] = field(
+        default_factory=lambda: [
+            MachineType("c8", 8, 32, 0.4, ["a", "b"], 0, 0.12, 3.0, 8.0, 0.8),
+        ]
+    )
+    capacity: Annotated[
+        int, Meta(ge=0, description="machines of each type, zone and kind (spot or not)")
+    ] = 8
+    never_up: Part = 0.0
+    workers: WorkerParams = WorkerParams(1.0, 8.0, 30.0)
+    state: StateParams = StateParams(300.0, 100.0, 16.0, 48)
+    cloud: CloudParams = CloudParams(8.0, 2.0)
+    sockets: Annotated[int, Meta(ge=32)] = 1024
+    objectives: list[Objective] = field(default_factory=list)
+    classes: list[JobClass] = field(
+        default_factory=lambda: [
+            JobClass("report", ["blue", "red"], checkpoint_s=4.0, due_times=6.0, cancelled=0.05),
+            JobClass("sign", ["red"], rank="high", per_minute=6.0, run_s=3.0, image="img-2"),
+            JobClass(
+                "portal",
+                ["blue"],
+                "standing",
+                "production",
+                0.5,
+                1,
+                [1, 2],
+                image="img-3",
+                scatter=True,
+                life_s=60.0,
+                spot=False,
+            ),
+        ]
+    )
+
+
+def load_site(path: str | None) -> Site:
+    """Read and check a site file; the lab's own small site if none is given."""
+    if path is None:
+        return Site()
+    try:
+        site: Site = msgspec.json.decode(Path(path).read_bytes(), type=Site)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    names = {team.name for team in site.teams}
+    types = {entry.name for entry in site.types}
+    for number, entry in enumerate(site.types):
+        unknown = sorted(set(entry.zones) - set(site.zones))
+        if unknown:
+            raise SettingsError(
+                f"{path}: types[{number}].setts: {', '.join(unknown)}: not among zones"
+            )
+    for number, job_class in enumerate(site.classes):
+        where = f"{path}: classes[{number}]"
+        for what, given, known in (
+            ("teams", set(job_class.teams), names),
+            ("types", set(job_class.types or ()), types),
+            ("zone", {job_class.zone} - {None}, set(site.zones)),
+        ):
+            if given - known:
+                listed = ", ".join(sorted(map(str, given - known)))
+                raise SettingsError(f"{where}.{what}: {listed}: the site has no such")
+        if not 1 <= job_class.tasks[0] <= job_class.tasks[1] <= 100_000:
+            raise SettingsError(f"{where}.tasks: two numbers from 1 to 100000, the lower first")
+    if site.workers.cancel_s <= site.workers.lease_s + 2 * site.workers.report_s + 4:
+        raise SettingsError(f"{path}: workers.cancel_s: must be well above lease_s")
+    return site
+
+
+def site_schema() -> dict[str, Any]:
+    """The JSON Schema of a site file."""
+    return msgspec.json.schema(Site)
+
+
+class Ports(Struct, frozen=True):
+    """Where a controller is, and where it finds the others; all on loopback."""
+
+    api: int
+    peer: int
+    state: int
+    cloud: int
+    relays: dict[str, int]
+    """By sibling: the relay that leads to its peer address."""
+
+
+def controller_settings(site: Site, ports: dict[str, Ports], node: str) -> Settings:
+    """What the platform would hand over to a controller."""
+    own = ports[node]
+    zone_of = {name: site.zones[i % len(site.zones)] for i, name in enumerate(sorted(ports))}
+    return Settings(
+        node,
+        zone_of[node],
+        f"127.0.0.1:{own.api}",
+        f"127.0.0.1:{own.peer}",
+        Outside(f"127.0.0.1:{own.cloud}", f"127.0.0.1:{own.state}"),
+        Params(
+            site.shares,
+            list(site.teams),
+            site.workers,
+            site.state,
+            site.cloud,
+            list(site.zones),
+            list(site.objectives),
+            1.0,
+            MachineLimits(site.sockets),
+        ),
+        [
+            Sibling(name, zone_of[name], f"127.0.0.1:{port}")
+            for name, port in sorted(own.relays.items())
+        ],
+    )
+
+
+def write_settings(settings: Settings, path: Path) -> None:
+    """Write a settings file as the platform does (TOML)."""
+    plain = _without_none(msgspec.to_builtins(settings))
+    path.write_text(tomli_w.dumps(plain))
+
+
+def _without_none(value: Any) -> Any:
+    if isinstance(value, dict):
+        return {key: _without_none(item) for key, item in value.items() if item is not None}
+    if isinstance(value, list):
+        return [_without_none(item) for item in value]
+    return value
--- a/badgerseam/lab/worker.py
+++ b/badgerseam/lab/worker.py
@@ -30,7 +30,7 @@
 Describe = Callable[[str], Description | None]
 """The description of a task's job, or None if the job was never submitted."""
 Watch = Callable[[str, str, str, int], None]
-"""Is told of (event, machine, task, attempt): on, run, off (it is on its machine from `on`)."""
+"""Is told of (event, machine, task, attempt): on, then off, or done if it has completed."""
 
 
 def unwatched(event: str, machine: str, task: str, attempt: int) -> None:
@@ -239,7 +239,8 @@
             self._results.done.add(held.task)
         if held.on:
             held.on = False
-            self._watch("off", self.who.name, held.task, held.attempt)
+            event = "done" if cause == "done" else "off"
+            self._watch(event, self.who.name, held.task, held.attempt)
         image = held.job.image
         if image in self._fetched and not any(
             h.phase == "fetching" and h.job.image == image for h in self.tasks.values()
@@ -250,11 +251,12 @@
         """Let the time since the last call pass; a hung machine's tasks do not see it."""
         now = self._clock.now()
         passed, self._at = now - self._at, now
-        if self.hung:
-            return
         if now - self._renewed > self._lease_s:
+            # A machine that hangs may go on within its lease, and not with its tasks after it.
             self.end_session()
             return
+        if self.hung:
+            return
         if self._fetched:
             each = passed * self._fetch_gb_per_s / len(self._fetched)
             for image in self._fetched:
