A demo from submission to end; victims, their cost and a slow state service are named

Need: a newcomer's first command, and two reasons that were not told: who leaves the room at what cost, and that the state service keeps a placement waiting.

--- a/badgerseam/cli/lab.py
+++ b/badgerseam/cli/lab.py
@@ -41,6 +41,7 @@
     up.add_argument("--load", type=float, help="begin with users, so many times the site's rates")
     up.add_argument("--seed", type=int, default=1)
     up.add_argument("--keep", action="store_true", help="keep logs and history afterwards")
+    demo = orders.add_parser("demo", help="a job from end to end on a site of its own")
     run = orders.add_parser("run", help="play an experiment and judge it")
     run.add_argument("experiment", help="the experiment (JSON; `lab schema --experiment`)")
     run.add_argument("--out", help="folder for the report (default: next to the experiment)")
@@ -63,7 +64,15 @@
     cost.add_argument("--seed", type=int, default=1)
     schema = orders.add_parser("schema", help="print the JSON Schema of a site file")
     schema.add_argument("--experiment", action="store_true", help="of an experiment instead")
-    for order in (up, run, status, load, fault, *(orders.choices[n] for n in ("mend", "check"))):
+    for order in (
+        up,
+        demo,
+        run,
+        status,
+        load,
+        fault,
+        *(orders.choices[n] for n in ("mend", "check")),
+    ):
         order.add_argument(
             "--dir", type=Path, default=default_directory(), help="the lab's files (%(default)s)"
         )
@@ -83,6 +92,8 @@
             return _cost(options)
         if options.order == "up":
             return asyncio.run(_up(options))
+        if options.order == "demo":
+            return asyncio.run(_demo(options))
         if options.order == "run":
             return asyncio.run(_experiment(options))
         return asyncio.run(_order(options))
@@ -137,7 +148,13 @@
     stop = asyncio.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    await lab.start()
+    try:
+        await lab.start()
+    except BaseException:
+        # Another lab's files are left alone; it holds the lock.
+        if lab.started:
+            _clean(options.dir)
+        raise
     control = ControlPort(lab, Breaker(lab))
     try:
         port = free_ports(1)[0]
@@ -177,6 +194,25 @@
     return EXIT_FAILED if breaches else EXIT_OK
 
 
+async def _demo(options: argparse.Namespace) -> int:
+    from badgerseam import logs
+    from badgerseam.clock import Clock
+    from badgerseam.lab.demo import demo
+    from badgerseam.lab.lab import Lab
+    from badgerseam.lab.site import Site
+
+    logs.configure("error")
+    options.dir.mkdir(parents=True, exist_ok=True)
+    lab = Lab(Site(), options.dir, Clock(), Random(1), 0, _options_file(options.dir))
+    try:
+        await lab.start()
+        await demo(lab, lambda text: print(f"{text}\n", flush=True))
+    finally:
+        await lab.stop()
+        _clean(options.dir)
+    return EXIT_OK
+
+
 def _clean(directory: Path) -> None:
     for pattern in ("*.log", "history.jsonl", "options.json", "lab.lock"):
         for path in directory.glob(pattern):
--- a/badgerseam/cli/render.py
+++ b/badgerseam/cli/render.py
@@ -8,14 +8,15 @@
 from badgerseam.wire.explain import QueueLine, Reason, Why
 
 STATES = {
-    "waiting": "wait for a machine",
-    "recording": "are being recorded",
-    "launching": "are being launched",
-    "fetching": "fetch their image",
-    "running": "run",
-    "stopping": "are being stopped",
-    "done": "are done",
+    "waiting": ("wait for a machine", "waits for a machine"),
+    "recording": ("are being recorded", "is being recorded"),
+    "launching": ("are being launched", "is being launched"),
+    "fetching": ("fetch their image", "fetches its image"),
+    "running": ("run", "runs"),
+    "stopping": ("are being stopped", "is being stopped"),
+    "done": ("are done", "is done"),
 }
+"""Of several tasks, and of one."""
 
 
 def width() -> int:
@@ -30,6 +31,11 @@
     return f"{seconds / 60:.0f} min" if seconds < 5400 else f"{seconds / 3600:.1f} h"
 
 
+def count(number: int, thing: str) -> str:
+    """Such as 1 job, 3 jobs."""
+    return f"{number} {thing}{'' if number == 1 else 's'}"
+
+
 def why_text(answer: Why) -> str:
     """An answer, the binding reasons marked with a star."""
     head = f"{answer.id}: {answer.phase}"
@@ -37,13 +43,16 @@
         head += f"  (says {answer.node}, {span(answer.age_s)} ago)"
     lines = [head]
     for group in answer.groups:
-        lines.append(f"  {group.tasks} tasks {STATES[group.state]}")
+        alone = group.tasks == 1
+        what = STATES[group.state][alone]
+        lines.append(f"  {count(group.tasks, 'task')} {what}")
         for reason in group.reasons:
             lines += _reason(reason)
     if answer.ahead is not None and answer.ahead.jobs:
         ahead = answer.ahead
         more = " ..." if ahead.jobs > len(ahead.first) else ""
-        text = f"Before it: {ahead.jobs} jobs with {ahead.tasks} tasks ({', '.join(ahead.first)}"
+        text = f"Before it: {count(ahead.jobs, 'job')} with {count(ahead.tasks, 'task')} "
+        text += f"({', '.join(ahead.first)}"
         lines += textwrap.wrap(
             f"{text}{more})", width(), initial_indent="  ", subsequent_indent="    "
         )
@@ -54,7 +63,7 @@
             first, last = span(spell.first_s), span(spell.last_s)
             lines.append(f"    {first} to {last} ago: {codes}")
     if answer.known_s is not None and answer.groups:
-        lines.append(f"  (Not known before: {span(answer.known_s)} ago.)")
+        lines.append(f"  (What was more than {span(answer.known_s)} ago is not known.)")
     return "\n".join(lines)
 
 
@@ -63,11 +72,12 @@
     if reason.since_s:
         facts.append(f"for {span(reason.since_s)} at least")
     if reason.expected_s is not None:
-        facts.append(f"expected to end in {span(reason.expected_s)}")
+        ends = f"expected to end in {span(reason.expected_s)}"
+        facts.append(ends if reason.expected_s > 0 else "expected to have ended by now")
     text = f"{reason.text} [{'; '.join(facts)}]"
     mark = "  * " if reason.binding else "  - "
     lines = textwrap.wrap(text, width(), initial_indent="  " + mark, subsequent_indent=" " * 6)
-    for label, value in (("who", ", ".join(reason.who)), ("changes", reason.change)):
+    for label, value in (("who", "; ".join(reason.who)), ("changes", reason.change)):
         if value:
             lines += textwrap.wrap(
                 f"{label}: {value}", width(), initial_indent=" " * 6, subsequent_indent=" " * 10
--- a/badgerseam/explain/explainer.py
+++ b/badgerseam/explain/explainer.py
@@ -98,7 +98,9 @@
 
     def _answer(self, share: Share, job: Job, survey: Survey) -> Why:
         now = self._clock.now()
-        context = Context(self._model, job, survey, survey.supply, now)
+        context = Context(
+            self._model, job, survey, survey.supply, now, now - self._member.confirmed_at
+        )
         found = groups(context)
         if now - survey.at < LOOK_S:
             self.history.observe(job.id, [r.code for g in found for r in g.reasons], now)
--- a/badgerseam/explain/reasons.py
+++ b/badgerseam/explain/reasons.py
@@ -16,6 +16,8 @@
 
 RANK_NAMES = {number: name for name, number in RANKS.items()}
 MOST_NAMED = 5
+SLOW_S = 2.0
+"""The state service is asked several times a second."""
 
 CODES: dict[Bar, Code] = {
     Bar.TYPE: "machine_type",
@@ -39,6 +41,8 @@
     survey: Survey
     supply: Supply
     now: float
+    state_age_s: float
+    """Since the state service last confirmed our lease."""
 
 
 def amount(room: Resources) -> str:
@@ -252,7 +256,7 @@
 ) -> tuple[str, str, list[str]]:
     model, request = context.model, finding.request
     who = [
-        f"{model.teams[h.team].name}: {h.tasks} tasks of {RANK_NAMES[h.rank]}, {amount(h.room)}"
+        f"{model.teams[h.team].name}: {_tasks(h.tasks)} of {RANK_NAMES[h.rank]}, {amount(h.room)}"
         for h in barred.holders[:MOST_NAMED]
     ]
     team = model.teams[request.team]
@@ -274,6 +278,10 @@
     return text, change + ".", who
 
 
+def _tasks(number: int) -> str:
+    return "1 task" if number == 1 else f"{number} tasks"
+
+
 # ---- tasks that have one ----
 
 
@@ -308,7 +316,12 @@
     who = names[:MOST_NAMED]
     where = f"on {', '.join(who)}{' and others' if len(names) > MOST_NAMED else ''}"
     if code == "recording":
-        text = f"Placed {where}; launched as soon as that is durable in the state service."
+        text = f"Placed {where}; launched as soon as that is durable in the state service"
+        text += (
+            f", which has not answered for {context.state_age_s:.1f} s."
+            if context.state_age_s > SLOW_S
+            else "."
+        )
         change = "The state service takes the write; it is slow, or its changes a second are used."
     elif code == "fetching":
         spec = job.spec
@@ -325,7 +338,16 @@
         leaving = [o for a in attempts for o in a.machine.attempts.values() if o.stopping]
         who = sorted({other.name for other in leaving})[:MOST_NAMED]
         grace = max((other.grace_s for other in leaving), default=0.0)
-        text = f"Its room {where} is being left by {len(leaving)} tasks that were stopped."
+        text = f"Its room {where} is being left by {_tasks(len(leaving))} that were stopped"
+        costs = [other.cost for other in leaving if other.cost is not None]
+        if costs:
+            spared = sum(
+                other.job.rank < job.rank and not other.stopping
+                for attempt in attempts
+                for other in attempt.machine.attempts.values()
+            )
+            text += f" for it at a cost of {max(costs):.3f}; {_tasks(spared)} of lower rank spared"
+        text += "."
         change = "They have saved and exited."
         expected = round(grace, 1)
     elif code == "worker_silent":
--- a/badgerseam/lab/control.py
+++ b/badgerseam/lab/control.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from badgerseam.http.server import Reply, Server, error_reply
-from badgerseam.lab.faults import Breaker, fault_decoder
+from badgerseam.lab.faults import DEEDS, Breaker, fault_decoder
 from badgerseam.lab.lab import Lab, LabError
 
 
@@ -39,7 +39,7 @@
             if method == "GET" and uri == "/check":
                 return _json([str(breach) for breach in self._lab.breaches()])
             if method == "POST" and uri == "/fault":
-                return _json(self._breaker.apply(fault_decoder.decode(body)))
+                return self._fault(body)
             if method == "POST" and uri == "/mend":
                 return _json(self._breaker.mend_all())
             if method == "POST" and uri == "/load":
@@ -49,6 +49,13 @@
             return Reply(400, msgspec.json.encode({"error": str(error)}))
         return error_reply(404, "no such order")
 
+    def _fault(self, body: bytes) -> Reply:
+        try:
+            fault = fault_decoder.decode(body)
+        except msgspec.DecodeError as error:
+            raise LabError(f"{error}; there are: {', '.join(DEEDS)}") from error
+        return _json(self._breaker.apply(fault))
+
 
 def _json(value: object) -> Reply:
     return Reply(200, msgspec.json.encode(value))
--- a/badgerseam/lab/lab.py
+++ b/badgerseam/lab/lab.py
@@ -86,6 +86,8 @@
         self._relays: list[Relay] = []
         self._drive: asyncio.Task[None] | None = None
         self._lock: IO[str] | None = None
+        self.started = False
+        """The directory is this lab's own."""
         self._numbers = itertools.count(1)
         self.history: History
         self.front: Front
@@ -118,6 +120,7 @@
                 f"a lab runs in {self.directory} already{where}: end it, or give another --dir"
             ) from error
         self._lock = lock
+        self.started = True
 
     async def _start_parts(self) -> None:
         ports = self._ports()
--- a/badgerseam/model/job.py
+++ b/badgerseam/model/job.py
@@ -55,6 +55,8 @@
     stopping: bool = False
     grace_s: float = 0.0
     stop_sent: bool = False
+    cost: float | None = None
+    """Of all that was evicted with it on its machine, if it is being evicted."""
     planned_at: float = 0.0
     started_at: float = 0.0
     finishing: bool = False
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -223,6 +223,7 @@
             assert job is not None
             attempt = job.attempts[stop.key[1]]
             self.stop(attempt, stop.wait_s)
+            attempt.cost = stop.cost
             attempt.machine.evictions.append(now)
             log.debug("evicting %s at cost %.4f", attempt.name, stop.cost)
             share.evicted += 1
--- a/badgerseam/settings.py
+++ b/badgerseam/settings.py
@@ -116,7 +116,7 @@
     gap_s: Annotated[
         float,
         Meta(gt=0, description="looks further apart than this do not count as one spell"),
-    ] = 10.0
+    ] = 4.0
     most_jobs: Annotated[int, Meta(ge=1, description="jobs whose transitions are kept")] = 2000
     most_transitions: Annotated[int, Meta(ge=2, description="transitions kept of each")] = 16
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -338,6 +338,41 @@
     assert "no_capacity" in codes(rig.why(rig.job(job_id="job-000002", sett="a")))
 
 
+def test_victims_their_cost_and_what_was_spared_are_told() -> None:
+    rig = site()
+    rig.up()
+    low = rig.job(job_id="job-000050", pieces=4, snapshotS=5.0, stashS=2.0)
+    rig.plan()
+    rig.model.shares[0].planned.clear()
+    for attempt in low.attempts.values():
+        attempt.stage, attempt.started_at = Stage.RUNNING, rig.clock.now()
+        attempt.machine.node = None
+    high = rig.job(pieces=1, rank="high")
+    rig.plan()
+    high.attempts[0].stage = Stage.PLACED
+    [group] = rig.why(high).groups
+    assert group.reasons[0].code == "victims_leaving"
+    assert "cost of 1.000" in group.reasons[0].text and "3 tasks of lower" in group.reasons[0].text
+
+
+def test_a_state_service_that_does_not_answer_is_told_of_a_placement_that_waits_for_it() -> None:
+    rig = site()
+    job = _recording(rig)
+    assert "not answered" not in rig.why(job).groups[0].reasons[0].text
+    rig.member.confirmed_at = rig.clock.now() - 3.0
+    assert "not answered for 3." in rig.why(job).groups[0].reasons[0].text
+
+
+def test_who_borrows_is_told_to_a_team_within_its_guarantee() -> None:
+    # HP work is never evicted for a guarantee: the claim is named, and who has the room.
+    rig = site()
+    rig.up()
+    rig.fill(owner="blue", rank="production", shape="standing", guessS=0.0)
+    [reason] = [r for r in rig.why(rig.job(owner="red")).groups[0].reasons if r.binding]
+    assert reason.who == ["blue: 1 task of production, 8 CPUs, 4 GB"]
+    assert "within its guarantee" in reason.text
+
+
 def test_two_reasons_at_once_are_both_given_the_binding_one_first() -> None:
     rig = site()
     rig.up("m-1", zone="a")
