Terms of batch jobs kept by the service: holds, begin times, throttles, dependencies, numbers

Need: people used to Slurm hold, delay, chain and number jobs, and a client that keeps such things loses them. Change: terms are part of the job's record and judged from records alone, so no controller's end loses one and the end of a job releases its dependants without a write; changes are conditional transactions, and one that would close a cycle is refused even when two controllers make half of it each; numbers come from blocks of 100 claimed with one write. An explanation names each.

--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from badgerseam.api.batch import MACHINES, NUMBERS, BatchApi
 from badgerseam.api.questions import Questions
 from badgerseam.cluster.member import Member
 from badgerseam.http.server import Reply, error_reply
@@ -18,6 +19,7 @@
 from badgerseam.model.resources import Resources
 from badgerseam.store.client import Refused, StateClient, Unavailable
 from badgerseam.store.ledger import Ledger
+from badgerseam.wire import batch as batch_wire
 from badgerseam.wire import explain
 from badgerseam.wire import users as wire
 from badgerseam.wire.state import Condition
@@ -30,6 +32,7 @@
 JOB_ID = re.compile(r"job-[0-9]{1,18}")
 ROOT = "/submissions"
 QUEUE = "/queue"
+TAKEN = "another job has this id"
 GATHER_S = 0.004
 RETRY_S = 1
 
@@ -96,9 +99,11 @@
         control: Control,
         alone: Callable[[], str | None],
         questions: Questions | None = None,
+        batch: BatchApi | None = None,
     ) -> None:
         self._model = model
         self._questions = questions
+        self._batch = batch
         self._alone = alone
         self._ledger = ledger
         self._member = member
@@ -137,6 +142,8 @@
             if not self._model.loaded:
                 return error_reply(503, "starting", RETRY_S)
             return await self._questions.queue(query)
+        if self._batch is not None and path.startswith((NUMBERS, MACHINES)):
+            return await self._batch_path(self._batch, method, path, body)
         if path == ROOT:
             if method != "POST":
                 return error_reply(405, "POST only")
@@ -153,10 +160,42 @@
             return await self._show(job_id) if method == "GET" else error_reply(405, "GET only")
         if action == "abort":
             return await self._abort(job_id) if method == "POST" else error_reply(405, "POST only")
+        if action in ("terms", "details") and self._batch is not None:
+            return await self._batch_job(self._batch, method, job_id, action, body)
         if action == "why" and self._questions is not None:
             return await self._why(job_id) if method == "GET" else error_reply(405, "GET only")
         return error_reply(404, "no such path")
 
+    # ---- batch clients ----
+
+    async def _batch_path(self, batch: BatchApi, method: str, path: str, body: bytes) -> Reply:
+        if not self._model.loaded:
+            return error_reply(503, "starting", RETRY_S)
+        if path == NUMBERS and method == "POST":
+            return await batch.take(body)
+        if path.startswith(NUMBERS + "/") and method == "GET":
+            return batch.find(path[len(NUMBERS) + 1 :])
+        if path == MACHINES and method == "GET":
+            return batch.machines()
+        return error_reply(404, "no such path, or another method")
+
+    async def _batch_job(
+        self, batch: BatchApi, method: str, job_id: str, action: str, body: bytes
+    ) -> Reply:
+        if action == "terms":
+            if method != "POST":
+                return error_reply(405, "POST only")
+            return await batch.amend(job_id, body)
+        if method != "GET":
+            return error_reply(405, "GET only")
+        found = await self._current(job_id, lambda job: job)
+        if isinstance(found, Reply):
+            return found
+        if isinstance(found, wire.JobStatus):
+            ended = batch_wire.Details(job_id, found.state, found.done or 0, found.done or 0)
+            return Reply(200, batch_wire.encode(ended))
+        return batch.details(found)
+
     # ---- submissions ----
 
     async def _submit(self, body: bytes) -> Reply:
@@ -172,7 +211,13 @@
                 return error_reply(503, "starting", RETRY_S)
             reason = None if known else self._hopeless(spec)
         if known:
-            return await self._show(spec.id)
+            return await self._again(spec)
+        if spec.terms is not None:
+            if self._batch is None:
+                # Left unheeded, a hold or a dependency would be broken.
+                reason = "terms: this site does not keep them (section batch of the options)"
+            else:
+                reason = reason or await self._batch.refusal(spec)
         if reason is not None:
             # A retry of a job that was accepted gets its state, whatever we think of it now.
             if await self._ledger.read(spec.id) is not None:
@@ -183,7 +228,15 @@
             with model.lock:
                 job = model.job(spec.id)
             if job is not None and not job.attempts and not job.finished:
+                if self._batch is not None and self._batch.collides(spec):
+                    return error_reply(409, TAKEN)
                 return _status(201, wire.JobStatus(spec.id, "pending"))
+        return await self._again(spec)
+
+    async def _again(self, spec: wire.Submission) -> Reply:
+        """The state of a job that is known, unless another one has its id."""
+        if self._batch is not None and self._batch.collides(spec):
+            return error_reply(409, TAKEN)
         return await self._show(spec.id)
 
     def _hopeless(self, spec: wire.Submission) -> str | None:
--- a/badgerseam/explain/explainer.py
+++ b/badgerseam/explain/explainer.py
@@ -48,6 +48,7 @@
         self._clock = model.clock
         self._options = options
         self._ask_owner = ask_owner
+        self._rules = planner.terms
         self.surveys = Surveys(
             model,
             planner,
@@ -99,7 +100,13 @@
     def _answer(self, share: Share, job: Job, survey: Survey) -> Why:
         now = self._clock.now()
         context = Context(
-            self._model, job, survey, survey.supply, now, now - self._member.confirmed_at
+            self._model,
+            job,
+            survey,
+            survey.supply,
+            now,
+            now - self._member.confirmed_at,
+            self._rules,
         )
         found = groups(context)
         if now - survey.at < LOOK_S:
--- a/badgerseam/explain/reasons.py
+++ b/badgerseam/explain/reasons.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from badgerseam.batch.terms import TermsRules
 from badgerseam.explain.supply import Supply, supply_reasons
 from badgerseam.explain.surveys import Survey
 from badgerseam.model.job import HIGH_RANK, RANKS, Attempt, Job, Stage
@@ -13,8 +14,18 @@
 from badgerseam.sched.diagnosis import Barred, Finding
 from badgerseam.sched.snapshot import slots_of
 from badgerseam.wire.explain import Ahead, Code, Group, Reason, State
+from badgerseam.wire.users import Terms
 
 RANK_NAMES = {number: name for name, number in RANKS.items()}
+TERMS: dict[str, Code] = {
+    "held": "held",
+    "begin_time": "begin_time",
+    "dependency": "dependency",
+    "dependency_never": "dependency_never",
+    "singleton": "singleton",
+    "throttle": "throttle",
+}
+"""What the terms' rules answer, as codes."""
 MOST_NAMED = 5
 SLOW_S = 2.0
 """The state service is asked several times a second."""
@@ -43,6 +54,7 @@
     now: float
     state_age_s: float
     """Since the state service last confirmed our lease."""
+    rules: TermsRules
 
 
 def amount(room: Resources) -> str:
@@ -94,6 +106,8 @@
     if held is not None:
         return [_held_back(context, held)]
     finding = context.survey.findings.get(context.job)
+    if finding is not None and finding.barred is None and _throttled(context, finding):
+        return [_term(context, "throttle")]
     if finding is None or finding.barred is None:
         return [
             Reason(
@@ -134,6 +148,8 @@
 
 def _held_back(context: Context, why: str) -> Reason:
     job = context.job
+    if why in TERMS:
+        return _term(context, why)
     if why == "backoff":
         machines = [context.model.machines.get(index) for index in sorted(job.shunned)]
         return Reason(
@@ -159,6 +175,46 @@
     return Reason("unsettled", "Where its tasks were is being read from the records.", binding=True)
 
 
+def _throttled(context: Context, finding: Finding) -> bool:
+    """Whether the rest of the tasks waits for the first ones that the plan places."""
+    terms = context.job.spec.terms
+    return (
+        terms is not None
+        and terms.throttle is not None
+        and context.job.waiting() > finding.request.count
+    )
+
+
+def _term(context: Context, why: str) -> Reason:
+    """A term of the job that holds its tasks back."""
+    job = context.job
+    terms = job.spec.terms or Terms()
+    who: list[str] = []
+    expected: float | None = None
+    if why == "held":
+        text, change = "It is held.", "It is released."
+    elif why == "begin_time":
+        left = max(0.0, (terms.begin_at or 0.0) - context.model.clock.wall())
+        expected = round(left, 1)
+        text, change = "Its begin time has not come.", "The time comes, or is changed."
+    elif why in ("dependency", "dependency_never"):
+        unmet = context.rules.unmet(job)
+        who = [f"{entry.kind}:{entry.job}" for entry in unmet][:MOST_NAMED]
+        some = "one" if terms.any else "all"
+        text = f"{len(unmet)} of its {len(terms.depends)} dependencies are not met; {some} must be."
+        change = "The jobs end as the dependencies want it."
+        if why == "dependency_never":
+            text = "A dependency can never be met: the job that it names has ended otherwise."
+            change = "The dependency is changed, or the job is cancelled."
+    elif why == "singleton":
+        text = f"An earlier job of the same team, user and name ({terms.name}) has not ended."
+        change = "The earlier ones end."
+    else:
+        text = f"No more than {terms.throttle} of its tasks may run at once."
+        change = "One of them ends, or the throttle is raised."
+    return Reason(TERMS[why], text, binding=True, expected_s=expected, change=change, who=who)
+
+
 def _bar_reason(context: Context, finding: Finding, barred: Barred, bar: Bar) -> Reason:
     text, change, who = _statement(context, finding, barred, bar)
     expected = None
--- a/badgerseam/model/job.py
+++ b/badgerseam/model/job.py
@@ -102,6 +102,8 @@
     """All tasks are done, but this is not durable yet."""
     errors: int = 0
     retry_at: float = 0.0
+    met: bool = False
+    """Its dependencies are met."""
     shunned: set[int] = field(default_factory=set)
     """Machines on which tasks of this job failed."""
     need: Resources = field(init=False)
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -167,6 +167,8 @@
     """Jobs whose tasks are all done, which is to be made durable."""
     unknown: dict[str, Report] = field(default_factory=dict)
     """Reports of machines without a record."""
+    named: dict[tuple[int, str, str], set[int]] = field(default_factory=dict)
+    """Open jobs with a name, by team, user and name."""
     gone: set[str] = field(default_factory=set)
     """Machines whose record was removed: a late report of theirs is no news."""
 
@@ -258,6 +260,12 @@
         if phase == Phase.OPEN:
             if job is None and stored.spec is not None:
                 self._open_job(job_id, stored, version)
+            elif job is not None and stored.spec is not None:
+                # Its terms have changed, and nothing else.
+                job.version = version
+                job.spec = stored.spec
+                job.met = False
+                self.kicks.add(job.share)
             return
         self.ended[job_id] = (phase, stored.tasks)
         if job is None and stored.spec is not None and self.loading:
@@ -304,6 +312,9 @@
             self.jobs[index] = job
         self.job_index[job_id] = index
         self.open_jobs[share][index] = job
+        key = name_key(job)
+        if key is not None:
+            self.named.setdefault(key, set()).add(index)
         self.kicks.add(share)
         age = max(0.0, self.clock.wall() - stored.at)
         self.arrivals.append(
@@ -587,6 +598,11 @@
         if job.attempts or self.jobs[job.index] is not job:
             return
         self.shares[job.share].bits_due.pop(job.index, None)
+        key = name_key(job)
+        if key is not None and key in self.named:
+            self.named[key].discard(job.index)
+            if not self.named[key]:
+                del self.named[key]
         self.jobs[job.index] = None
         self.free_jobs.append(job.index)
         del self.job_index[job.id]
@@ -653,6 +669,14 @@
         self.kicks.add(share.index)
 
 
+def name_key(job: Job) -> tuple[int, str, str] | None:
+    """Team, user and name of a job that has all of them."""
+    terms = job.spec.terms
+    if terms is None or terms.name is None or terms.user is None:
+        return None
+    return job.team, terms.user, terms.name
+
+
 def _held(value: msgspec.Raw | None, version: int) -> Held | None:
     return None if value is None else Held(msgspec.json.decode(value, type=wire.Claim), version)
 
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -8,8 +8,10 @@
 from random import Random
 from typing import cast
 
+from badgerseam.api.batch import BatchApi
 from badgerseam.api.questions import Questions
 from badgerseam.api.users import Api
+from badgerseam.batch.numbers import Numbers
 from badgerseam.clock import Clock
 from badgerseam.cluster.member import Member
 from badgerseam.cluster.peers import Peers
@@ -99,6 +101,10 @@
                 self.explainer.for_sibling,
                 lambda: self.fleet.view() if self.member.is_leader else None,
             )
+        batch: BatchApi | None = None
+        if tunables.batch is not None:
+            numbers = Numbers(self.model, self.state, self.committer)
+            batch = BatchApi(self.model, self.ledger, numbers, self.planner.terms, tunables.batch)
         self.api = Api(
             self.model,
             self.state,
@@ -107,6 +113,7 @@
             self.control,
             self.peers.alone,
             questions,
+            batch,
         )
         self._pulse_at: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -5,6 +5,7 @@
 import logging
 import math
 
+from badgerseam.batch.terms import TermsRules
 from badgerseam.clock import Clock
 from badgerseam.model.job import HIGH_RANK, Attempt, Job, Phase, Stage
 from badgerseam.model.machine import Machine
@@ -31,6 +32,7 @@
 
     def __init__(self, model: Model, tunables: Tunables) -> None:
         self._model = model
+        self.terms = TermsRules(model)
         self._clock: Clock = model.clock
         self._tunables = tunables
         self._waits: dict[str | None, float] = {}
@@ -167,12 +169,19 @@
             return None
         # One that fails wherever it runs: one task at a time tells when that changes.
         count = 1 if job.errors >= FAILING and not job.gang else job.waiting()
+        if job.spec.terms is not None:
+            most = self.terms.most(job)
+            count = count if most is None else min(count, most)
         return self.request(job, count)
 
     def held_back(self, job: Job, now: float) -> str | None:
         """Why no task of a job with waiting tasks is planned now; None if they are."""
         if job.phase != Phase.OPEN:
             return "ended"
+        if job.spec.terms is not None:
+            held = self.terms.held(job)
+            if held is not None:
+                return held
         if now < job.retry_at:
             return "backoff"
         if job.errors >= FAILING and job.attempts:
--- a/badgerseam/settings.py
+++ b/badgerseam/settings.py
@@ -121,6 +121,14 @@
     most_transitions: Annotated[int, Meta(ge=2, description="transitions kept of each")] = 16
 
 
+class BatchOptions(Struct, frozen=True, forbid_unknown_fields=True):
+    """Terms of batch jobs and job numbers, for Slurm-style commands, if this section is there."""
+
+    numbers_per_s: Annotated[
+        float, Meta(gt=0, le=1000, description="job numbers a controller hands out a second")
+    ] = 50.0
+
+
 class Tunables(Struct, frozen=True, forbid_unknown_fields=True):
     """Operators' own settings. Times are in seconds unless the name says otherwise."""
 
@@ -169,6 +177,11 @@
         ExplainOptions | None, Meta(description="why a job waits; answered if this is there")
     ] = None
 
+    batch: Annotated[
+        BatchOptions | None,
+        Meta(description="holds, begin times, throttles, dependencies, job numbers"),
+    ] = None
+
 
 def load_settings(path: str) -> Settings:
     """Read and check the settings file."""
--- a/badgerseam/store/ledger.py
+++ b/badgerseam/store/ledger.py
@@ -31,6 +31,10 @@
 READ_DEADLINE_S = 1.0
 
 
+Change = Callable[[Job], tuple[Submission, dict[str, int]]]
+"""A job's description with other terms, and conditions on other keys under which it holds."""
+
+
 class Ledger:
     """Writes jobs and tasks; the shares' part of it only for shares that are owned."""
 
@@ -105,6 +109,46 @@
             return Phase.WITHDRAWN
         raise Unavailable("the job keeps changing")
 
+    async def amend(self, job_id: str, change: Change) -> Job | Phase | None:
+        """Make changed terms of an open job durable: the job as it is then, or the phase of one
+        that has ended, or None if there is no such job.
+
+        `change` is asked again whenever the record, or one of those that it named as conditions,
+        has changed meanwhile; it must give the same for its own result.
+        """
+        model = self._model
+        key = job_key(job_id)
+        for _ in range(6):
+            with model.lock:
+                ended = model.ended.get(job_id)
+                job = model.job(job_id)
+                if ended is not None:
+                    return ended[0]
+                asked = None if job is None else change(job)
+            if job is None or asked is None:
+                if await self.read(job_id) is None:
+                    return None
+                continue
+            spec, also = asked
+            # A change that changes nothing is confirmed all the same: what we know may be old.
+            stored = wire.StoredJob("open", job.tasks, round(job.submitted, 3), spec)
+            value = wire.raw(stored)
+            writes = [] if spec == job.spec else [wire.Write(put=key, value=value)]
+            try:
+                revision = await self._committer.commit(
+                    Urgency.USER, also | {key: job.version}, writes, USER_DEADLINE_S
+                )
+            except Refused as refusal:
+                for name in refusal.failed:
+                    await self.read(name.rpartition("/")[2])
+                continue
+            if writes:
+                with model.lock:
+                    model.apply(key, value, revision)
+                self._changed()
+            return job
+        raise Unavailable("the job keeps changing")
+
     async def read(self, job_id: str) -> Phase | None:
         """A job's phase as the state service has it now; None only if it answers so."""
         entry = await self._state.get(job_key(job_id), READ_DEADLINE_S)
--- /dev/null
+++ b/badgerseam/wire/batch.py
@@ -0,0 +1,75 @@
+"""What batch clients ask beyond submissions: numbers, changed terms, a job whole, machines."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import UNSET, Meta, Struct, UnsetType, field
+
+from badgerseam.wire.users import Dependency, Submission
+
+
+class TakeNumbers(Struct, frozen=True, forbid_unknown_fields=True):
+    """How many numbers are wanted."""
+
+    count: Annotated[int, Meta(ge=1, le=100)] = 1
+
+
+class Taken(Struct, frozen=True):
+    numbers: list[int]
+
+
+class Found(Struct, frozen=True):
+    """The jobs that a number stands for."""
+
+    ids: list[str]
+
+
+class Amendment(Struct, frozen=True, forbid_unknown_fields=True, rename="camel"):
+    """Terms to change; what is left out stays. null takes a term away."""
+
+    hold: bool | UnsetType = UNSET
+    begin_at: Annotated[float, Meta(ge=0, le=1e11)] | None | UnsetType = UNSET
+    throttle: Annotated[int, Meta(ge=1, le=100_000)] | None | UnsetType = UNSET
+    depends: Annotated[list[Dependency], Meta(max_length=64)] | UnsetType = UNSET
+    any: bool | UnsetType = UNSET
+    comment: Annotated[str, Meta(min_length=1, max_length=200)] | None | UnsetType = UNSET
+
+
+class Details(Struct, frozen=True, omit_defaults=True, rename="camel"):
+    """A job whole. Of one that has ended only its end is kept."""
+
+    id: str
+    phase: str
+    tasks: int
+    done: int = 0
+    running: int = 0
+    waiting: int = 0
+    submitted_at: float | None = None
+    held_by: str | None = None
+    """The term that holds it back."""
+    spec: Submission | None = None
+
+
+class MachineRow(Struct, frozen=True, rename="camel"):
+    """Machines that are alike."""
+
+    type: str
+    zone: str
+    spot: bool
+    state: str
+    """allocated, mixed, idle, booting, drained"""
+    count: int
+    cpus: float
+    memory_gb: float
+    names: list[str] = field(default_factory=list)
+
+
+take_decoder: msgspec.json.Decoder[TakeNumbers] = msgspec.json.Decoder(TakeNumbers)
+amendment_decoder: msgspec.json.Decoder[Amendment] = msgspec.json.Decoder(Amendment)
+taken_decoder: msgspec.json.Decoder[Taken] = msgspec.json.Decoder(Taken)
+found_decoder: msgspec.json.Decoder[Found] = msgspec.json.Decoder(Found)
+details_decoder: msgspec.json.Decoder[Details] = msgspec.json.Decoder(Details)
+machines_decoder: msgspec.json.Decoder[list[MachineRow]] = msgspec.json.Decoder(list[MachineRow])
+encode = msgspec.json.Encoder().encode
--- a/badgerseam/wire/users.py
+++ b/badgerseam/wire/users.py
@@ -8,6 +8,7 @@
 from msgspec import Meta, Struct
 
 Amount = Annotated[float, Meta(ge=0, le=1e9)]
+Amount10 = Annotated[float, Meta(ge=0, le=1e11)]
 JobId = Annotated[str, Meta(pattern=r"\Ajob-[0-9]{1,18}\Z")]
 Text = Annotated[str, Meta(min_length=1, max_length=200)]
 
@@ -33,7 +34,42 @@
 }
 
 
-class Submission(Struct, frozen=True, rename=JOB_NAMES):
+DependencyKind = Literal["after", "afterany", "afterok", "afternotok"]
+
+
+class Dependency(Struct, frozen=True):
+    """What has to become of another job first: started (`after`), ended (`afterany`), done
+    (`afterok`), or cancelled (`afternotok`)."""
+
+    kind: DependencyKind
+    job: JobId
+
+
+class Terms(Struct, frozen=True, omit_defaults=True, rename="camel"):
+    """When a job may start, beyond what the scheduler decides; kept with the job."""
+
+    name: Text | None = None
+    user: Text | None = None
+    hold: bool = False
+    """Nothing more of it starts until it is released."""
+    begin_at: Amount10 | None = None
+    """Time of day (seconds since 1970) before which nothing of it starts."""
+    throttle: Annotated[int, Meta(ge=1, le=100_000)] | None = None
+    """Most tasks at once."""
+    depends: Annotated[list[Dependency], Meta(max_length=64)] = []
+    any: bool = False
+    """One of the dependencies is enough."""
+    singleton: bool = False
+    """Waits for the earlier jobs of the same team, user and name."""
+    first: Annotated[int, Meta(ge=0)] = 0
+    step: Annotated[int, Meta(ge=1)] = 1
+    """Of an array: what its task 0 is called, and the step from one to the next."""
+    nonce: Text | None = None
+    """Tells a repeated submission from another job under the same id."""
+    comment: Text | None = None
+
+
+class Submission(Struct, frozen=True, omit_defaults=True, rename=JOB_NAMES):
     """A job as its user describes it."""
 
     id: JobId
@@ -56,6 +92,7 @@
     types: list[Text] | None = None
     zone: Text | None = None
     deadline_s: Amount | None = None
+    terms: Terms | None = None
 
 
 class JobStatus(Struct, frozen=True, omit_defaults=True, rename={"state": "phase"}):
