--- a/badgerseam/api/questions.py
+++ b/badgerseam/api/questions.py
@@ -13,11 +13,13 @@
 from badgerseam.model.model import Model
 from badgerseam.settings import ExplainOptions
 from badgerseam.wire.explain import QueueLine, Why, encode
+from badgerseam.wire.users import Terms
 
 RETRY_S = 1
 MOST_LINES = 500
 LINES_A_QUESTION = 50
 """Lines of the list that count as one question."""
+NO_TERMS = Terms()
 NDJSON = "application/x-ndjson"
 FILTERS = ("after", "limit", "team", "class", "reasons", "waiting")
 
@@ -78,6 +80,7 @@
 
     def _line(self, job: Job, answer: Why | None) -> QueueLine:
         spec = job.spec
+        terms = spec.terms or NO_TERMS
         running = job.running()
         reasons = [] if answer is None else [r for group in answer.groups for r in group.reasons]
         return QueueLine(
@@ -93,6 +96,19 @@
             round(max(0.0, self._model.clock.wall() - job.submitted), 1),
             list(dict.fromkeys(r.code for r in reasons if r.binding)),
             reasons[0].text if reasons else None,
+            terms.name,
+            terms.user,
+            spec.types,
+            spec.zone,
+            spec.cpus,
+            spec.memory_gb,
+            spec.estimate_s,
+            job.submitted,
+            terms.begin_at,
+            terms.first,
+            terms.step,
+            spec.kind == "sweep" and spec.tasks > 1,
+            terms.comment,
         )
 
 
--- a/badgerseam/cli/__init__.py
+++ b/badgerseam/cli/__init__.py
@@ -45,6 +45,9 @@
     commands.add_parser("schema", help="print the JSON Schema of the operators' settings")
     client.add_commands(commands)
     lab.add_commands(commands)
+    slurm = commands.add_parser("slurm", help="Slurm-style commands", add_help=False)
+    slurm.add_argument("order", choices=["batch", "queue", "cancel", "info", "control"])
+    slurm.add_argument("rest", nargs=argparse.REMAINDER)
     return parser
 
 
@@ -62,6 +65,10 @@
         if options.command == "schema":
             print(json.dumps(tunables_schema(), indent=2))
             return EXIT_OK
+        if options.command == "slurm":
+            from badgerseam.slurm.commands import COMMANDS
+
+            return COMMANDS[options.order](options.rest)
         if options.command == "lab":
             return lab.run(options)
         return asyncio.run(client.run(options))
--- a/badgerseam/cli/lab.py
+++ b/badgerseam/cli/lab.py
@@ -127,7 +127,7 @@
 def _options_file(directory: Path) -> Path:
     """The service's own options, all that a lab shows switched on."""
     path = directory / "options.json"
-    path.write_text('{"explain": {}}\n')
+    path.write_text('{"explain": {}, "batch": {}}\n')
     return path
 
 
--- /dev/null
+++ b/badgerseam/slurm/client.py
@@ -0,0 +1,117 @@
+"""What the commands ask of the service."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+from urllib.parse import urlencode
+
+import msgspec
+
+from badgerseam.cli.client import Front
+from badgerseam.wire import batch as wire
+from badgerseam.wire import explain
+from badgerseam.wire.users import Submission
+
+if TYPE_CHECKING:
+    from badgerseam.http.client import Response
+
+PAGE = 200
+
+
+class Refusal(Exception):
+    """The service has refused; the message is its own."""
+
+
+class Batch:
+    """One method a question; Refusal if the service refuses."""
+
+    def __init__(self, front: Front) -> None:
+        self._front = front
+
+    async def _ask(
+        self, method: str, path: str, body: bytes | None = None, good: tuple[int, ...] = (200,)
+    ) -> Response:
+        response = await self._front.ask(method, path, body)
+        if response.status not in good:
+            raise Refusal(f"{path}: {_error(response)}")
+        return response
+
+    async def id_of(self, text: str) -> str:
+        """The id that a number, or an id, as typed, stands for."""
+        if text.startswith("job-"):
+            return text
+        number = text.partition("_")[0]
+        if not number.isdecimal():
+            raise Refusal(f"{text!r} is no job number such as 1000123")
+        response = await self._ask("GET", f"/numbers/{number}")
+        ids = wire.found_decoder.decode(response.body).ids
+        if not ids:
+            raise Refusal(f"{number}: no such job")
+        if len(ids) > 1:
+            raise Refusal(f"{number}: several jobs have this number: {', '.join(ids)}; name one")
+        return ids[0]
+
+    async def numbers(self, count: int) -> list[int]:
+        """New job numbers."""
+        body = wire.encode(wire.TakeNumbers(count))
+        response = await self._ask("POST", "/numbers", body)
+        return wire.taken_decoder.decode(response.body).numbers
+
+    async def submit(self, spec: Submission) -> bool:
+        """Submit; False if the id is another job's."""
+        body = msgspec.json.encode(spec)
+        response = await self._front.ask("POST", "/submissions", body)
+        if response.status == 409:
+            return False
+        if response.status not in (200, 201):
+            raise Refusal(_error(response))
+        return True
+
+    async def phase(self, job: str) -> str:
+        response = await self._ask("GET", f"/submissions/{job}")
+        return str(json.loads(response.body).get("phase"))
+
+    async def cancel(self, job: str) -> str:
+        """Cancel; the phase that the job has then."""
+        response = await self._ask("POST", f"/submissions/{job}/abort", b"{}")
+        return str(json.loads(response.body).get("phase"))
+
+    async def details(self, job: str) -> wire.Details:
+        response = await self._ask("GET", f"/submissions/{job}/details")
+        return wire.details_decoder.decode(response.body)
+
+    async def why(self, job: str) -> explain.Why | None:
+        """Why it waits, if anybody says so."""
+        response = await self._front.ask("GET", f"/submissions/{job}/why")
+        return explain.why_decoder.decode(response.body) if response.status == 200 else None
+
+    async def amend(self, job: str, change: dict[str, Any]) -> None:
+        """Change a job's terms."""
+        await self._ask("POST", f"/submissions/{job}/terms", json.dumps(change).encode())
+
+    async def machines(self) -> list[wire.MachineRow]:
+        response = await self._ask("GET", "/machines")
+        return wire.machines_decoder.decode(response.body)
+
+    async def queue(self, reasons: bool) -> list[explain.QueueLine]:
+        """All open jobs."""
+        lines: list[explain.QueueLine] = []
+        after = ""
+        while True:
+            query = {"limit": str(PAGE), "after": after} | ({"reasons": "1"} if reasons else {})
+            response = await self._ask("GET", f"/queue?{urlencode(query)}")
+            page = [
+                explain.line_decoder.decode(line) for line in response.body.splitlines() if line
+            ]
+            lines += page
+            if len(page) < PAGE:
+                return lines
+            after = page[-1].id
+
+
+def _error(response: Response) -> str:
+    try:
+        return str(json.loads(response.body)["error"])
+    except (ValueError, KeyError, TypeError):
+        return f"{response.status} {response.body.decode(errors='replace')[:200]}"
--- /dev/null
+++ b/badgerseam/slurm/commands.py
@@ -0,0 +1,268 @@
+"""The commands: bsbatch, bsqueue, bscancel, bsinfo, bscontrol."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import secrets
+import sys
+from collections.abc import Callable, Coroutine, Sequence
+from datetime import datetime
+from typing import Any
+
+import msgspec
+
+from badgerseam.cli.client import DEFAULT_NODE, NODES_VARIABLE, Front, Unreachable
+from badgerseam.cli.exits import EXIT_FAILED, EXIT_OK, EXIT_UNREACHABLE, EXIT_USAGE
+from badgerseam.slurm import control, queue, submit, values
+from badgerseam.slurm.client import Batch, Refusal
+from badgerseam.slurm.states import NODE_STATES
+from badgerseam.slurm.table import Field, FormatProblem, Table
+from badgerseam.wire import batch as wire
+
+WAIT_S = 2.0
+PATIENCE_S = 60.0
+
+
+def _say(name: str, text: str) -> None:
+    print(f"{name}: error: {text}", file=sys.stderr)
+
+
+def _run(name: str, work: Callable[[Batch], Coroutine[Any, Any, int]], node: str | None) -> int:
+    nodes = node or os.environ.get(NODES_VARIABLE, DEFAULT_NODE)
+    try:
+        return asyncio.run(work(Batch(Front(nodes, PATIENCE_S))))
+    except (submit.Problem, FormatProblem, values.ValueProblem) as error:
+        _say(name, str(error))
+        return EXIT_USAGE
+    except Refusal as error:
+        _say(name, str(error))
+        return EXIT_FAILED
+    except Unreachable as error:
+        _say(name, str(error))
+        return EXIT_UNREACHABLE
+    except KeyboardInterrupt:
+        return EXIT_FAILED
+
+
+def _node(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--node", help=f"addresses of controllers ({NODES_VARIABLE})")
+
+
+# ---- bsbatch ----
+
+
+def bsbatch(arguments: Sequence[str] | None = None) -> int:
+    """Submit a job."""
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    try:
+        command = _batch_options(given)
+        script = submit.read_script(command, sys.stdin.read)
+        made = submit.draft(command, script)
+        # Whatever can be said without the service is said before it is asked.
+        made.submission("job-1", [], "x", datetime.now().astimezone())
+    except (submit.Problem, values.ValueProblem) as error:
+        _say("bsbatch", str(error))
+        return EXIT_USAGE
+    return _run("bsbatch", lambda batch: _submit(batch, command, made), command.node)
+
+
+def _batch_options(given: list[str]) -> argparse.Namespace:
+    # --node is ours, not a job's: it is taken out before a script's options are merged.
+    outer = argparse.ArgumentParser(add_help=False, allow_abbrev=False)
+    _node(outer)
+    own, rest = outer.parse_known_args(given)
+    command = submit.parse(rest)
+    command.node = own.node
+    return command
+
+
+async def _submit(batch: Batch, command: argparse.Namespace, made: submit.Draft) -> int:
+    now = datetime.now().astimezone()
+    ids = {}
+    for _, job in made.depends.entries if made.depends else []:
+        ids[job] = await batch.id_of(job)
+    depends = values.resolved(made.depends, ids) if made.depends else []
+    if command.test_only:
+        spec = made.submission("job-1", depends, "x", now)
+        print(f"bsbatch: would be submitted: {msgspec.json.encode(spec).decode()}")
+        return EXIT_OK
+    while True:
+        number = (await batch.numbers(1))[0]
+        job_id = f"job-{number}"
+        spec = made.submission(job_id, depends, secrets.token_hex(8), now)
+        if await batch.submit(spec):
+            break
+        # Somebody has chosen this very id meanwhile: the next number then.
+    print(number if command.parsable else f"Submitted batch job {number}", flush=True)
+    if not command.parsable:
+        print(
+            f"bsbatch: note: workers run the image {spec.image}; a script's commands are not sent "
+            "to them yet",
+            file=sys.stderr,
+        )
+    if not command.wait:
+        return EXIT_OK
+    while True:
+        phase = await batch.phase(job_id)
+        if phase in ("done", "withdrawn"):
+            return EXIT_OK if phase == "done" else EXIT_FAILED
+        await asyncio.sleep(WAIT_S)
+
+
+# ---- bscancel ----
+
+
+def bscancel(arguments: Sequence[str] | None = None) -> int:
+    """Cancel jobs by number, or all that match."""
+    parser = argparse.ArgumentParser(prog="bscancel", description="Cancel jobs.")
+    parser.add_argument("jobs", nargs="*", help="numbers, or ids such as job-000412")
+    parser.add_argument("-A", "--account", help="the team")
+    parser.add_argument("-n", "--name", help="the job's name")
+    parser.add_argument("-u", "--user")
+    parser.add_argument("-t", "--state", help="PENDING or RUNNING")
+    parser.add_argument("-v", "--verbose", action="store_true")
+    _node(parser)
+    options = parser.parse_args(arguments)
+    filters = (options.account, options.name, options.user, options.state)
+    if not options.jobs and not any(filters):
+        _say("bscancel", "name jobs, or what they have in common (--account, --name, --user)")
+        return EXIT_USAGE
+    return _run("bscancel", lambda batch: _cancel(batch, options), options.node)
+
+
+async def _cancel(batch: Batch, options: argparse.Namespace) -> int:
+    ids: list[str] = []
+    failed = False
+    for job in options.jobs:
+        if "_" in job:
+            _say("bscancel", f"{job}: a task of an array cannot be cancelled alone")
+            failed = True
+            continue
+        try:
+            ids.append(await batch.id_of(job))
+        except Refusal as error:
+            _say("bscancel", str(error))
+            failed = True
+    filters = queue.Filters(
+        options.account, options.user, options.name, queue.states_of(options.state), None
+    )
+    if not options.jobs:
+        ids = [line.id for line in await batch.queue(False) if filters.take(line)]
+    elif any((options.account, options.name, options.user, options.state)):
+        matching = {line.id for line in await batch.queue(False) if filters.take(line)}
+        ids = [job for job in ids if job in matching]
+    for job in ids:
+        phase = await batch.cancel(job)
+        if phase == "done":
+            _say("bscancel", f"{job}: the job is done already")
+            failed = True
+        elif options.verbose:
+            print(f"bscancel: {job} is cancelled")
+    return EXIT_FAILED if failed else EXIT_OK
+
+
+# ---- bsqueue ----
+
+
+def bsqueue(arguments: Sequence[str] | None = None) -> int:
+    """List open jobs."""
+    options = queue.parser(_node).parse_args(arguments)
+
+    async def work(batch: Batch) -> int:
+        rows = queue.rows(await batch.queue(True), options)
+        print(queue.render(rows, options))
+        return EXIT_OK
+
+    return _run("bsqueue", work, options.node)
+
+
+# ---- bsinfo ----
+
+MACHINE_FIELDS: list[Field[wire.MachineRow]] = [
+    Field("P", "Partition", "PARTITION", lambda row: row.type),
+    Field("Z", "Zone", "ZONE", lambda row: row.zone),
+    Field("K", "Kind", "KIND", lambda row: "spot" if row.spot else "ordinary"),
+    Field("D", "Nodes", "NODES", lambda row: str(row.count)),
+    Field("t", "State", "STATE", lambda row: NODE_STATES.get(row.state, row.state)),
+    Field("c", "CPUs", "CPUS", lambda row: f"{row.cpus:g}"),
+    Field("m", "Memory", "MEMORY", lambda row: f"{row.memory_gb * 1024:.0f}"),
+    Field("N", "NodeList", "NODELIST", lambda row: ",".join(row.names)),
+]
+MACHINE_FORMAT = "%.10P %.10Z %.9K %.6D %.6t %.5c %N"
+
+
+def bsinfo(arguments: Sequence[str] | None = None) -> int:
+    """List machines."""
+    parser = argparse.ArgumentParser(
+        prog="bsinfo", description="List machines.", conflict_handler="resolve"
+    )
+    parser.add_argument("-p", "--partition", help="only this machine type")
+    parser.add_argument("-o", "--format", default=MACHINE_FORMAT)
+    parser.add_argument("-h", "--noheader", action="store_true")
+    parser.add_argument("--json", action="store_true")
+    _node(parser)
+    options = parser.parse_args(arguments)
+
+    async def work(batch: Batch) -> int:
+        table = Table(MACHINE_FIELDS)
+        columns = table.short(options.format)
+        rows = [row for row in await batch.machines() if options.partition in (None, row.type)]
+        if options.json:
+            print(json.dumps([msgspec.to_builtins(row) for row in rows], indent=2))
+        else:
+            print(table.text(columns, rows, not options.noheader))
+        return EXIT_OK
+
+    return _run("bsinfo", work, options.node)
+
+
+# ---- bscontrol ----
+
+
+def bscontrol(arguments: Sequence[str] | None = None) -> int:
+    """Show, hold, release and change jobs."""
+    parser = argparse.ArgumentParser(prog="bscontrol", description="Show and change jobs.")
+    _node(parser)
+    orders = parser.add_subparsers(dest="order", required=True)
+    show = orders.add_parser("show", help="show job NUMBER")
+    show.add_argument("what", choices=["job"])
+    show.add_argument("job")
+    for name in ("hold", "release"):
+        orders.add_parser(name, help=f"{name} jobs").add_argument("jobs", nargs="+")
+    update = orders.add_parser("update", help="update JobId=NUMBER Field=value ...")
+    update.add_argument("fields", nargs="+")
+    options = parser.parse_args(arguments)
+    return _run("bscontrol", lambda batch: _control(batch, options), options.node)
+
+
+async def _control(batch: Batch, options: argparse.Namespace) -> int:
+    if options.order == "show":
+        job = await batch.id_of(options.job)
+        print(control.show(await batch.details(job), await batch.why(job)))
+        return EXIT_OK
+    if options.order in ("hold", "release"):
+        for name in options.jobs:
+            job = await batch.id_of(name)
+            await batch.amend(job, {"hold": options.order == "hold"})
+        return EXIT_OK
+    name, change = control.changes(options.fields, datetime.now().astimezone())
+    if "depends" in change:
+        entries = change["depends"]
+        change["depends"] = [
+            {"kind": kind, "job": await batch.id_of(other)} for kind, other in entries
+        ]
+    await batch.amend(await batch.id_of(name), change)
+    return EXIT_OK
+
+
+COMMANDS: dict[str, Callable[[Sequence[str] | None], int]] = {
+    "batch": bsbatch,
+    "queue": bsqueue,
+    "cancel": bscancel,
+    "info": bsinfo,
+    "control": bscontrol,
+}
+"""As orders of `badgerseam slurm`."""
--- /dev/null
+++ b/badgerseam/slurm/states.py
@@ -0,0 +1,88 @@
+"""Slurm's names for what the service knows: job states, reasons, node states."""
+
+from __future__ import annotations
+
+from badgerseam.wire.explain import Code, QueueLine
+
+STATES = {
+    "PENDING": "PD",
+    "RUNNING": "R",
+    "COMPLETED": "CD",
+    "CANCELLED": "CA",
+    "SUSPENDED": "S",
+    "COMPLETING": "CG",
+    "FAILED": "F",
+    "TIMEOUT": "TO",
+    "NODE_FAIL": "NF",
+    "PREEMPTED": "PR",
+    "OUT_OF_MEMORY": "OOM",
+}
+"""Job states and their short forms, as published in Slurm's manual of squeue. The service's jobs
+are only ever in the first four: a task that fails is tried again until its user cancels the job."""
+
+PHASES = {
+    "pending": "PENDING",
+    "running": "RUNNING",
+    "done": "COMPLETED",
+    "withdrawn": "CANCELLED",
+}
+
+REASONS: dict[Code, str] = {
+    "held": "JobHeldUser",
+    "begin_time": "BeginTime",
+    "dependency": "Dependency",
+    "dependency_never": "DependencyNeverSatisfied",
+    "singleton": "Dependency",
+    "throttle": "JobArrayTaskLimit",
+    "team_limit": "AssocGrpCpuLimit",
+    "no_machine": "Resources",
+    "no_room": "Resources",
+    "gang": "Resources",
+    "too_large": "Resources",
+    "one_zone": "Resources",
+    "scatter": "Resources",
+    "machine_type": "ReqNodeNotAvail",
+    "zone": "ReqNodeNotAvail",
+    "ordinary_only": "ReqNodeNotAvail",
+    "shunned": "ReqNodeNotAvail",
+    "backoff": "JobLaunchFailure",
+    "failing": "JobLaunchFailure",
+    "recording": "Prolog",
+    "launching": "Prolog",
+    "fetching": "Prolog",
+    "victims_leaving": "Prolog",
+    "worker_silent": "Prolog",
+    "worker_unconfirmed": "Prolog",
+    "next_plan": "None",
+    "no_owner": "SystemFailure",
+}
+NODE_STATES = {
+    "allocated": "alloc",
+    "mixed": "mix",
+    "idle": "idle",
+    "booting": "boot",
+    "drained": "drain",
+}
+
+
+def wanted_states(text: str) -> set[str]:
+    """Full names of the states in a list such as PD,running; ValueError names the unknown one."""
+    short = {value: name for name, value in STATES.items()}
+    found: set[str] = set()
+    for part in text.split(","):
+        name = part.strip().upper()
+        if name == "ALL":
+            return set(STATES)
+        name = short.get(name, name)
+        if name not in STATES:
+            raise ValueError(f"{part!r} is no state; there are {', '.join(STATES)}")
+        found.add(name)
+    return found
+
+
+def reason(line: QueueLine) -> str:
+    """Slurm's word for what holds a job's waiting tasks back."""
+    for code in line.reasons:
+        if code in REASONS:
+            return REASONS[code]
+    return "Priority" if line.reasons else "None"
--- /dev/null
+++ b/badgerseam/slurm/submit.py
@@ -0,0 +1,300 @@
+"""bsbatch: options and #SBATCH lines become a job of the service."""
+
+from __future__ import annotations
+
+import argparse
+import getpass
+import os
+import shlex
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import datetime
+from pathlib import Path
+from typing import Any, NoReturn
+
+from badgerseam.slurm import values
+from badgerseam.wire.users import Dependency, Submission, Terms
+
+PRIORITIES = {
+    "production": "production",
+    "high": "high",
+    "urgent": "high",
+    "normal": "standard",
+    "standard": "standard",
+    "low": "best_effort",
+    "scavenger": "best_effort",
+    "best_effort": "best_effort",
+}
+FEATURES = ("ordinary", "spot", "scatter", "onezone")
+ACCOUNT_VARIABLE = "BADGERSEAM_ACCOUNT"
+MARK = "#SBATCH"
+
+REFUSED = {
+    "nodes": "a task takes one machine; say --ntasks",
+    "nodelist": "machines come and go; say --zone or --partition",
+    "exclude": "machines come and go; failed ones are avoided without being told",
+    "exclusive": "ask for the CPUs of the whole machine type",
+    "output": "the service keeps no output yet",
+    "error": "the service keeps no output yet",
+    "input": "the service sends no files yet",
+    "chdir": "the service's workers have no shared file system",
+    "export": "tasks run in their image's own environment",
+    "mail-type": "notifications come with a later release",
+    "mail-user": "notifications come with a later release",
+    "signal": "a task is told to save by --save-time before it is stopped",
+    "reservation": "there are no reservations; guarantees are the teams' own",
+    "licenses": "licenses are not counted",
+    "no-requeue": "a task that loses its machine is always run again",
+    "nice": "order within a rank follows deadlines; say --qos or --deadline",
+    "kill-on-invalid-dep": "a job whose dependency can never be met waits until it is cancelled",
+}
+"""Options of sbatch that are refused, and why."""
+
+
+class Problem(Exception):
+    """What was typed cannot be submitted; the message says what to change."""
+
+
+class _Parser(argparse.ArgumentParser):
+    def error(self, message: str) -> NoReturn:
+        raise Problem(message)
+
+
+class _Refuse(argparse.Action):
+    def __init__(self, *args: Any, why: str = "", **kwargs: Any) -> None:
+        kwargs["nargs"] = "?"
+        super().__init__(*args, **kwargs)
+        self.why = why
+
+    def __call__(
+        self,
+        parser: argparse.ArgumentParser,
+        namespace: argparse.Namespace,
+        given: object,
+        option_string: str | None = None,
+    ) -> None:
+        raise Problem(f"{option_string}: not to be had here: {self.why}")
+
+
+def _checked(parse: Callable[[str], Any]) -> Callable[[str], Any]:
+    def convert(text: str) -> Any:
+        try:
+            return parse(text)
+        except values.ValueProblem as error:
+            raise argparse.ArgumentTypeError(str(error)) from error
+
+    return convert
+
+
+def _positive(text: str) -> int:
+    if not text.isdecimal() or int(text) < 1:
+        raise values.ValueProblem(f"{text!r} is no number from 1 on")
+    return int(text)
+
+
+def _amount(text: str) -> float:
+    try:
+        found = float(text)
+    except ValueError as error:
+        raise values.ValueProblem(f"{text!r} is no number") from error
+    if not 0 <= found <= 1e9:
+        raise values.ValueProblem(f"{text!r} is not from 0 to 1e9")
+    return found
+
+
+def parser() -> argparse.ArgumentParser:
+    """The options of a job."""
+    made = _Parser(prog="bsbatch", description="Submit a batch job.", allow_abbrev=False)
+    add = made.add_argument
+    add("-J", "--job-name")
+    add("-A", "--account", help=f"the team ({ACCOUNT_VARIABLE} if not given)")
+    add("-q", "--qos", choices=sorted(PRIORITIES), help="the rank (default normal)")
+    add("-n", "--ntasks", type=_checked(_positive), help="tasks that run only together")
+    add("-a", "--array", type=_checked(values.array), help="0-99, 0-99%%10, 1,3,5")
+    add("-c", "--cpus-per-task", type=_checked(_positive), help="default 1")
+    add("--mem", type=_checked(values.memory_gb), help="of a task: 4G, 512M (default 1G)")
+    add("--mem-per-cpu", type=_checked(values.memory_gb))
+    add("-G", "--gpus", "--gpus-per-task", type=_checked(_positive), help="of a task")
+    add("-t", "--time", type=_checked(values.seconds), help="how long a task runs, as you guess")
+    add("--deadline", help="when it should be complete: now+2hours, 16:00, a date")
+    add("-b", "--begin", help="not before: now+2hours, 16:00, a date")
+    add("-d", "--dependency", type=_checked(values.dependency))
+    add("-H", "--hold", action="store_true", default=None)
+    add("-C", "--constraint", help=f"of {', '.join(FEATURES)}, joined by &")
+    add("-p", "--partition", help="machine types, with commas")
+    add("--zone", help="the only zone")
+    add("--container", help="the image (default: the job's name)")
+    add("--image-gb", type=_checked(_amount), help="its size")
+    add("--checkpoint", type=_checked(values.seconds), help="a task saves by itself so often")
+    add("--save-time", type=_checked(_amount), help="seconds that a task needs to save")
+    add("--job-class", help="what operators' aims name (default: the job's name)")
+    add("--service", action="store_true", default=None, help="tasks run until cancelled")
+    add("--requeue", action="store_true", default=None, help="always so")
+    add("--comment")
+    for name, why in REFUSED.items():
+        short = {"nodes": ["-N"], "nodelist": ["-w"], "output": ["-o"], "error": ["-e"]}
+        short |= {"exclude": ["-x"], "chdir": ["-D"], "input": ["-i"], "licenses": ["-L"]}
+        add(*short.get(name, []), f"--{name}", action=_Refuse, why=why, help=argparse.SUPPRESS)
+    return made
+
+
+def command_parser() -> argparse.ArgumentParser:
+    """The options of a job and of the command itself."""
+    made = parser()
+    made.add_argument("script", nargs="?", help="a script with #SBATCH lines, - for standard input")
+    made.add_argument("--wrap", help="instead of a script")
+    made.add_argument("--parsable", action="store_true", help="print the number alone")
+    made.add_argument("--test-only", action="store_true", help="check, and submit nothing")
+    made.add_argument("-W", "--wait", action="store_true", help="until it has ended")
+    made.add_argument("script_args", nargs="*", help=argparse.SUPPRESS)
+    return made
+
+
+def script_options(text: str) -> list[str]:
+    """The options in a script's #SBATCH lines, up to its first command."""
+    found: list[str] = []
+    for number, line in enumerate(text.splitlines(), 1):
+        bare = line.strip()
+        if bare.startswith(MARK):
+            try:
+                found += shlex.split(bare[len(MARK) :], comments=True)
+            except ValueError as error:
+                raise Problem(f"line {number}: {error}") from error
+        elif bare and not bare.startswith("#"):
+            break
+    return found
+
+
+@dataclass(slots=True)
+class Draft:
+    """A job, but for what only the service can tell: its number and those of its dependencies."""
+
+    options: argparse.Namespace
+    depends: values.Depends | None
+
+    def submission(
+        self, job_id: str, depends: list[Dependency], nonce: str, now: datetime
+    ) -> Submission:
+        """The job as the service takes it."""
+        o = self.options
+        name = o.job_name or "batch"
+        features = _features(o.constraint)
+        array: values.Array | None = o.array
+        tasks = array.count if array is not None else o.ntasks or 1
+        cpus = float(o.cpus_per_task or 1)
+        memory = o.mem or (o.mem_per_cpu * cpus if o.mem_per_cpu else 1.0)
+        gang = array is None and tasks > 1 and not o.service
+        terms = Terms(
+            name,
+            _user(),
+            bool(o.hold),
+            None if o.begin is None else _time(values.begin, o.begin, now).timestamp(),
+            None if array is None else array.throttle,
+            depends,
+            self.depends.any if self.depends else False,
+            self.depends.singleton if self.depends else False,
+            0 if array is None else array.first,
+            1 if array is None else array.step,
+            nonce,
+            o.comment,
+        )
+        due = None
+        if o.deadline is not None:
+            due = (_time(values.begin, o.deadline, now) - now).total_seconds()
+            if due <= 0:
+                raise Problem(f"--deadline: {o.deadline!r} is not in the future")
+        return Submission(
+            id=job_id,
+            job_class=o.job_class or name,
+            team=o.account,
+            kind="standing" if o.service else "group" if gang else "sweep",
+            priority=PRIORITIES[o.qos or "normal"],  # type: ignore[arg-type]
+            tasks=tasks,
+            cpus=cpus,
+            gpus=float(o.gpus or 0),
+            memory_gb=round(memory, 6),
+            image=o.container or name,
+            image_gb=o.image_gb or 0.0,
+            one_zone="onezone" in features,
+            spread="scatter" in features,
+            spot="ordinary" not in features,
+            estimate_s=0.0 if o.service else o.time or 60.0,
+            checkpoint_s=o.checkpoint or 0.0,
+            save_s=o.save_time or 0.0,
+            types=None if o.partition is None else o.partition.split(","),
+            zone=o.zone,
+            deadline_s=due,
+            terms=terms,
+        )
+
+
+def draft(command: argparse.Namespace, script: str) -> Draft:
+    """The options of the script and of the command line, the latter first; Problem if they cannot
+    be taken."""
+    options = parser().parse_args(script_options(script))
+    for name in vars(options):
+        given = getattr(command, name, None)
+        if given is not None:
+            setattr(options, name, given)
+    options.account = options.account or os.environ.get(ACCOUNT_VARIABLE)
+    if not options.account:
+        raise Problem(f"--account: name your team, here or in {ACCOUNT_VARIABLE}")
+    if options.array is not None and (options.ntasks or 1) > 1:
+        raise Problem("--array, --ntasks: tasks of an array run one by one; give one of the two")
+    if options.mem is not None and options.mem_per_cpu is not None:
+        raise Problem("--mem, --mem-per-cpu: give one of the two")
+    if options.service and (options.array is not None or options.time is not None):
+        raise Problem("--service: runs until it is cancelled; it takes no --array and no --time")
+    features = _features(options.constraint)
+    if {"ordinary", "spot"} <= features:
+        raise Problem("--constraint: ordinary and spot exclude one another")
+    if {"onezone", "scatter"} <= features:
+        raise Problem("--constraint: onezone and scatter exclude one another")
+    return Draft(options, options.dependency)
+
+
+def read_script(command: argparse.Namespace, stdin: Callable[[], str]) -> str:
+    """The script's text; Problem if there is none, or two."""
+    if command.wrap is not None:
+        if command.script is not None:
+            raise Problem("--wrap: there is a script as well; give one of the two")
+        return f"#!/bin/sh\n{command.wrap}\n"
+    if command.script is None:
+        raise Problem("a script, or --wrap, is needed")
+    try:
+        text = stdin() if command.script == "-" else Path(command.script).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise Problem(f"{command.script}: {error}") from error
+    if not text.startswith("#!"):
+        raise Problem(f"{command.script}: a batch script begins with #! and its interpreter")
+    return text
+
+
+def parse(arguments: Sequence[str]) -> argparse.Namespace:
+    """The command line of bsbatch; Problem if it cannot be taken."""
+    found = command_parser().parse_args(arguments)
+    if found.script_args:
+        raise Problem("arguments of the script: the service sends none to tasks yet")
+    return found
+
+
+def _features(text: str | None) -> set[str]:
+    found = set() if text is None else {part.strip().lower() for part in text.split("&")}
+    unknown = sorted(found - set(FEATURES))
+    if unknown:
+        raise Problem(f"--constraint: {', '.join(unknown)}: there are {', '.join(FEATURES)}")
+    return found
+
+
+def _time(parse_time: Callable[[str, datetime], datetime], text: str, now: datetime) -> datetime:
+    try:
+        return parse_time(text, now)
+    except values.ValueProblem as error:
+        raise Problem(str(error)) from error
+
+
+def _user() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return str(os.getuid())
--- a/badgerseam/wire/explain.py
+++ b/badgerseam/wire/explain.py
@@ -165,6 +165,20 @@
     reasons: list[Code] = field(default_factory=list)
     text: str | None = None
     """The first reason's statement; None if nobody could say."""
+    name: str | None = None
+    user: str | None = None
+    types: list[str] | None = None
+    zone: str | None = None
+    cpus: float = 0.0
+    """Of each task, as the memory."""
+    memory_gb: float = 0.0
+    estimate_s: float = 0.0
+    submitted_at: float = 0.0
+    begin_at: float | None = None
+    first: int = 0
+    step: int = 1
+    array: bool = False
+    comment: str | None = None
 
 
 question_decoder: msgspec.json.Decoder[Question] = msgspec.json.Decoder(Question)
--- /dev/null
+++ b/tests/test_slurm.py
@@ -0,0 +1,245 @@
+"""Slurm-style commands: what is typed, what becomes of it, what is refused."""
+
+from __future__ import annotations
+
+import argparse
+from datetime import datetime, timedelta, timezone
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from badgerseam.slurm import commands, control, queue, submit, values
+from badgerseam.slurm.states import wanted_states
+from badgerseam.slurm.table import FormatProblem, Table
+from badgerseam.wire.batch import Details
+from badgerseam.wire.explain import QueueLine
+from badgerseam.wire.users import Submission
+
+NOW = datetime(2026, 12, 1, 17, 30, tzinfo=timezone(timedelta(hours=-5)))
+
+
+@pytest.mark.parametrize(
+    ("parse", "text", "value"),
+    [
+        (values.memory_gb, "4G", 4.0),
+        (values.memory_gb, "512M", 0.5),
+        (values.memory_gb, "2048", 2.0),
+        (values.memory_gb, "1.5TB", 1536.0),
+        (values.seconds, "30", 1800.0),
+        (values.seconds, "0:30", 30.0),
+        (values.seconds, "1:30:00", 5400.0),
+        (values.seconds, "2-12", 216000.0),
+        (values.seconds, "2-12:30", 217800.0),
+        (values.array, "7", values.Array(7, 1, 1)),
+        (values.array, "0-99%10", values.Array(0, 1, 100, 10)),
+        (values.array, "1-9:4", values.Array(1, 4, 3)),
+        (values.array, "4,2,0", values.Array(0, 2, 3)),
+    ],
+)
+def test_values_as_people_type_them(parse: object, text: str, value: object) -> None:
+    assert callable(parse) and parse(text) == value
+
+
+@pytest.mark.parametrize(
+    ("parse", "text"),
+    [
+        (values.memory_gb, "0"),
+        (values.memory_gb, "lots"),
+        (values.seconds, "0"),
+        (values.seconds, "1:2:3:4"),
+        (values.seconds, "x-1"),
+        (values.array, "9-1"),
+        (values.array, "1,2,4"),
+        (values.array, "0-5%0"),
+        (values.array, "0-200000"),
+        (values.array, ""),
+        (values.dependency, "afterok"),
+        (values.dependency, "aftercorr:1"),
+        (values.dependency, "after:1+5"),
+        (values.dependency, "afterok:1,afterany:2?after:3"),
+    ],
+)
+def test_values_that_mean_nothing_here(parse: object, text: str) -> None:
+    assert callable(parse)
+    with pytest.raises(values.ValueProblem):
+        parse(text)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.text("0123456789-:,%+=afterok?nGMT. ", max_size=20))
+def test_whatever_is_typed_gets_a_value_or_a_message(text: str) -> None:
+    for parse in (values.memory_gb, values.seconds, values.array, values.dependency):
+        try:
+            parse(text)
+        except values.ValueProblem as problem:
+            assert str(problem)
+    try:
+        values.begin(text, NOW)
+    except values.ValueProblem as problem:
+        assert str(problem)
+
+
+def test_begin_times() -> None:
+    assert values.begin("now", NOW) == NOW
+    assert values.begin("now+2hours", NOW) == NOW + timedelta(hours=2)
+    assert values.begin("now+90", NOW) == NOW + timedelta(seconds=90)
+    assert values.begin("16:00", NOW).day == 2, "already past today"
+    assert values.begin("18:00", NOW).day == 1
+    assert values.begin("2026-12-24T08:00", NOW).utcoffset() == NOW.utcoffset()
+    assert values.begin("tomorrow", NOW).hour == 0
+    for bad in ("25:00", "now+3fortnights", "soon"):
+        with pytest.raises(values.ValueProblem):
+            values.begin(bad, NOW)
+
+
+SCRIPT = """#!/bin/bash
+#SBATCH --job-name=reckon  # nightly
+#SBATCH --array=0-9%3 -c 2
+# a comment
+#SBATCH --mem=4G
+
+reckon --all
+#SBATCH --qos=high
+"""
+
+
+def made(arguments: list[str], script: str = "#!/bin/sh\nx\n") -> Submission:
+    command = submit.parse([*arguments, "--wrap", "x"])
+    return submit.draft(command, script).submission("job-7", [], "n", NOW)
+
+
+@pytest.fixture(autouse=True)
+def account(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv(submit.ACCOUNT_VARIABLE, "red")
+
+
+def test_a_script_and_its_options_become_a_job() -> None:
+    spec = made(["--mem", "8G", "--deadline", "now+1hour"], SCRIPT)
+    assert (spec.kind, spec.tasks, spec.cpus, spec.memory_gb) == ("sweep", 10, 2.0, 8.0)
+    assert (spec.priority, spec.team, spec.deadline_s) == ("standard", "red", 3600.0)
+    assert spec.terms is not None
+    assert (spec.terms.name, spec.terms.throttle, spec.terms.nonce) == ("reckon", 3, "n")
+
+
+def test_what_options_become() -> None:
+    assert made(["-n", "4"]).kind == "group"
+    assert made(["-n", "4", "--service"]).kind == "standing"
+    assert made(["-c", "4", "--mem-per-cpu", "2G"]).memory_gb == 8.0
+    assert made(["-q", "urgent"]).priority == "high"
+    spec = made(["-C", "ordinary&scatter", "-p", "c8,g8", "--zone", "a"])
+    assert (spec.spot, spec.spread, spec.types, spec.zone) == (False, True, ["c8", "g8"], "a")
+    spec = made(["-H", "-b", "now+1minute", "-a", "2-10:4"])
+    assert spec.terms is not None
+    assert (spec.terms.hold, spec.terms.first, spec.terms.step) == (True, 2, 4)
+    assert spec.terms.begin_at == NOW.timestamp() + 60
+
+
+@pytest.mark.parametrize(
+    ("arguments", "named"),
+    [
+        (["--output=x"], "--output"),
+        (["-N", "2"], "--ntasks"),
+        (["--nodelist", "m-1"], "--zone"),
+        (["--colour"], "--colour"),
+        (["-a", "0-3", "-n", "2"], "--array"),
+        (["--mem", "1G", "--mem-per-cpu", "1G"], "--mem-per-cpu"),
+        (["--service", "-t", "5"], "--service"),
+        (["-C", "ordinary&spot"], "ordinary"),
+        (["-C", "gpu"], "gpu"),
+        (["-q", "vip"], "vip"),
+        (["-c", "0"], "'0'"),
+        (["--deadline", "2020-01-01"], "--deadline"),
+        (["script.sh"], "--wrap"),
+    ],
+)
+def test_what_cannot_be_kept_is_refused_before_anything_is_asked(
+    arguments: list[str], named: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    # No service listens there: the refusal does not need one.
+    code = commands.bsbatch([*arguments, "--wrap", "x", "--node", "127.0.0.1:1"])
+    assert code == 2 and named in capsys.readouterr().err
+
+
+def test_scripts_are_checked(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    script = tmp_path / "job.sh"
+    script.write_text("echo no interpreter\n")
+    assert commands.bsbatch([str(script)]) == 2
+    script.write_text('#!/bin/sh\n#SBATCH --comment="half\n')
+    assert commands.bsbatch([str(script)]) == 2
+    assert "line 2" in capsys.readouterr().err
+    assert commands.bsbatch([]) == 2
+    assert commands.bsbatch([str(tmp_path / "none.sh")]) == 2
+    monkeypatch.delenv(submit.ACCOUNT_VARIABLE)
+    script.write_text("#!/bin/sh\n")
+    assert commands.bsbatch([str(script)]) == 2
+    assert "--account" in capsys.readouterr().err
+    assert commands.bscancel([]) == 2
+
+
+LINES = [
+    QueueLine("job-000412", "running", "red", "train", "high", 9, 4, 3, 2, 75.0, ["no_room"],
+              "No room.", "reckon", "ana", None, None, 2.0, 4.0, 60.0, array=True),
+    QueueLine("job-1000001", "pending", "blue", "x", "standard", 1, 1, 0, 0, 5.0, ["held"]),
+]  # fmt: skip
+
+
+def listed(*arguments: str) -> list[str]:
+    options = queue.parser(lambda parser: None).parse_args(arguments)
+    return queue.render(queue.rows(LINES, options), options).splitlines()
+
+
+def test_the_queue_in_slurms_words() -> None:
+    assert listed("-h", "-o", "%i|%t|%D|%R") == [
+        "412_[4]|PD|4|(Resources)",
+        "412_[3]|R|3|",
+        "1000001|PD|1|(JobHeldUser)",
+    ]
+    assert listed("-h", "-t", "R", "-o", "%A %M") == ["412 1:15"]
+    assert listed("-A", "blue", "-h", "-O", "JobID:9,Reason:.12") == ["1000001    JobHeldUser"]
+    assert listed("-j", "412", "-h", "-u", "ana", "-t", "PD", "--parsable2", "-o", "%i%T") == [
+        "412_[4]|PENDING"
+    ]
+    assert '"Why": "No room."' in "\n".join(listed("--json"))
+    assert listed()[0].split()[:3] == ["JOBID", "PARTITION", "NAME"]
+    for wrong in (["-o", "%Q"], ["-o", "none"], ["-O", "Colour"], ["-O", "JobID:x"]):
+        with pytest.raises(FormatProblem):
+            listed(*wrong)
+    with pytest.raises(values.ValueProblem, match="no state"):
+        listed("-t", "sleeping")
+    assert wanted_states("pd,RUNNING") == {"PENDING", "RUNNING"}
+
+
+def test_changes_as_scontrol_takes_them() -> None:
+    job, change = control.changes(
+        ["JobId=12", "ArrayTaskThrottle=0", "StartTime=now", "Dependency=afterok:3:4"], NOW
+    )
+    assert job == "12"
+    assert change == {
+        "throttle": None,
+        "beginAt": NOW.timestamp(),
+        "depends": [("afterok", "3"), ("afterok", "4")],
+        "any": False,
+    }
+    for wrong in (["JobId=1"], ["Comment=x"], ["JobId=1", "Priority=7"], ["JobId=1", "x"]):
+        with pytest.raises(submit.Problem):
+            control.changes(wrong, NOW)
+
+
+def test_a_job_in_scontrols_words() -> None:
+    spec = made(["-J", "reckon", "-d", "afterok:3", "--comment", "c"])
+    text = control.show(Details("job-000412", "pending", 1, 0, 0, 1, 0.0, "held", spec), None)
+    assert "JobId=412 Id=job-000412 JobName=reckon" in text and "Comment=c" in text
+    assert "JobState=COMPLETED" in control.show(Details("job-1", "done", 3, 3), None)
+
+
+def test_tables_keep_their_widths() -> None:
+    table = Table(queue.FIELDS)
+    options = argparse.Namespace(states=None, jobs=None, me=False, user=None, account=None,
+                                 name=None)  # fmt: skip
+    rows = queue.rows(LINES, options)
+    text = table.text(table.short("%.4i %3j|"), rows, True)
+    assert text.splitlines()[1].startswith("412_ rec")
