Lists of thousands of jobs in one go; the judge knows terms; load by both clients at once

Cause: bsqueue asked reasons of every job, which used the survey's allowance and the door's rate up. Change: a plain list is cheap, reasons are asked for up to 300 waiting jobs, terms are told without a survey.

--- a/badgerseam/api/questions.py
+++ b/badgerseam/api/questions.py
@@ -3,22 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import math
 from urllib.parse import parse_qsl
 
 from badgerseam.explain.explainer import Explainer
+from badgerseam.explain.reasons import TERMS
 from badgerseam.http.budget import Budget
 from badgerseam.http.server import Reply, error_reply
 from badgerseam.model.job import Job
 from badgerseam.model.model import Model
 from badgerseam.settings import ExplainOptions
-from badgerseam.wire.explain import QueueLine, Why, encode
+from badgerseam.wire.explain import Code, QueueLine, Why, encode
 from badgerseam.wire.users import Terms
 
 RETRY_S = 1
 MOST_LINES = 500
 LINES_A_QUESTION = 50
-"""Lines of the list that count as one question."""
+"""Lines with reasons that count as one question."""
+PLAIN_LINES_A_QUESTION = 500
+"""Lines without reasons that do: they need no survey."""
 NO_TERMS = Terms()
 NDJSON = "application/x-ndjson"
 FILTERS = ("after", "limit", "team", "class", "reasons", "waiting")
@@ -30,6 +34,7 @@
     def __init__(self, model: Model, explainer: Explainer, options: ExplainOptions) -> None:
         self._model = model
         self._explainer = explainer
+        self._rules = explainer.rules
         self._door = Budget(model.clock, options.questions_per_s, 2.0)
 
     def turned_away(self, questions: float = 1.0) -> Reply | None:
@@ -56,17 +61,18 @@
         limit = filters.get("limit", "100")
         if not limit.isdecimal() or not 1 <= int(limit) <= MOST_LINES:
             return Reply(400, encode({"error": f"limit: a number from 1 to {MOST_LINES}"}))
-        refusal = self.turned_away(1 + int(limit) / LINES_A_QUESTION)
+        reasons = filters.get("reasons") in ("1", "true")
+        each = LINES_A_QUESTION if reasons else PLAIN_LINES_A_QUESTION
+        refusal = self.turned_away(int(limit) / each)
         if refusal is not None:
             return refusal
         model = self._model
         with model.lock:
             jobs = [job for share in model.open_jobs for job in share.values() if _open(job)]
             jobs = [job for job in jobs if _matches(job, filters)]
-            jobs.sort(key=lambda job: job.id)
-            jobs = jobs[: int(limit)]
+            jobs = heapq.nsmallest(int(limit), jobs, key=lambda job: job.id)
         answers: dict[str, Why] = {}
-        if filters.get("reasons") in ("1", "true"):
+        if reasons:
             by_share: dict[int, list[str]] = {}
             for job in jobs:
                 by_share.setdefault(job.share, []).append(job.id)
@@ -78,6 +84,13 @@
             lines = [encode(self._line(job, answers.get(job.id))) for job in jobs]
         return Reply(200, b"".join(line + b"\n" for line in lines), content_type=NDJSON)
 
+    def _term(self, job: Job) -> list[Code]:
+        """The term that holds a job back, which needs no survey to be known."""
+        if job.spec.terms is None or job.waiting() <= 0:
+            return []
+        held = self._rules.held(job)
+        return [] if held is None else [TERMS[held]]
+
     def _line(self, job: Job, answer: Why | None) -> QueueLine:
         spec = job.spec
         terms = spec.terms or NO_TERMS
@@ -94,7 +107,7 @@
             running,
             job.finished,
             round(max(0.0, self._model.clock.wall() - job.submitted), 1),
-            list(dict.fromkeys(r.code for r in reasons if r.binding)),
+            list(dict.fromkeys(r.code for r in reasons if r.binding)) or self._term(job),
             reasons[0].text if reasons else None,
             terms.name,
             terms.user,
--- a/badgerseam/cli/lab.py
+++ b/badgerseam/cli/lab.py
@@ -62,6 +62,9 @@
     cost.add_argument("--machines", type=int, default=490)
     cost.add_argument("--tasks", type=int, default=2000, help="that wait (default %(default)s)")
     cost.add_argument("--seed", type=int, default=1)
+    listed = orders.add_parser("queue-cost", help="measure a list of many open jobs")
+    listed.add_argument("--jobs", type=int, default=5000)
+    listed.add_argument("--seed", type=int, default=1)
     schema = orders.add_parser("schema", help="print the JSON Schema of a site file")
     schema.add_argument("--experiment", action="store_true", help="of an experiment instead")
     for order in (
@@ -88,7 +91,7 @@
     try:
         if options.order == "schema":
             return _schema(options)
-        if options.order == "why-cost":
+        if options.order in ("why-cost", "queue-cost"):
             return _cost(options)
         if options.order == "up":
             return asyncio.run(_up(options))
@@ -115,8 +118,14 @@
 def _cost(options: argparse.Namespace) -> int:
     import msgspec
 
-    from badgerseam.lab.measures import measure_why
+    from badgerseam.lab.measures import measure_queue, measure_why
 
+    if options.order == "queue-cost":
+        if options.jobs < 1:
+            return fail("--jobs: at least 1", EXIT_USAGE)
+        found = measure_queue(options.jobs, options.seed)
+        print(json.dumps(msgspec.to_builtins(found), indent=2))
+        return EXIT_OK
     if options.machines < 1 or options.tasks < 1:
         return fail("--machines, --tasks: at least 1", EXIT_USAGE)
     cost = measure_why(options.machines, options.tasks, options.seed)
--- a/badgerseam/explain/explainer.py
+++ b/badgerseam/explain/explainer.py
@@ -48,7 +48,7 @@
         self._clock = model.clock
         self._options = options
         self._ask_owner = ask_owner
-        self._rules = planner.terms
+        self.rules = planner.terms
         self.surveys = Surveys(
             model,
             planner,
@@ -106,7 +106,7 @@
             survey.supply,
             now,
             now - self._member.confirmed_at,
-            self._rules,
+            self.rules,
         )
         found = groups(context)
         if now - survey.at < LOOK_S:
--- a/badgerseam/lab/checker.py
+++ b/badgerseam/lab/checker.py
@@ -14,6 +14,8 @@
 from badgerseam.wire.users import Submission
 
 FORGOTTEN_S = 90.0
+SLACK_S = 0.1
+"""By which clocks on one machine may seem to differ."""
 MOST_POLLS = 0.5
 """Part of the other polls that have to be answered for a job's silence to count."""
 
@@ -42,6 +44,9 @@
     done: set[int] = field(default_factory=set)
     unanswered_since: float | None = None
     """Since when every poll has failed, and how many polls of others were answered meanwhile."""
+    live: int = 0
+    """Tasks on machines."""
+    released: bool = False
     others: int = 0
     others_ok: int = 0
 
@@ -49,7 +54,9 @@
 class Checker:
     """Takes events in order; what it found broken is in `breaches`."""
 
-    def __init__(self, teams: Iterable[Team], cancel_s: float) -> None:
+    def __init__(self, teams: Iterable[Team], cancel_s: float, wall: float = 0.0) -> None:
+        """`wall`: time of day at which the history begins, for begin times."""
+        self._wall = wall
         self._limits = {t.name: Resources(t.cpus_max, t.gpus_max, float("inf")) for t in teams}
         self._cancel_s = cancel_s
         self._jobs: dict[str, _Job] = {}
@@ -62,6 +69,7 @@
         """Cancelled jobs with tasks on machines, by the time they have to be gone."""
         self._silent: dict[str, _Job] = {}
         """Jobs whose latest poll failed."""
+        self._begun: set[str] = set()
         self.started = 0
         self.breaches: list[Breach] = []
 
@@ -80,6 +88,8 @@
         if event.kind == "submit" and event.spec is not None:
             if event.job not in self._jobs:
                 self._jobs[event.job] = _Job(msgspec.convert(event.spec, Submission))
+        elif event.kind == "release" and event.job in self._jobs:
+            self._jobs[event.job].released = True
         elif event.kind == "machine":
             self._machines[event.machine] = event
         elif event.kind == "abort" and event.job in self._jobs:
@@ -108,6 +118,7 @@
         if others:
             self._breach(event, "ran_twice", task, f"on {event.machine} while on {others[0]}")
         self._on[task][event.machine] = event.attempt
+        self._begun.add(name)
         if job is None:
             self._breach(event, "invented", task, "started, and nobody submitted it")
             return
@@ -116,6 +127,10 @@
             self._breach(event, "ran_cancelled", task, "started after the time for it")
         elif job.cancelled_at is not None:
             self._late.setdefault(name, job.cancelled_at + self._cancel_s)
+        job.live += 1
+        broken = self._terms(job, event)
+        if broken:
+            self._breach(event, "broke_terms", task, broken)
         machine = self._machines.get(event.machine)
         if machine is not None:
             wrong = self._wrong(job, machine)
@@ -128,6 +143,32 @@
         if limit is not None and not used.fits(limit):
             self._breach(event, "quota", spec.team, f"{used.cpus:g} of {limit.cpus:g} CPUs")
 
+    def _terms(self, job: _Job, event: Event) -> str:
+        """Which of a job's terms a start breaks: the users' rules know none, the service does."""
+        terms = job.spec.terms
+        if terms is None:
+            return ""
+        if terms.hold and not job.released:
+            return "started while it was held"
+        if terms.begin_at is not None and self._wall + event.t < terms.begin_at - SLACK_S:
+            return "started before its begin time"
+        if terms.throttle is not None and job.live > terms.throttle:
+            return f"{job.live} tasks at once, {terms.throttle} allowed"
+        for entry in terms.depends:
+            other = self._jobs.get(entry.job)
+            if other is None:
+                return f"started, and {entry.job} was never submitted"
+            done = len(other.done) == other.spec.tasks
+            cancelled = other.asked_abort is not None
+            if not {
+                "after": done or cancelled or other.spec.id in self._begun,
+                "afterany": done or cancelled,
+                "afterok": done,
+                "afternotok": cancelled,
+            }[entry.kind]:
+                return f"started before {entry.kind}:{entry.job} was met"
+        return ""
+
     def _wrong(self, job: _Job, machine: Event) -> str:
         spec, zones = job.spec, +self._zones[job.spec.id]
         if spec.types is not None and machine.type not in spec.types:
@@ -150,6 +191,7 @@
         if job is None:
             return
         spec = job.spec
+        job.live -= 1
         if event.text == "done":
             job.done.add(int(task.rpartition("/")[2]))
         need = Resources(spec.cpus, spec.gpus, spec.memory_gb)
@@ -224,9 +266,11 @@
     return task.partition("/")[0]
 
 
-def check(events: Iterable[Event], teams: Iterable[Team], cancel_s: float) -> list[Breach]:
-    """All rules broken in a history."""
-    checker = Checker(teams, cancel_s)
+def check(
+    events: Iterable[Event], teams: Iterable[Team], cancel_s: float, wall: float = 0.0
+) -> list[Breach]:
+    """All rules broken in a history that began at a time of day."""
+    checker = Checker(teams, cancel_s, wall)
     t = 0.0
     for event in events:
         checker.take(event)
--- a/badgerseam/lab/front.py
+++ b/badgerseam/lab/front.py
@@ -131,6 +131,12 @@
             return "", ""
         if len(parts) == 2 and method == "GET":
             return "poll", parts[1]
+        if (
+            parts[2:] == ["terms"]
+            and method == "POST"
+            and b'"hold":false' in body.replace(b" ", b"")
+        ):
+            self._history.add("release", job=parts[1])
         if parts[2:] == ["abort"] and method == "POST":
             self._history.add("abort", job=parts[1])
             return "abort", parts[1]
--- a/badgerseam/lab/history.py
+++ b/badgerseam/lab/history.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import IO, Literal
@@ -13,6 +14,7 @@
     "submit",  # a user sends a submission; spec
     "answer",  # a user gets an answer: about, status, phase
     "abort",  # a user asks for a cancellation
+    "release",  # a user asks for the end of a hold
     "machine",  # a machine is rented; its type, zone, kind
     "gone",  # a machine and all on it is gone
     "on",  # a task is on its machine, with its image
@@ -50,6 +52,8 @@
 
     def __init__(self, now: Callable[[], float], path: Path | None = None) -> None:
         self._begun = now()
+        self.wall = time.time()
+        """Time of day when the lab began."""
         self._now = now
         self._file: IO[bytes] | None = None if path is None else path.open("ab")
         self.events: list[Event] = []
--- a/badgerseam/lab/lab.py
+++ b/badgerseam/lab/lab.py
@@ -319,7 +319,12 @@
 
     def breaches(self) -> list[Breach]:
         """The rules broken so far."""
-        return check(self.history.events, self.site.teams, self.site.workers.cancel_s)
+        return check(
+            self.history.events,
+            self.site.teams,
+            self.site.workers.cancel_s,
+            self.history.wall,
+        )
 
     def status(self) -> dict[str, object]:
         """The lab in figures, for people and programs."""
--- a/badgerseam/lab/load.py
+++ b/badgerseam/lab/load.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import math
+import time
 from collections.abc import Callable
 from random import Random
 
@@ -13,6 +14,7 @@
 from badgerseam.http.client import Client, NoResponse
 from badgerseam.lab.front import Front, Truth
 from badgerseam.lab.site import JobClass
+from badgerseam.wire import batch as batch_wire
 from badgerseam.wire import users as wire
 
 PATIENCE_S = 60.0
@@ -72,6 +74,8 @@
         self._random = random
         self._numbers = numbers
         self.factor = factor
+        self._chained: str | None = None
+        """The latest accepted batch job, for others to wait for."""
         self._http = Client(keep=128)
         self._users: set[asyncio.Task[None]] = set()
         self._sources: list[asyncio.Task[None]] = []
@@ -116,13 +120,25 @@
         task.add_done_callback(self._users.discard)
 
     async def _live(self, job_class: JobClass) -> None:
-        spec, truth = make_job(job_class, self._numbers(), self._random)
+        batch = self._random.random() < job_class.batch
+        number = await self._number() if batch else self._numbers()
+        if number is None:
+            self.given_up += 1
+            return
+        spec, truth = make_job(job_class, number, self._random)
+        if batch:
+            spec = msgspec.structs.replace(spec, id=f"job-{number}", terms=self._terms(spec.tasks))
         self._front.truths[spec.id] = truth
         self.submitted += 1
         if not await self._insist("/submissions", msgspec.json.encode(spec), (200, 201)):
             self.given_up += 1
             return
         self.accepted += 1
+        release_at = math.inf
+        if spec.terms is not None:
+            self._chained = spec.id
+            if spec.terms.hold:
+                release_at = self._random.uniform(1.0, 6.0)
         cancel_at = math.inf
         if job_class.life_s is not None:
             cancel_at = job_class.life_s * self._random.uniform(0.5, 1.5)
@@ -133,6 +149,11 @@
             pause = POLL_S * self._random.uniform(0.8, 1.2)
             await asyncio.sleep(min(pause, max(0.05, cancel_at - waited)))
             waited += pause
+            if waited >= release_at:
+                release_at = math.inf
+                # 409: it has been cancelled meanwhile.
+                body = b'{"hold":false}'
+                await self._insist(f"/submissions/{spec.id}/terms", body, (200, 409))
             if waited >= cancel_at:
                 cancel_at = math.inf
                 await self._insist(f"/submissions/{spec.id}/abort", b"{}", (200,))
@@ -140,6 +161,35 @@
                 self.ended += 1
                 return
 
+    async def _number(self) -> int | None:
+        """A job number, asked for as a batch client does; None if none was to be had in time."""
+        until = asyncio.get_running_loop().time() + PATIENCE_S
+        while asyncio.get_running_loop().time() < until:
+            try:
+                response = await self._http.request(self._address, "POST", "/numbers", b"{}", 5.0)
+                if response.status == 200:
+                    return batch_wire.taken_decoder.decode(response.body).numbers[0]
+            except NoResponse:
+                pass
+            await asyncio.sleep(1.0)
+        return None
+
+    def _terms(self, tasks: int) -> wire.Terms:
+        """Terms by chance: held for a while, begun later, throttled, or behind an earlier job."""
+        random = self._random
+        depends = []
+        if self._chained is not None and random.random() < 0.4:
+            depends = [wire.Dependency(random.choice(("after", "afterany")), self._chained)]
+        return wire.Terms(
+            name="load",
+            user="lab",
+            hold=random.random() < 0.2,
+            begin_at=time.time() + random.uniform(1, 8) if random.random() < 0.3 else None,
+            throttle=random.randint(1, tasks) if random.random() < 0.5 else None,
+            depends=depends,
+            nonce=f"{random.random()}",
+        )
+
     async def _poll(self, job: str) -> str:
         try:
             response = await self._http.request(
--- a/badgerseam/lab/measures.py
+++ b/badgerseam/lab/measures.py
@@ -10,8 +10,10 @@
 import msgspec
 
 from badgerseam.clock import Clock
+from badgerseam.cluster.member import Member
 from badgerseam.explain.supply import CloudWord
 from badgerseam.explain.surveys import Surveys
+from badgerseam.lab.lab import free_ports
 from badgerseam.lab.load import make_job
 from badgerseam.lab.site import JobClass, Ports, Site, controller_settings
 from badgerseam.model.job import Job, Stage
@@ -20,6 +22,7 @@
 from badgerseam.settings import ExplainOptions, Team, Tunables
 from badgerseam.wire import state as wire
 from badgerseam.wire.explain import CloudView
+from badgerseam.wire.users import Terms
 
 
 class Cost(msgspec.Struct, frozen=True):
@@ -151,3 +154,64 @@
 def measure_why(machines: int, tasks: int, seed: int) -> Cost:
     """Measure on a share of so many machines, with so many tasks that wait."""
     return asyncio.run(_measure(machines, tasks, seed))
+
+
+class QueueCost(msgspec.Struct, frozen=True):
+    """Seconds."""
+
+    jobs: int
+    bsqueue_s: float
+    """From the first request to the printed list, over HTTP on loopback."""
+    lines: int
+    longest_page_s: float
+
+
+async def _measure_queue(jobs: int, seed: int) -> QueueCost:
+    from badgerseam.api.questions import Questions
+    from badgerseam.cli.client import Front
+    from badgerseam.explain.explainer import Explainer
+    from badgerseam.http.server import Reply, Server
+    from badgerseam.slurm import queue
+    from badgerseam.slurm.client import Batch
+
+    model, planner = build(20, 20, Random(seed))
+    random = Random(seed)
+    for number in range(jobs):
+        job_class = JobClass("x", [random.choice(model.teams).name], tasks=[1, 20])
+        spec, _ = make_job(job_class, 500_000 + number, random)
+        terms = Terms(name=f"n{number % 40}", user="ana", hold=number % 3 == 0)
+        spec = msgspec.structs.replace(spec, terms=terms)
+        stored = wire.StoredJob("open", spec.tasks, model.clock.wall(), spec)
+        model.apply(job_key(spec.id), wire.raw(stored), 1_000_000 + number)
+
+    async def nobody(*_: object) -> None:
+        return None
+
+    member = Member(model, None, None, Tunables(), lambda: None)  # type: ignore[arg-type]
+    explainer = Explainer(model, planner, member, ExplainOptions(), nobody, nobody)
+    questions = Questions(model, explainer, ExplainOptions())
+    longest = 0.0
+
+    async def handle(method: str, uri: str, body: bytes) -> Reply:
+        nonlocal longest
+        begun = time.perf_counter()
+        reply = await questions.queue(uri.partition("?")[2])
+        longest = max(longest, time.perf_counter() - begun)
+        return reply
+
+    server = Server(handle)
+    port = free_ports(1)[0]
+    server.listen(f"127.0.0.1:{port}")
+    options = queue.parser(lambda parser: None).parse_args([])
+    begun = time.perf_counter()
+    text = queue.render(
+        queue.rows(await Batch(Front(f"127.0.0.1:{port}", 10.0)).queue(True), options), options
+    )
+    spent = time.perf_counter() - begun
+    server.stop()
+    return QueueCost(jobs, round(spent, 3), len(text.splitlines()), round(longest, 4))
+
+
+def measure_queue(jobs: int, seed: int) -> QueueCost:
+    """Measure a list of so many open jobs as bsqueue prints it."""
+    return asyncio.run(_measure_queue(jobs, seed))
--- a/badgerseam/lab/site.py
+++ b/badgerseam/lab/site.py
@@ -61,6 +61,9 @@
     types: list[str] | None = None
     cancelled: Annotated[Part, Meta(description="part of the jobs that are cancelled")] = 0.0
     broken: Annotated[Part, Meta(description="part submitted with a mistake")] = 0.0
+    batch: Annotated[
+        Part, Meta(description="part submitted as batch jobs, with numbers and terms")
+    ] = 0.0
     life_s: Annotated[float, Meta(gt=0, description="services: until cancelled")] | None = None
 
 
--- a/badgerseam/slurm/client.py
+++ b/badgerseam/slurm/client.py
@@ -17,6 +17,8 @@
     from badgerseam.http.client import Response
 
 PAGE = 200
+MOST_ASKED = 300
+"""Waiting jobs whose reasons are asked for with a list."""
 
 
 class Refusal(Exception):
@@ -95,11 +97,23 @@
         return wire.machines_decoder.decode(response.body)
 
     async def queue(self, reasons: bool) -> list[explain.QueueLine]:
-        """All open jobs."""
+        """All open jobs; with reasons of those that wait, unless they are very many.
+
+        A list without reasons needs no survey and is cheap at any length; beyond MOST_ASKED waiting
+        jobs it is enough to know which of them their own terms hold back.
+        """
+        lines = await self._list({})
+        unknown = [line for line in lines if line.waiting and not line.reasons]
+        if not reasons or not 0 < len(unknown) <= MOST_ASKED:
+            return lines
+        told = {line.id: line for line in await self._list({"reasons": "1", "waiting": "1"})}
+        return [told.get(line.id, line) for line in lines]
+
+    async def _list(self, filters: dict[str, str]) -> list[explain.QueueLine]:
         lines: list[explain.QueueLine] = []
         after = ""
         while True:
-            query = {"limit": str(PAGE), "after": after} | ({"reasons": "1"} if reasons else {})
+            query = {"limit": str(PAGE), "after": after} | filters
             response = await self._ask("GET", f"/queue?{urlencode(query)}")
             page = [
                 explain.line_decoder.decode(line) for line in response.body.splitlines() if line
--- a/badgerseam/slurm/commands.py
+++ b/badgerseam/slurm/commands.py
@@ -24,16 +24,23 @@
 
 WAIT_S = 2.0
 PATIENCE_S = 60.0
+READ_PATIENCE_S = 10.0
+"""Whoever only looks is told soon that nobody answers."""
 
 
 def _say(name: str, text: str) -> None:
     print(f"{name}: error: {text}", file=sys.stderr)
 
 
-def _run(name: str, work: Callable[[Batch], Coroutine[Any, Any, int]], node: str | None) -> int:
+def _run(
+    name: str,
+    work: Callable[[Batch], Coroutine[Any, Any, int]],
+    node: str | None,
+    patience_s: float = PATIENCE_S,
+) -> int:
     nodes = node or os.environ.get(NODES_VARIABLE, DEFAULT_NODE)
     try:
-        return asyncio.run(work(Batch(Front(nodes, PATIENCE_S))))
+        return asyncio.run(work(Batch(Front(nodes, patience_s))))
     except (submit.Problem, FormatProblem, values.ValueProblem) as error:
         _say(name, str(error))
         return EXIT_USAGE
@@ -176,7 +183,7 @@
         print(queue.render(rows, options))
         return EXIT_OK
 
-    return _run("bsqueue", work, options.node)
+    return _run("bsqueue", work, options.node, READ_PATIENCE_S)
 
 
 # ---- bsinfo ----
@@ -216,7 +223,7 @@
             print(table.text(columns, rows, not options.noheader))
         return EXIT_OK
 
-    return _run("bsinfo", work, options.node)
+    return _run("bsinfo", work, options.node, READ_PATIENCE_S)
 
 
 # ---- bscontrol ----
--- a/badgerseam/slurm/states.py
+++ b/badgerseam/slurm/states.py
@@ -85,4 +85,4 @@
     for code in line.reasons:
         if code in REASONS:
             return REASONS[code]
-    return "Priority" if line.reasons else "None"
+    return "Priority" if line.waiting else "None"
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -7,6 +7,7 @@
 
 import msgspec
 import pytest
+from hypothesis import given
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -46,6 +47,8 @@
             self.batch,
         )
         data = b"" if body is None else msgspec.json.encode(body)
+        if isinstance(body, msgspec.Raw):
+            data = bytes(body)
         reply = self.run(api.handle(method, path, data))
         return reply.status, msgspec.json.decode(reply.body)
 
@@ -112,6 +115,22 @@
     assert some.live == 7
 
 
+def test_a_large_array_with_a_throttle_goes_through_whole() -> None:
+    rig = desk()
+    small = {"pieces": 10_000, "cpus": 0.1, "memGb": 0.1}
+    job = rig.batch_job(throttle=50, job=small)
+    most = rounds = 0
+    while job.finished < 10_000:
+        rig.plan()
+        rounds += 1
+        most = max(most, job.live)
+        rig.model.shares[0].planned.clear()
+        for attempt in list(job.attempts.values()):
+            rig.model.finish(attempt, 0.0)
+            rig.model.forget_finished(attempt)
+    assert (most, rounds) == (50, 200) and job.ending
+
+
 @pytest.mark.parametrize(
     ("kind", "open_", "started", "done", "withdrawn"),
     [
@@ -294,6 +313,46 @@
     assert {row["state"]: row["count"] for row in rows} == {"idle": 3, "mixed": 1}
 
 
+PATHS = ("/numbers", "/numbers/7", "/machines", "/submissions", "/queue")
+ACTIONS = ("", "/terms", "/details", "/abort", "/why", "/nothing")
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers(-5, 10**19) | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(
+                ["hold", "beginAt", "throttle", "depends", "kind", "job", "count", "any"]
+            ),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=8,
+)
+JOB_PATHS = st.builds(
+    "/submissions/{}{}".format,
+    st.sampled_from(["job-000001", "job-9", "x", ""]),
+    st.sampled_from(ACTIONS),
+)
+
+
+@profile(max_examples=200, deadline=None, derandomize=True)
+@given(
+    st.sampled_from(["GET", "POST", "PUT"]),
+    st.sampled_from(PATHS) | JOB_PATHS,
+    st.binary(max_size=40) | VALUES.map(lambda value: msgspec.json.encode(value)),
+    st.text(max_size=12),
+)
+def test_whatever_is_asked_gets_an_answer(method: str, path: str, body: bytes, query: str) -> None:
+    rig = desk()
+    rig.job(pieces=1)
+    status, answer = rig.ask(method, f"{path}?{query}" if query else path, msgspec.Raw(body))
+    assert 200 <= status < 500 and (status < 300 or answer["error"])
+    # Nothing but an abort ends a job.
+    job = rig.model.job("job-000001")
+    assert job is not None or (method, path) == ("POST", "/submissions/job-000001/abort")
+
+
 JOBS = 5
 
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -126,6 +126,40 @@
     assert history(*CANCELLED, told, off(5, text=""), on(33), off(36, text="")) == ["ran_cancelled"]
 
 
+@pytest.mark.parametrize(
+    ("terms", "named"),
+    [
+        ({"hold": True}, "held"),
+        ({"beginAt": 50.0}, "begin"),
+        ({"throttle": 1}, "at once"),
+        ({"depends": [{"kind": "afterok", "job": "job-000002"}]}, "afterok"),
+        ({"depends": [{"kind": "afterany", "job": "job-000002"}]}, "afterany"),
+        ({"depends": [{"kind": "after", "job": "job-000002"}]}, "after:"),
+        ({"depends": [{"kind": "afternotok", "job": "job-000002"}]}, "afternotok"),
+    ],
+)
+def test_broken_terms_are_found(terms: dict[str, Any], named: str) -> None:
+    begin = (machine(), submit(0.5, "job-000002", pieces=1), submit(1, terms=terms), answer(1.1))
+    events = [
+        msgspec.convert({"t": t, "kind": kind, **fields}, Event)
+        for t, kind, fields in (*begin, on(2), on(3, 1))
+    ]
+    found = check(events, [Team("red", 16, 64)], CANCEL_S, 10.0)
+    assert {breach.rule for breach in found} == {"broke_terms"} and named in found[0].text
+    # The same, when they are met.
+    met = (
+        *begin,
+        (1.5, "release", {"job": "job-000001"}),
+        (1.6, "on", {"job": "job-000002/0", "machine": "m-1"}),
+        (1.7, "off", {"job": "job-000002/0", "machine": "m-1", "text": "done"}),
+        on(60),
+        off(61),
+        on(62, 1),
+    )
+    if "afternotok" not in named:
+        assert not history(*met)
+
+
 def test_a_job_is_forgotten_only_if_others_are_answered_meanwhile() -> None:
     started = (*BEGIN, on(2), submit(3, "job-000002"), answer(3.1, job="job-000002"))
     silent = [answer(float(t), "poll", 0, "") for t in range(5, 105, 5)]
