Accounting: a job's summary in its own final record, lists and totals on every controller

Need: what jobs used has to outlive crashes, and changes a second are scarce. Change: a job that is done gets its summary in the transaction that makes it done, at no further write; a cancelled one's is added by the owner of its share behind everything urgent; what an earlier owner measured is lost with it and said to be. Every controller keeps a bounded book. Off unless deploy/options.json has the section.

--- /dev/null
+++ b/badgerseam/accounting/accounts.py
@@ -0,0 +1,153 @@
+"""The accounts of one controller: meters of open jobs, the book of ended ones, and what is still to
+be written.
+
+A job that is done gets its summary in the very transaction that makes it done: it is there once, or
+the job is not done. A cancelled one is final before its tasks are gone, and whoever was asked wrote
+that; the owner of its share adds the summary behind everything urgent. Until then every controller
+knows that it is missing, so that whoever takes the share over writes it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from badgerseam.accounting.book import Book
+from badgerseam.accounting.meter import Meter, cause_of
+from badgerseam.sched.snapshot import slots_of
+from badgerseam.wire.accounting import Usage
+from badgerseam.wire.state import StoredJob
+
+if TYPE_CHECKING:
+    from badgerseam.model.job import Attempt, Job
+    from badgerseam.model.model import Model
+
+MOST_AT_ONCE = 10
+"""Final records of cancelled jobs in one transaction."""
+
+
+@dataclass(slots=True)
+class Unclosed:
+    """A cancelled job without a summary."""
+
+    stored: StoredJob
+    version: int
+    share: int | None
+    usage: Usage | None = None
+    """Measured by this controller."""
+
+
+class Accounts:
+    """Told by the model what happens; callers hold its lock."""
+
+    def __init__(self, model: Model, most_jobs: int) -> None:
+        self._model = model
+        self.book = Book(most_jobs)
+        self.unclosed: dict[str, Unclosed] = {}
+        self.loading = False
+        """A share is being read: what is placed and taken back then is no news."""
+
+    # ---- records ----
+
+    def seen(self, job_id: str, stored: StoredJob, version: int) -> None:
+        """A job's final record, from the replica or written here."""
+        if stored.usage is not None:
+            self.unclosed.pop(job_id, None)
+            self.book.note(job_id, stored.state, stored.tasks, stored.usage)
+        elif stored.state == "withdrawn" and stored.spec is not None:
+            team = self._model.team_index.get(stored.spec.team)
+            share = None if team is None else self._model.teams[team].share
+            known = self.unclosed.get(job_id)
+            if known is None or known.version < version:
+                usage = None if known is None else known.usage
+                self.unclosed[job_id] = Unclosed(stored, version, share, usage)
+
+    def due(self) -> list[tuple[str, Unclosed]]:
+        """Cancelled jobs of owned shares that have left all machines, a few of them."""
+        found: list[tuple[str, Unclosed]] = []
+        for job_id, entry in self.unclosed.items():
+            if entry.share is None or not self._model.shares[entry.share].owned:
+                continue
+            if self._model.job(job_id) is None:
+                found.append((job_id, entry))
+                if len(found) >= MOST_AT_ONCE:
+                    break
+        return found
+
+    def closing(self, entry: Unclosed) -> StoredJob:
+        """The final record of a cancelled job with its summary, without its description."""
+        usage = entry.usage
+        spec = entry.stored.spec
+        if usage is None:
+            assert spec is not None
+            # Its owner ended before it wrote this: what was measured is lost, and said to be.
+            usage = _unknown(spec.team, entry.stored, self._model.clock.wall())
+        return StoredJob("withdrawn", entry.stored.tasks, entry.stored.at, None, usage)
+
+    # ---- what happens to jobs ----
+
+    def opened(self, job: Job) -> None:
+        """A job has become known, or its share is read anew by its new owner."""
+        attempts = sum(job.tries.values())
+        attempts += (
+            sum(task not in job.tries for task in range(job.tasks) if job.status[task] == 2)
+            if job.finished
+            else 0
+        )
+        job.meter = Meter(before=attempts)
+
+    def placed(self, attempt: Attempt) -> None:
+        """An attempt has become durable."""
+        if attempt.job.meter is not None:
+            attempt.job.meter.placed += 1
+
+    def ended(self, attempt: Attempt, done: bool) -> None:
+        """An attempt is over."""
+        job, machine = attempt.job, attempt.machine
+        if job.meter is None or self.loading or not self._model.shares[job.share].owned:
+            return
+        entry = self._model.types.get(machine.type)
+        price = 0.0
+        if entry is not None and slots_of(machine.total) > 0:
+            hour = entry.spot_price if machine.spot else entry.price
+            price = hour * slots_of(job.need) / slots_of(machine.total)
+        clock = self._model.clock
+        cause = "done" if done else cause_of(attempt)
+        job.meter.end(attempt, cause, clock.now(), clock.wall(), price)
+
+    def usage(self, job: Job) -> Usage | None:
+        """The summary of a job that is done."""
+        return None if job.meter is None else job.meter.usage(job, self._model.clock.wall())
+
+    def settled(self, job: Job) -> None:
+        """A cancelled job has left all machines."""
+        entry = self.unclosed.get(job.id)
+        if entry is not None and self._model.shares[job.share].owned:
+            entry.usage = self.usage(job)
+
+
+def _unknown(team: str, stored: StoredJob, wall: float) -> Usage:
+    spec = stored.spec
+    assert spec is not None
+    terms = spec.terms
+    return Usage(
+        team,
+        spec.job_class,
+        spec.priority,
+        None if terms is None else terms.name,
+        None if terms is None else terms.user,
+        spec.cpus,
+        spec.gpus,
+        spec.memory_gb,
+        stored.at,
+        None,
+        round(wall, 3),
+        0,
+        0,
+        0.0,
+        0.0,
+        0.0,
+        0.0,
+        [],
+        False,
+    )
--- /dev/null
+++ b/badgerseam/accounting/meter.py
@@ -0,0 +1,96 @@
+"""Counts a job's attempts while this controller acts for it; each one once, when it ends."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from badgerseam.wire.accounting import CAUSES, Usage
+
+if TYPE_CHECKING:
+    from badgerseam.model.job import Attempt, Job
+
+
+@dataclass(slots=True)
+class Meter:
+    """Of one job. What an earlier owner measured is not known to the next one: its attempts are
+    counted, as far as the records tell, and marked as not measured."""
+
+    before: int = 0
+    """Attempts that the records knew when this owner took the job over."""
+    placed: int = 0
+    """Attempts made durable since then."""
+    measured: int = 0
+    """Attempts whose start and end were seen here."""
+    useful_s: float = 0.0
+    """Seconds on machines of attempts that completed, over all tasks."""
+    wasted_s: float = 0.0
+    """Of those that did not."""
+    spot_s: float = 0.0
+    """Of both, on spot machines."""
+    money: float = 0.0
+    """At the price of the machine when the attempt ended, by the part of it that it took."""
+    first_start: float | None = None
+    """Time of day."""
+    causes: list[int] = field(default_factory=lambda: [0] * len(CAUSES))
+    """Ends by cause."""
+
+    def end(self, attempt: Attempt, cause: str, now: float, wall: float, price: float) -> None:
+        """An attempt that was durable is over. `price`: of its part of the machine, an hour."""
+        self.causes[CAUSES.index(cause)] += 1
+        if attempt.started_at <= 0 or attempt.inherited:
+            # Never seen to run, or not from its start on.
+            return
+        spent = max(0.0, now - attempt.started_at)
+        self.measured += 1
+        self.money += price * spent / 3600
+        if attempt.machine.spot:
+            self.spot_s += spent
+        if cause == "done":
+            self.useful_s += spent
+        else:
+            self.wasted_s += spent
+        begun = wall - spent
+        if self.first_start is None or begun < self.first_start:
+            self.first_start = begun
+
+    def usage(self, job: Job, wall: float) -> Usage:
+        """The summary that goes into the job's final record."""
+        spec = job.spec
+        terms = spec.terms
+        return Usage(
+            spec.team,
+            spec.job_class,
+            spec.priority,
+            None if terms is None else terms.name,
+            None if terms is None else terms.user,
+            spec.cpus,
+            spec.gpus,
+            spec.memory_gb,
+            round(job.submitted, 3),
+            None if self.first_start is None else round(self.first_start, 3),
+            round(wall, 3),
+            self.before + self.placed,
+            max(0, self.before + self.placed - self.measured),
+            round(self.useful_s, 3),
+            round(self.wasted_s, 3),
+            round(self.spot_s, 3),
+            round(self.money, 6),
+            list(self.causes),
+        )
+
+
+def cause_of(attempt: Attempt) -> str:
+    """Why an attempt that did not complete is over."""
+    machine = attempt.machine
+    if attempt.error:
+        return "error"
+    if attempt.job.phase != 0:
+        return "cancelled"
+    if attempt.cost is not None:
+        return "evicted"
+    if machine.recall_at is not None:
+        return "taken"
+    if machine.draining and attempt.stopping:
+        return "drained"
+    return "lost"
--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from badgerseam.api.accounting import ACCOUNTING, AccountingApi
 from badgerseam.api.batch import MACHINES, NUMBERS, BatchApi
 from badgerseam.api.questions import Questions
 from badgerseam.cluster.member import Member
@@ -100,10 +101,12 @@
         alone: Callable[[], str | None],
         questions: Questions | None = None,
         batch: BatchApi | None = None,
+        accounting: AccountingApi | None = None,
     ) -> None:
         self._model = model
         self._questions = questions
         self._batch = batch
+        self._accounting = accounting
         self._alone = alone
         self._ledger = ledger
         self._member = member
@@ -142,6 +145,16 @@
             if not self._model.loaded:
                 return error_reply(503, "starting", RETRY_S)
             return await self._questions.queue(query)
+        if self._accounting is not None and path.startswith(ACCOUNTING):
+            if method != "GET":
+                return error_reply(405, "GET only")
+            if not self._model.loaded:
+                return error_reply(503, "starting", RETRY_S)
+            if path == ACCOUNTING:
+                return self._accounting.jobs(query)
+            if path == f"{ACCOUNTING}/totals":
+                return self._accounting.totals()
+            return error_reply(404, "no such path")
         if self._batch is not None and path.startswith((NUMBERS, MACHINES)):
             return await self._batch_path(self._batch, method, path, body)
         if path == ROOT:
--- a/badgerseam/model/job.py
+++ b/badgerseam/model/job.py
@@ -10,6 +10,7 @@
 from badgerseam.wire.users import Submission
 
 if TYPE_CHECKING:
+    from badgerseam.accounting.meter import Meter
     from badgerseam.model.machine import Machine
 
 RANKS = {"best_effort": 0, "standard": 1, "high": 2, "production": 3}
@@ -57,6 +58,9 @@
     stop_sent: bool = False
     cost: float | None = None
     """Of all that was evicted with it on its machine, if it is being evicted."""
+    inherited: bool = False
+    """Placed by an earlier owner: when it began to run is not known."""
+    error: bool = False
     planned_at: float = 0.0
     started_at: float = 0.0
     finishing: bool = False
@@ -110,6 +114,8 @@
     rank: int = field(init=False)
     types: frozenset[str] | None = field(init=False)
     seen_at: float = 0.0
+    meter: Meter | None = None
+    """Only where accounts are kept."""
 
     def __post_init__(self) -> None:
         spec = self.spec
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -5,6 +5,7 @@
 import threading
 from collections import deque
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -26,6 +27,9 @@
 from badgerseam.wire.cloud import MachineType
 from badgerseam.wire.workers import Report
 
+if TYPE_CHECKING:
+    from badgerseam.accounting.accounts import Accounts
+
 PREFIX = "bs/"
 
 
@@ -167,6 +171,8 @@
     """Jobs whose tasks are all done, which is to be made durable."""
     unknown: dict[str, Report] = field(default_factory=dict)
     """Reports of machines without a record."""
+    accounts: Accounts | None = None
+    """Where they are kept."""
     named: dict[tuple[int, str, str], set[int]] = field(default_factory=dict)
     """Open jobs with a name, by team, user and name."""
     gone: set[str] = field(default_factory=set)
@@ -250,9 +256,13 @@
             machine.node = None
 
     def _apply_job(self, job_id: str, value: msgspec.Raw, version: int) -> None:
-        if job_id in self.ended:
+        if job_id in self.ended and self.accounts is None:
             return
         stored: wire.StoredJob = msgspec.json.decode(value, type=wire.StoredJob)
+        if self.accounts is not None and stored.state != "open":
+            self.accounts.seen(job_id, stored, version)
+        if job_id in self.ended:
+            return
         phase = PHASE_NAMES[stored.state]
         job = self.job(job_id)
         if job is not None and version <= job.version:
@@ -312,6 +322,8 @@
             self.jobs[index] = job
         self.job_index[job_id] = index
         self.open_jobs[share][index] = job
+        if self.accounts is not None:
+            self.accounts.opened(job)
         key = name_key(job)
         if key is not None:
             self.named.setdefault(key, set()).add(index)
@@ -398,7 +410,8 @@
                     continue
                 self.unplace(attempt)
             if index is not None:
-                self.place(job, task, row.attempt, self.machines[index], Stage.PLACED)
+                placed = self.place(job, task, row.attempt, self.machines[index], Stage.PLACED)
+                placed.inherited = True
 
     def _apply_group(self, group: str, value: msgspec.Raw | None, version: int) -> None:
         rows: dict[str, wire.StoredMachine] = {}
@@ -550,6 +563,8 @@
     def unplace(self, attempt: Attempt) -> None:
         """The attempt is certainly over."""
         machine = attempt.machine
+        if self.accounts is not None and attempt.stage != Stage.PLANNED and not attempt.finishing:
+            self.accounts.ended(attempt, done=False)
         attempt.job.release(attempt)
         self.kicks.add(attempt.job.share)
         if not machine.attempts:
@@ -562,6 +577,8 @@
         job, task = attempt.job, attempt.task
         if job.status[task] == FINISHED:
             return
+        if self.accounts is not None:
+            self.accounts.ended(attempt, done=True)
         job.completed(attempt)
         job.status[task] = FINISHED
         job.finished += 1
@@ -597,6 +614,8 @@
         self.kicks.add(job.share)
         if job.attempts or self.jobs[job.index] is not job:
             return
+        if self.accounts is not None:
+            self.accounts.settled(job)
         self.shares[job.share].bits_due.pop(job.index, None)
         key = name_key(job)
         if key is not None and key in self.named:
@@ -653,6 +672,8 @@
     def _reload(self, share: Share) -> None:
         share.planned.clear()
         share.bits_due.clear()
+        if self.accounts is not None:
+            self.accounts.loading = True
         jobs = list(self.open_jobs[share.index].values())
         for job in jobs:
             job.reset()
@@ -661,6 +682,10 @@
                 found = self.job(entry.job)
                 if found is not None:
                     self._load_rows(found, entry, number)
+        if self.accounts is not None:
+            self.accounts.loading = False
+            for job in jobs:
+                self.accounts.opened(job)
         for job in jobs:
             if job.finished == job.tasks and job.phase == Phase.OPEN and not job.service:
                 job.ending = True
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -8,6 +8,8 @@
 from random import Random
 from typing import cast
 
+from badgerseam.accounting.accounts import Accounts
+from badgerseam.api.accounting import AccountingApi
 from badgerseam.api.batch import BatchApi
 from badgerseam.api.questions import Questions
 from badgerseam.api.users import Api
@@ -38,6 +40,8 @@
 """Part of the sockets that connections kept idle may take; the rest is for those that come in."""
 PUSH_ROUNDS = 4
 """Ticks in which each machine is looked at once."""
+CLOSE_ROUNDS = 5
+"""Ticks between looks at cancelled jobs without a summary."""
 PLAN_DELAY_S = 0.004
 """Gathers what arrives together before it is planned."""
 
@@ -105,6 +109,11 @@
         if tunables.batch is not None:
             numbers = Numbers(self.model, self.state, self.committer)
             batch = BatchApi(self.model, self.ledger, numbers, self.planner.terms, tunables.batch)
+        accounting: AccountingApi | None = None
+        if tunables.accounting is not None:
+            accounts = Accounts(self.model, tunables.accounting.most_jobs)
+            self.model.accounts = accounts
+            accounting = AccountingApi(self.model, accounts.book)
         self.api = Api(
             self.model,
             self.state,
@@ -114,6 +123,7 @@
             self.peers.alone,
             questions,
             batch,
+            accounting,
         )
         self._pulse_at: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -168,6 +178,8 @@
                         model.pushes.update(i for i in fleet if i % PUSH_ROUNDS == turn)
                 for machine, share in self.returns.vacated():
                     self._spawn(self._pass_on(machine, share))
+                if rounds % CLOSE_ROUNDS == 0:
+                    self.ledger.close()
                 if rounds % 2 == 0 and self.returns.finished():
                     self._spawn(self.returns.drop())
                 if rounds % max(1, round(self.tunables.counts_s / TICK_S)) == 0:
--- a/badgerseam/settings.py
+++ b/badgerseam/settings.py
@@ -129,6 +129,14 @@
     ] = 50.0
 
 
+class AccountingOptions(Struct, frozen=True, forbid_unknown_fields=True):
+    """What jobs used, kept with their final records, if this section is there."""
+
+    most_jobs: Annotated[
+        int, Meta(ge=1, description="ended jobs that a controller can list; totals outlive them")
+    ] = 100_000
+
+
 class Tunables(Struct, frozen=True, forbid_unknown_fields=True):
     """Operators' own settings. Times are in seconds unless the name says otherwise."""
 
@@ -182,6 +190,10 @@
         Meta(description="holds, begin times, throttles, dependencies, job numbers"),
     ] = None
 
+    accounting: Annotated[
+        AccountingOptions | None, Meta(description="what jobs used, lists and totals")
+    ] = None
+
 
 def load_settings(path: str) -> Settings:
     """Read and check the settings file."""
--- a/badgerseam/store/ledger.py
+++ b/badgerseam/store/ledger.py
@@ -29,6 +29,7 @@
 USER_DEADLINE_S = 1.5
 """A user who can't be served is told so soon, not when the patience is nearly over."""
 READ_DEADLINE_S = 1.0
+CLOSE_DEADLINE_S = 5.0
 
 
 Change = Callable[[Job], tuple[Submission, dict[str, int]]]
@@ -53,6 +54,7 @@
         self._resign = resign
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
+        self._closing = False
 
     # ---- for users ----
 
@@ -244,6 +246,8 @@
                 if attempt.job.attempts.get(attempt.task) is attempt:
                     if attempt.stage == Stage.PLANNED:
                         attempt.stage = Stage.PLACED
+                        if model.accounts is not None:
+                            model.accounts.placed(attempt)
                     model.pushes.add(attempt.machine.index)
             for attempt in draft.finished:
                 if attempt.job.attempts.get(attempt.task) is attempt:
@@ -308,7 +312,8 @@
         share = model.shares[job.share]
         term = share.term
         key = job_key(job.id)
-        value = wire.raw(wire.StoredJob("done", job.tasks, round(job.submitted, 3)))
+        usage = None if model.accounts is None else model.accounts.usage(job)
+        value = wire.raw(wire.StoredJob("done", job.tasks, round(job.submitted, 3), None, usage))
         try:
             revision = await self._committer.commit(
                 Urgency.PLACE,
@@ -331,6 +336,44 @@
                 model.apply(key, value, revision)
         self._changed()
 
+    def close(self) -> None:
+        """Add the summaries of cancelled jobs to their records; called now and then."""
+        accounts = self._model.accounts
+        if accounts is None or self._closing:
+            return
+        with self._model.lock:
+            due = [
+                (job_id, entry.version, accounts.closing(entry)) for job_id, entry in accounts.due()
+            ]
+        if due:
+            self._closing = True
+            self._spawn(self._close(due))
+
+    async def _close(self, due: list[tuple[str, int, wire.StoredJob]]) -> None:
+        values = {job_key(job_id): wire.raw(stored) for job_id, _, stored in due}
+        try:
+            revision = await self._committer.commit(
+                Urgency.UPKEEP,
+                {job_key(job_id): version for job_id, version, _ in due},
+                [wire.Write(put=key, value=value) for key, value in values.items()],
+                CLOSE_DEADLINE_S,
+            )
+        except Refused as refusal:
+            # Written before, without an answer, or by an owner before us.
+            for key in refusal.failed:
+                try:
+                    await self.read(key.rpartition("/")[2])
+                except Unavailable:
+                    log.debug("%s: could not be read", key)
+        except (Unavailable, Dropped):
+            log.debug("%d summaries not written yet", len(due))
+        else:
+            with self._model.lock:
+                for key, value in values.items():
+                    self._model.apply(key, value, revision)
+        finally:
+            self._closing = False
+
     async def write_counts(self, share: Share) -> None:
         """Write G and F of an owned share."""
         key = counts_key(share.index)
--- /dev/null
+++ b/badgerseam/wire/accounting.py
@@ -0,0 +1,110 @@
+"""A job's summary in its final record, and as it is told."""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Struct, field
+
+CAUSES = ("done", "evicted", "drained", "taken", "lost", "error", "cancelled")
+"""Why attempts ended; the order is that of the counts, and only grows."""
+
+
+class Usage(Struct, frozen=True, array_like=True):
+    """Stored with the job. Times of day in seconds since 1970, amounts as in the submission."""
+
+    team: str
+    job_class: str
+    priority: str
+    name: str | None
+    user: str | None
+    cpus: float
+    gpus: float
+    memory_gb: float
+    submitted: float
+    started: float | None
+    ended: float
+    attempts: int
+    unmeasured: int
+    """Attempts whose times nobody saw: an earlier owner's, or never seen to run."""
+    useful_s: float
+    wasted_s: float
+    spot_s: float
+    money: float
+    causes: list[int]
+    complete: bool = True
+    """False: its owner ended before the summary was written; attempts and times are not known."""
+
+
+class Line(Struct, frozen=True, omit_defaults=True, rename="camel"):
+    """A job that has ended."""
+
+    id: str
+    state: str
+    tasks: int
+    team: str
+    job_class: str
+    priority: str
+    submitted_at: float
+    ended_at: float
+    attempts: int
+    unmeasured: int = 0
+    started_at: float | None = None
+    name: str | None = None
+    user: str | None = None
+    cpus: float = 0.0
+    gpus: float = 0.0
+    memory_gb: float = 0.0
+    useful_s: float = 0.0
+    wasted_s: float = 0.0
+    spot_s: float = 0.0
+    money: float = 0.0
+    ends: dict[str, int] = field(default_factory=dict)
+    complete: bool = True
+
+
+class DayTotal(Struct, frozen=True, rename="camel"):
+    """A team's jobs that ended on a day (UTC)."""
+
+    day: str
+    team: str
+    jobs: int
+    cancelled: int
+    attempts: int
+    unmeasured: int
+    useful_cpu_s: float
+    wasted_cpu_s: float
+    money: float
+
+
+def line(job_id: str, state: str, tasks: int, usage: Usage) -> Line:
+    """A stored summary as it is told."""
+    ends = {cause: count for cause, count in zip(CAUSES, usage.causes, strict=False) if count}
+    return Line(
+        job_id,
+        state,
+        tasks,
+        usage.team,
+        usage.job_class,
+        usage.priority,
+        usage.submitted,
+        usage.ended,
+        usage.attempts,
+        usage.unmeasured,
+        usage.started,
+        usage.name,
+        usage.user,
+        usage.cpus,
+        usage.gpus,
+        usage.memory_gb,
+        usage.useful_s,
+        usage.wasted_s,
+        usage.spot_s,
+        usage.money,
+        ends,
+        usage.complete,
+    )
+
+
+line_decoder: msgspec.json.Decoder[Line] = msgspec.json.Decoder(Line)
+totals_decoder: msgspec.json.Decoder[list[DayTotal]] = msgspec.json.Decoder(list[DayTotal])
+encode = msgspec.json.Encoder().encode
--- a/badgerseam/wire/state.py
+++ b/badgerseam/wire/state.py
@@ -5,6 +5,7 @@
 import msgspec
 from msgspec import Raw, Struct, field
 
+from badgerseam.wire.accounting import Usage
 from badgerseam.wire.users import Submission
 
 
@@ -84,6 +85,8 @@
     tasks: int
     at: float
     spec: Submission | None = None
+    usage: Usage | None = None
+    """What it used, of one that has ended and was accounted for."""
 
 
 class TaskRow(Struct, frozen=True, array_like=True):
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -220,6 +220,7 @@
             job.retry_at = now + min(0.25 * 2 ** min(job.errors, 7), 30.0)
             log.debug("%s failed on %s: %s", attempt.name, machine.name, item.why)
             if item.why == "error":
+                attempt.error = True
                 job.shunned.add(machine.index)
                 machine.failed_jobs.add(job.index)
                 if len(machine.failed_jobs) >= FAULTY_JOBS and not machine.draining:
