--- a/badgerseam/api/accounting.py
+++ b/badgerseam/api/accounting.py
@@ -12,7 +12,7 @@
 
 ACCOUNTING = "/accounting"
 MOST_LINES = 500
-MOST_LOOKED = 5000
+MOST_LOOKED = 2000
 """Jobs looked at for one answer; the last line then says where to go on."""
 FILTERS = ("job", "team", "class", "user", "name", "state", "since", "until", "limit", "after")
 
--- a/badgerseam/cli/__init__.py
+++ b/badgerseam/cli/__init__.py
@@ -46,7 +46,7 @@
     client.add_commands(commands)
     lab.add_commands(commands)
     slurm = commands.add_parser("slurm", help="Slurm-style commands", add_help=False)
-    slurm.add_argument("order", choices=["batch", "queue", "cancel", "info", "control"])
+    slurm.add_argument("order", choices=["batch", "queue", "cancel", "info", "control", "acct"])
     slurm.add_argument("rest", nargs=argparse.REMAINDER)
     return parser
 
--- a/badgerseam/cli/lab.py
+++ b/badgerseam/cli/lab.py
@@ -65,6 +65,9 @@
     listed = orders.add_parser("queue-cost", help="measure a list of many open jobs")
     listed.add_argument("--jobs", type=int, default=5000)
     listed.add_argument("--seed", type=int, default=1)
+    book = orders.add_parser("book-cost", help="measure the accounts of many ended jobs")
+    book.add_argument("--jobs", type=int, default=100_000)
+    book.add_argument("--seed", type=int, default=1)
     schema = orders.add_parser("schema", help="print the JSON Schema of a site file")
     schema.add_argument("--experiment", action="store_true", help="of an experiment instead")
     for order in (
@@ -91,7 +94,7 @@
     try:
         if options.order == "schema":
             return _schema(options)
-        if options.order in ("why-cost", "queue-cost"):
+        if options.order in ("why-cost", "queue-cost", "book-cost"):
             return _cost(options)
         if options.order == "up":
             return asyncio.run(_up(options))
@@ -118,13 +121,13 @@
 def _cost(options: argparse.Namespace) -> int:
     import msgspec
 
-    from badgerseam.lab.measures import measure_queue, measure_why
+    from badgerseam.lab.measures import measure_book, measure_queue, measure_why
 
-    if options.order == "queue-cost":
+    if options.order != "why-cost":
         if options.jobs < 1:
             return fail("--jobs: at least 1", EXIT_USAGE)
-        found = measure_queue(options.jobs, options.seed)
-        print(json.dumps(msgspec.to_builtins(found), indent=2))
+        measure = measure_queue if options.order == "queue-cost" else measure_book
+        print(json.dumps(msgspec.to_builtins(measure(options.jobs, options.seed)), indent=2))
         return EXIT_OK
     if options.machines < 1 or options.tasks < 1:
         return fail("--machines, --tasks: at least 1", EXIT_USAGE)
@@ -136,7 +139,7 @@
 def _options_file(directory: Path) -> Path:
     """The service's own options, all that a lab shows switched on."""
     path = directory / "options.json"
-    path.write_text('{"explain": {}, "batch": {}}\n')
+    path.write_text('{"explain": {}, "batch": {}, "accounting": {}}\n')
     return path
 
 
--- a/badgerseam/lab/measures.py
+++ b/badgerseam/lab/measures.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from badgerseam.accounting.book import Book
+from badgerseam.api.accounting import AccountingApi
 from badgerseam.clock import Clock
 from badgerseam.cluster.member import Member
 from badgerseam.explain.supply import CloudWord
@@ -21,6 +23,7 @@
 from badgerseam.sched.planner import Planner
 from badgerseam.settings import ExplainOptions, Team, Tunables
 from badgerseam.wire import state as wire
+from badgerseam.wire.accounting import Usage
 from badgerseam.wire.explain import CloudView
 from badgerseam.wire.users import Terms
 
@@ -215,3 +218,78 @@
 def measure_queue(jobs: int, seed: int) -> QueueCost:
     """Measure a list of so many open jobs as bsqueue prints it."""
     return asyncio.run(_measure_queue(jobs, seed))
+
+
+class BookCost(msgspec.Struct, frozen=True):
+    """Of a controller's book of ended jobs."""
+
+    jobs: int
+    memory_mb: float
+    """What it holds, its index and totals included."""
+    note_us: float
+    """Processor time to take over a final record, its decoding included."""
+    record_bytes: float
+    """Of a final record in the state service; without accounts it is some 40."""
+    list_ms: float
+    """For a page of 500 jobs of one team."""
+
+
+def measure_book(jobs: int, seed: int) -> BookCost:
+    """Measure the book with so many ended jobs."""
+    import tracemalloc
+
+    random = Random(seed)
+    records = []
+    for number in range(jobs):
+        causes = [random.randint(1, 20), *(random.randint(0, 2) for _ in range(6))]
+        usage = Usage(
+            f"team-{random.randint(0, 30)}",
+            "renewal-reckon",
+            "standard",
+            f"name-{random.randint(0, 200)}",
+            f"user-{random.randint(0, 50)}",
+            4.0,
+            0.0,
+            14.0,
+            1.7e9 + number,
+            1.7e9 + number + 3,
+            1.7e9 + number + 60,
+            sum(causes),
+            random.randint(0, 3),
+            round(random.uniform(0, 5000), 3),
+            round(random.uniform(0, 300), 3),
+            0.0,
+            round(random.uniform(0, 1), 6),
+            causes,
+        )
+        stored = wire.StoredJob("done", causes[0], 1.7e9 + number, None, usage)
+        records.append((f"job-{number:06d}", bytes(wire.raw(stored))))
+    size = sum(len(record) for _, record in records) / jobs
+    tracemalloc.start()
+    book = Book(jobs)
+    before = tracemalloc.get_traced_memory()[0]
+    for name, record in records:
+        found: wire.StoredJob = msgspec.json.decode(record, type=wire.StoredJob)
+        assert found.usage is not None
+        book.note(name, found.state, found.tasks, found.usage)
+    held = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    again = Book(jobs)
+    begun = time.process_time()
+    for name, record in records:
+        found = msgspec.json.decode(record, type=wire.StoredJob)
+        assert found.usage is not None
+        again.note(name, found.state, found.tasks, found.usage)
+    spent = time.process_time() - begun
+    settings = controller_settings(Site(controllers=1), {"node-0": Ports(1, 2, 3, 4, {})}, "node-0")
+    api = AccountingApi(Model(settings, Clock()), book)
+    begun = time.process_time()
+    api.jobs("team=team-7&limit=500")
+    listed = time.process_time() - begun
+    return BookCost(
+        jobs,
+        round(held / 1e6, 1),
+        round(spent / jobs * 1e6, 1),
+        round(size, 1),
+        round(listed * 1000, 1),
+    )
--- /dev/null
+++ b/badgerseam/slurm/acct.py
@@ -0,0 +1,170 @@
+"""bsacct: jobs that have ended, and totals by team and day."""
+
+from __future__ import annotations
+
+import argparse
+import csv
+import json
+import sys
+from collections.abc import AsyncIterator, Callable
+from datetime import datetime
+
+import msgspec
+
+from badgerseam.slurm.client import Batch
+from badgerseam.slurm.states import PHASES, wanted_states
+from badgerseam.slurm.table import Field, R, Table
+from badgerseam.slurm.values import ValueProblem, begin
+from badgerseam.wire.accounting import DayTotal, Line
+
+FORMAT = "JobID:12,JobName:14,Account:10,State:10,NTasks:.7,Attempts:.9,Elapsed:.10,CPUTime:.12"
+TOTALS = "Day:10,Account:14,Jobs:.7,Cancelled:.10,Attempts:.9,CPUTime:.14,Wasted:.14,Money:.12"
+
+
+def _when(at: float | None) -> str:
+    return "Unknown" if at is None else datetime.fromtimestamp(at).strftime("%Y-%m-%dT%H:%M:%S")
+
+
+def _span(seconds: float) -> str:
+    hours, rest = divmod(round(seconds), 3600)
+    return f"{hours:02}:{rest // 60:02}:{rest % 60:02}"
+
+
+def _number(line: Line) -> str:
+    return line.id.partition("-")[2].lstrip("0") or "0"
+
+
+def _ends(line: Line) -> str:
+    return ";".join(f"{cause}={count}" for cause, count in line.ends.items())
+
+
+JOB_FIELDS: list[Field[Line]] = [
+    Field("", "JobID", "JobID", _number),
+    Field("", "Id", "Id", lambda line: line.id),
+    Field("", "JobName", "JobName", lambda line: line.name or line.job_class),
+    Field("", "Account", "Account", lambda line: line.team),
+    Field("", "User", "User", lambda line: line.user or ""),
+    Field("", "QOS", "QOS", lambda line: line.priority),
+    Field("", "State", "State", lambda line: PHASES[line.state]),
+    Field("", "ExitCode", "ExitCode", lambda line: "0:0" if line.state == "done" else "0:15"),
+    Field("", "Submit", "Submit", lambda line: _when(line.submitted_at)),
+    Field("", "Start", "Start", lambda line: _when(line.started_at)),
+    Field("", "End", "End", lambda line: _when(line.ended_at)),
+    Field("", "Elapsed", "Elapsed", lambda line: _span(_elapsed(line))),
+    Field("", "NTasks", "NTasks", lambda line: str(line.tasks)),
+    Field("", "AllocCPUS", "AllocCPUS", lambda line: f"{line.cpus * line.tasks:g}"),
+    Field("", "CPUTime", "CPUTime", lambda line: _span(line.useful_s * line.cpus)),
+    Field("", "CPUTimeRAW", "CPUTimeRAW", lambda line: f"{line.useful_s * line.cpus:.3f}"),
+    Field("", "Wasted", "Wasted", lambda line: _span(line.wasted_s * line.cpus)),
+    Field("", "WastedRAW", "WastedRAW", lambda line: f"{line.wasted_s * line.cpus:.3f}"),
+    Field("", "Attempts", "Attempts", lambda line: str(line.attempts)),
+    Field("", "Unmeasured", "Unmeasured", lambda line: str(line.unmeasured)),
+    Field("", "Complete", "Complete", lambda line: "yes" if line.complete else "no"),
+    Field("", "Ends", "Ends", _ends),
+    Field("", "Money", "Money", lambda line: f"{line.money:.4f}"),
+]
+TOTAL_FIELDS: list[Field[DayTotal]] = [
+    Field("", "Day", "Day", lambda total: total.day),
+    Field("", "Account", "Account", lambda total: total.team),
+    Field("", "Jobs", "Jobs", lambda total: str(total.jobs)),
+    Field("", "Cancelled", "Cancelled", lambda total: str(total.cancelled)),
+    Field("", "Attempts", "Attempts", lambda total: str(total.attempts)),
+    Field("", "Unmeasured", "Unmeasured", lambda total: str(total.unmeasured)),
+    Field("", "CPUTime", "CPUTime", lambda total: _span(total.useful_cpu_s)),
+    Field("", "Wasted", "Wasted", lambda total: _span(total.wasted_cpu_s)),
+    Field("", "Money", "Money", lambda total: f"{total.money:.4f}"),
+]
+
+
+def _elapsed(line: Line) -> float:
+    return 0.0 if line.started_at is None else max(0.0, line.ended_at - line.started_at)
+
+
+def parser(node: Callable[[argparse.ArgumentParser], None]) -> argparse.ArgumentParser:
+    """The options of bsacct."""
+    made = argparse.ArgumentParser(prog="bsacct", description="List jobs that have ended.")
+    made.add_argument("-j", "--jobs", help="numbers or ids, with commas")
+    made.add_argument("-A", "--account", help="the team")
+    made.add_argument("-u", "--user")
+    made.add_argument("--name")
+    made.add_argument("-s", "--state", help="COMPLETED or CANCELLED, or short")
+    made.add_argument("-S", "--starttime", help="ended not before: 08:00, a date, now-style")
+    made.add_argument("-E", "--endtime", help="ended not after")
+    made.add_argument("-o", "--format", help="names with widths, with commas")
+    made.add_argument("-n", "--noheader", action="store_true")
+    made.add_argument("-P", "--parsable2", action="store_true", help="fields joined by |")
+    made.add_argument("--csv", action="store_true", help="line by line as it comes")
+    made.add_argument("--json", action="store_true")
+    made.add_argument("--totals", action="store_true", help="by team and day (UTC)")
+    node(made)
+    return made
+
+
+def filters(options: argparse.Namespace, now: datetime) -> dict[str, str]:
+    """What is asked of the service; ValueProblem names what cannot be."""
+    found: dict[str, str] = {}
+    for name, value in (("team", options.account), ("user", options.user), ("name", options.name)):
+        if value is not None:
+            found[name] = value
+    for name, text in (("since", options.starttime), ("until", options.endtime)):
+        if text is not None:
+            at = begin(text, now)
+            # A time of day is the latest one that has been, not the next.
+            if at > now and ":" in text and "T" not in text and "-" not in text:
+                at = at.replace(day=now.day, month=now.month, year=now.year)
+            found[name] = f"{at.timestamp():.3f}"
+    if options.state is not None:
+        try:
+            wanted = wanted_states(options.state)
+        except ValueError as error:
+            raise ValueProblem(f"--state: {error}") from error
+        ended = [phase for phase, name in PHASES.items() if name in wanted]
+        ended = [phase for phase in ended if phase in ("done", "withdrawn")]
+        if not ended:
+            raise ValueProblem("--state: jobs here end as COMPLETED or CANCELLED only")
+        if len(ended) == 1:
+            found["state"] = ended[0]
+    return found
+
+
+async def _wanted(batch: Batch, options: argparse.Namespace) -> AsyncIterator[Line]:
+    asked = filters(options, datetime.now().astimezone())
+    if options.jobs is None:
+        async for line in batch.accounting(asked):
+            yield line
+        return
+    for job in options.jobs.split(","):
+        job_id = await batch.id_of(job.strip())
+        async for line in batch.accounting(asked | {"job": job_id}):
+            yield line
+
+
+async def run(batch: Batch, options: argparse.Namespace) -> None:
+    """Print what is asked for."""
+    if options.totals:
+        totals = await batch.totals()
+        totals = [t for t in totals if options.account in (None, t.team)]
+        _print(Table(TOTAL_FIELDS), options.format or TOTALS, totals, options)
+        return
+    table = Table(JOB_FIELDS)
+    columns = table.long(options.format or FORMAT)
+    if options.csv:
+        writer = csv.writer(sys.stdout, lineterminator="\n")
+        if not options.noheader:
+            writer.writerow([column.field.head for column in columns])
+        async for line in _wanted(batch, options):
+            writer.writerow([column.field.value(line) for column in columns])
+        return
+    _print(
+        table, options.format or FORMAT, [line async for line in _wanted(batch, options)], options
+    )
+
+
+def _print(table: Table[R], text: str, rows: list[R], options: argparse.Namespace) -> None:
+    columns = table.long(text)
+    if options.json:
+        print(json.dumps([msgspec.to_builtins(row) for row in rows], indent=2))
+    elif options.parsable2:
+        print(table.parsable(columns, rows, not options.noheader))
+    else:
+        print(table.text(columns, rows, not options.noheader))
--- a/badgerseam/slurm/client.py
+++ b/badgerseam/slurm/client.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
 import msgspec
 
 from badgerseam.cli.client import Front
+from badgerseam.wire import accounting as accounting_wire
 from badgerseam.wire import batch as wire
 from badgerseam.wire import explain
 from badgerseam.wire.users import Submission
@@ -17,6 +19,7 @@
     from badgerseam.http.client import Response
 
 PAGE = 200
+ACCOUNTING_PAGE = 500
 MOST_ASKED = 300
 """Waiting jobs whose reasons are asked for with a list."""
 
@@ -123,6 +126,29 @@
                 return lines
             after = page[-1].id
 
+    async def accounting(self, filters: dict[str, str]) -> AsyncIterator[accounting_wire.Line]:
+        """Jobs that have ended, the latest first, page by page."""
+        after: str | None = None
+        while True:
+            query = filters | {"limit": str(ACCOUNTING_PAGE)}
+            if after is not None:
+                query["after"] = after
+            response = await self._ask("GET", f"/accounting?{urlencode(query)}")
+            more: str | None = None
+            for text in response.body.splitlines():
+                if text.startswith(b'{"after"'):
+                    more = str(json.loads(text)["after"])
+                else:
+                    yield accounting_wire.line_decoder.decode(text)
+            if more is None or "job" in filters:
+                return
+            after = more
+
+    async def totals(self) -> list[accounting_wire.DayTotal]:
+        """By team and day."""
+        response = await self._ask("GET", "/accounting/totals")
+        return accounting_wire.totals_decoder.decode(response.body)
+
 
 def _error(response: Response) -> str:
     try:
--- a/badgerseam/slurm/commands.py
+++ b/badgerseam/slurm/commands.py
@@ -16,7 +16,7 @@
 
 from badgerseam.cli.client import DEFAULT_NODE, NODES_VARIABLE, Front, Unreachable
 from badgerseam.cli.exits import EXIT_FAILED, EXIT_OK, EXIT_UNREACHABLE, EXIT_USAGE
-from badgerseam.slurm import control, queue, submit, values
+from badgerseam.slurm import acct, control, queue, submit, values
 from badgerseam.slurm.client import Batch, Refusal
 from badgerseam.slurm.states import NODE_STATES
 from badgerseam.slurm.table import Field, FormatProblem, Table
@@ -265,11 +265,26 @@
     return EXIT_OK
 
 
+# ---- bsacct ----
+
+
+def bsacct(arguments: Sequence[str] | None = None) -> int:
+    """List jobs that have ended."""
+    options = acct.parser(_node).parse_args(arguments)
+
+    async def work(batch: Batch) -> int:
+        await acct.run(batch, options)
+        return EXIT_OK
+
+    return _run("bsacct", work, options.node, READ_PATIENCE_S)
+
+
 COMMANDS: dict[str, Callable[[Sequence[str] | None], int]] = {
     "batch": bsbatch,
     "queue": bsqueue,
     "cancel": bscancel,
     "info": bsinfo,
     "control": bscontrol,
+    "acct": bsacct,
 }
 """As orders of `badgerseam slurm`."""
--- /dev/null
+++ b/tests/test_accounting.py
@@ -0,0 +1,310 @@
+"""Each attempt counted once, whatever ends between an end, its record and the job's last one."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from badgerseam.accounting.accounts import Accounts
+from badgerseam.accounting.book import Book
+from badgerseam.api.accounting import AccountingApi
+from badgerseam.http.server import Reply
+from badgerseam.model.job import Job, Stage
+from badgerseam.model.machine import Machine
+from badgerseam.model.model import job_key
+from badgerseam.wire import state as wire
+from badgerseam.wire.accounting import DayTotal, Line, Usage, line_decoder
+from tests.stand_ins import Rig, Worker
+
+
+class Office(Rig):
+    """A controller that keeps accounts."""
+
+    def __init__(self, beside: Rig | None = None) -> None:
+        super().__init__(beside=beside)
+        self.accounts = Accounts(self.model, 1000)
+        self.model.accounts = self.accounts
+
+    def line(self, job_id: str = "job-000001") -> Line:
+        found = self.accounts.book.get(job_id)
+        assert found is not None
+        return found
+
+    def stored(self, job_id: str = "job-000001") -> wire.StoredJob:
+        value = self.state.data[job_key(job_id)][0]
+        stored: wire.StoredJob = msgspec.json.decode(value, type=wire.StoredJob)
+        return stored
+
+    def up(self) -> tuple[Machine, Worker]:
+        worker = Worker()
+        machine = self.machine()
+        self.report(worker)
+        return machine, worker
+
+    def start(self, worker: Worker) -> None:
+        """Have what waits placed, made durable, launched and seen to run."""
+        self.plan()
+        self.run(self.settle(30))
+        for _ in range(3):
+            self.report(worker)
+
+    def close(self) -> None:
+        """Write the summaries that are due."""
+
+        async def work() -> None:
+            self.ledger.close()
+            await self.settle(20)
+
+        self.run(work())
+
+
+def office() -> Office:
+    rig = Office()
+    rig.own()
+    return rig
+
+
+def test_a_jobs_summary_is_in_the_record_that_makes_it_done() -> None:
+    rig = office()
+    _, worker = rig.up()
+    rig.job(pieces=2)
+    rig.start(worker)
+    rig.clock.time += 10.0
+    rig.lease()
+    writes = rig.state.core.revision
+    for task in ("job-000001/0", "job-000001/1"):
+        worker.finish(task)
+    rig.report(worker)
+    rig.clock.time += 2.0
+    rig.run(rig.settle(30))
+    line = rig.line()
+    assert (line.state, line.attempts, line.unmeasured, line.ends) == ("done", 2, 0, {"done": 2})
+    assert line.useful_s == pytest.approx(20.0, abs=0.5) and line.wasted_s == 0.0
+    # A quarter of a machine at 1.0 an hour, twice for ten seconds.
+    assert line.money == pytest.approx(20.0 / 3600 / 4, rel=0.05)
+    assert line.started_at == pytest.approx(line.ended_at - 12.0, abs=0.5)
+    assert rig.state.core.revision - writes <= 2, "the tasks' page and the job: no write more"
+    other = Office(beside=rig)
+    other.sync()
+    assert other.line() == line
+    other.sync()
+    rig.accounts.seen("job-000001", rig.stored(), 99)
+    assert len(rig.accounts.book) == 1 and rig.accounts.book.totals()[0].jobs == 1
+
+
+@pytest.mark.parametrize("fate", ["lost", "silent", "late", "503"])
+def test_an_end_without_an_answer_counts_once(fate: str) -> None:
+    rig = office()
+    _, worker = rig.up()
+    job = rig.job(pieces=1)
+    rig.start(worker)
+    worker.finish("job-000001/0")
+    rig.report(worker)
+    rig.state.script = [fate, fate]
+
+    async def work() -> None:
+        for turn in range(300):
+            rig.ledger.flush()
+            await asyncio.sleep(0.004)
+            if turn % 50 == 0:
+                rig.lease()
+                rig.state.deliver()
+
+    rig.run(work())
+    assert job.phase == 1
+    [total] = rig.accounts.book.totals()
+    assert (total.jobs, total.attempts) == (1, 1)
+    assert rig.stored().usage is not None
+
+
+def test_why_attempts_ended() -> None:
+    rig = office()
+    machine, worker = rig.up()
+    rig.job(pieces=1, cpus=8.0, snapshotS=5.0)
+    rig.start(worker)
+    rig.clock.time += 7.0
+    rig.lease()
+    high = rig.job(job_id="job-000002", pieces=1, cpus=8.0, rank="high")
+    rig.start(worker)
+    rig.start(worker)
+    assert high.attempts
+    low = rig.model.job("job-000001")
+    assert low is not None and low.meter is not None
+    assert low.meter.causes == [0, 1, 0, 0, 0, 0, 0], "evicted"
+    assert low.meter.wasted_s == pytest.approx(7.0, abs=0.5)
+    worker.finish("job-000002/0", "error")
+    rig.report(worker)
+    machine.lost = True
+    assert high.meter is not None and high.meter.causes == [0, 0, 0, 0, 0, 1, 0]
+
+
+def cancel(rig: Office, job_id: str = "job-000001") -> None:
+    rig.run(rig.ledger.cancel(job_id))
+
+
+def test_a_cancelled_jobs_summary_follows_when_its_tasks_are_gone() -> None:
+    rig = office()
+    _, worker = rig.up()
+    rig.job(pieces=2)
+    rig.start(worker)
+    rig.clock.time += 5.0
+    rig.lease()
+    cancel(rig)
+    rig.close()
+    assert len(rig.accounts.book) == 0, "its tasks may still be there"
+    for _ in range(3):
+        rig.report(worker)
+    rig.close()
+    line = rig.line()
+    assert (line.state, line.attempts, line.ends) == ("withdrawn", 2, {"cancelled": 2})
+    assert line.wasted_s == pytest.approx(10.0, abs=0.5) and line.complete
+    assert rig.stored().spec is None and not rig.accounts.unclosed
+    revision = rig.state.core.revision
+    rig.close()
+    assert rig.state.core.revision == revision, "and never again"
+
+
+@pytest.mark.parametrize("fate", ["silent", "late", "lost"])
+def test_whoever_takes_over_closes_what_its_owner_left_and_it_counts_once(fate: str) -> None:
+    rig = office()
+    rig.job(pieces=2)
+    other = Office(beside=rig)
+    other.sync()
+    cancel(rig)
+    rig.state.script = [fate] * 40
+    rig.run(rig.settle(3))
+    rig.ledger._closing = False
+
+    async def cut_off() -> None:
+        rig.ledger.close()
+        await rig.settle(6)
+
+    rig.run(cut_off())
+    rig.state.script.clear()
+    other.sync()
+    assert rig.state.core.leases
+    other.lease()
+    other.own()
+    other.close()
+    rig.state.deliver()
+    other.sync()
+    rig.sync()
+    for office_ in (rig, other):
+        [total] = office_.accounts.book.totals()
+        assert (total.jobs, total.cancelled) == (1, 1)
+    assert rig.line().complete == (fate == "silent"), "only what was written is known"
+
+
+def test_a_takeover_counts_what_the_records_know_and_says_what_was_not_measured() -> None:
+    rig = office()
+    _, worker = rig.up()
+    rig.job(pieces=2)
+    rig.start(worker)
+    other = Office(beside=rig)
+    other.set("bs/f", msgspec.json.decode(bytes(rig.state.data["bs/f"][0])))
+    other.sync()
+    other.lease()
+    other.own()
+    job = other.model.job("job-000001")
+    assert job is not None and job.meter is not None
+    assert (job.meter.before, len(job.attempts)) == (2, 2)
+    for attempt in list(job.attempts.values()):
+        attempt.stage = Stage.RUNNING
+        attempt.started_at = other.clock.now()
+        other.model.finish(attempt, 0.0)
+    usage = job.meter.usage(job, 0.0)
+    assert (usage.attempts, usage.unmeasured, usage.useful_s) == (2, 2, 0.0)
+    assert usage.causes[0] == 2
+
+
+def record(number: int, team: str = "red", ended: float = 0.0, **fields: object) -> Usage:
+    usage = Usage(team, "c", "high", "n", "ana", 2.0, 0.0, 4.0, 0.0, 1.0, ended, 3, 1, 5.0, 2.0,
+                  0.0, 0.25, [2, 1])  # fmt: skip
+    return msgspec.structs.replace(usage, **fields)
+
+
+def test_the_book_is_bounded_and_its_totals_are_not() -> None:
+    book = Book(3)
+    for number in range(5):
+        book.note(f"job-{number}", "done", 2, record(number, ended=86400.0 * (number // 3)))
+        book.note(f"job-{number}", "done", 2, record(number))
+    assert [line.id for line in book.lines()] == ["job-4", "job-3", "job-2"]
+    assert [line.id for line in book.lines("job-3")] == ["job-2"]
+    assert book.totals() == [
+        DayTotal("1970-01-01", "red", 3, 0, 9, 3, 30.0, 12.0, 0.75),
+        DayTotal("1970-01-02", "red", 2, 0, 6, 2, 20.0, 8.0, 0.5),
+    ]
+
+
+def test_lists_are_filtered_and_paged() -> None:
+    rig = office()
+    for number in range(7):
+        usage = record(number, "red" if number % 2 else "blue", float(number))
+        state = "withdrawn" if number == 5 else "done"
+        rig.accounts.book.note(f"job-{number}", state, 2, usage)
+    api = AccountingApi(rig.model, rig.accounts.book)
+
+    def ids(query: str) -> list[str]:
+        reply: Reply = api.jobs(query)
+        assert reply.status == 200, reply.body
+        return [text.split(b'"')[3].decode() for text in reply.body.splitlines()]
+
+    assert ids("team=red") == ["job-5", "job-3", "job-1"]
+    assert ids("team=red&state=done&since=2") == ["job-3"]
+    assert ids("limit=2") == ["job-6", "job-5", "job-5"], "the last line says where to go on"
+    assert ids("limit=2&after=job-5")[:2] == ["job-4", "job-3"]
+    assert ids("job=job-2") == ["job-2"] and ids("job=job-99") == []
+    assert line_decoder.decode(api.jobs("job=job-2").body).ends == {"done": 2, "evicted": 1}
+    for bad in ("limit=0", "since=x", "colour=red"):
+        assert api.jobs(bad).status == 400
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.lists(st.sampled_from(["finish", "lose", "plan", "time", "takeover"]), max_size=14))
+def test_whatever_the_order_attempts_add_up(steps: list[str]) -> None:
+    """Attempts in the summary are those that were durable; none is counted by two owners, and
+    what is measured never exceeds the time that has passed."""
+    rig = office()
+    machine, worker = rig.up()
+    job: Job = rig.job(pieces=3)
+    begun = rig.clock.now()
+    durable: set[tuple[int, int]] = set()
+
+    def note() -> None:
+        durable.update((a.task, a.number) for a in job.attempts.values() if a.stage >= Stage.PLACED)
+
+    for step in [*steps, "plan", "finish", "plan", "finish"]:
+        rig.lease()
+        if step == "plan":
+            rig.start(worker)
+        elif step == "time":
+            rig.clock.time += 3.0
+        elif step == "takeover":
+            rig.model.disown(rig.model.shares[0])
+            rig.own()
+            rig.report(worker)
+            rig.report(worker)
+        else:
+            for name, held in list(worker.tasks.items()):
+                if held.phase == "running":
+                    worker.finish(name, "done" if step == "finish" else "halted")
+                    if step == "lose":
+                        break
+            for _ in range(3):
+                rig.report(worker)
+            rig.clock.time += 1.0
+            rig.run(rig.settle(20))
+        note()
+        job = rig.model.job("job-000001") or job
+    if job.phase != 1:
+        return
+    line = rig.line()
+    assert line.attempts >= len(durable) >= 3
+    assert line.ends.get("done", 0) <= 3 and 0 <= line.unmeasured <= line.attempts
+    assert line.useful_s + line.wasted_s <= 3 * (rig.clock.now() - begun) + 1e-6
+    assert rig.accounts.book.totals()[0].jobs == 1
+    assert machine.name == "m-1"
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import msgspec
 import pytest
@@ -24,7 +25,7 @@
 from badgerseam.lab.worker import Description, Identity, Results, WorkerCore
 from badgerseam.model.resources import Resources
 from badgerseam.settings import CloudParams, SettingsError, StateParams, WorkerParams
-from badgerseam.slurm.commands import bsbatch, bscancel, bsqueue
+from badgerseam.slurm.commands import bsacct, bsbatch, bscancel, bsqueue
 from badgerseam.slurm.submit import ACCOUNT_VARIABLE
 from badgerseam.store.client import LeaseLost, Refused, TooOld
 from badgerseam.wire import cloud as cloud_wire
@@ -318,7 +319,7 @@
 
     async def play() -> None:
         options = tmp_path / "options.json"
-        options.write_text('{"explain": {}, "batch": {}}')
+        options.write_text('{"explain": {}, "batch": {}, "accounting": {}}')
         lab = Lab(small_site(), tmp_path / "lab", Clock(), Random(1), options=options)
         await lab.start()
         try:
@@ -353,8 +354,18 @@
             assert await command(lab, bsqueue, "-h") == ""
             for job in (held, f"job-{long}"):
                 assert (await ask(lab, "GET", f"/submissions/{job}"))["phase"] == "withdrawn"
-            await asyncio.sleep(1.5)
+            await asyncio.sleep(3.0)
             assert not lab.breaches()
+            # What either used is told the same, and agrees with what the machines have seen.
+            lines = [
+                json.loads(await command(lab, bsacct, "--json", "-j", job))[0]
+                for job in (own, number, held, long)
+            ]
+            for line in lines:
+                _reconcile(lab, line)
+            for first, second in (lines[:2], lines[2:]):
+                same = ("state", "tasks", "team", "priority", "attempts", "cpus", "ends")
+                assert [first[key] for key in same] == [second[key] for key in same]
         finally:
             await lab.stop()
         for first, second in ((own, f"job-{number}"), (held, f"job-{long}")):
@@ -363,6 +374,25 @@
     asyncio.run(play())
 
 
+def _reconcile(lab: Lab, line: dict[str, Any]) -> None:
+    """A job's accounts against the history: every attempt, and its seconds to within what a report
+    may be late at its start and at its end."""
+    seconds = dict.fromkeys(("done", ""), 0.0)
+    began: dict[str, float] = {}
+    attempts = 0
+    for event in lab.history.events:
+        if event.job.partition("/")[0] != line["id"] or event.kind not in ("on", "off"):
+            continue
+        if event.kind == "on":
+            attempts += 1
+            began[event.job] = event.t
+        else:
+            seconds[event.text] += event.t - began.pop(event.job)
+    assert line["attempts"] == attempts and line.get("unmeasured", 0) == 0 and not began
+    assert line.get("usefulS", 0.0) == pytest.approx(seconds["done"], abs=attempts)
+    assert line.get("wastedS", 0.0) == pytest.approx(seconds[""], abs=attempts)
+
+
 def _course(lab: Lab, job: str) -> list[object]:
     """What became of a job: its tasks' starts and ends, and the phases that users were told."""
     tasks: dict[str, list[str]] = {}
