--- a/badgerseam/cli/lab.py
+++ b/badgerseam/cli/lab.py
@@ -269,7 +269,8 @@
     paths = write_report(report, out)
     _print_report(report, console)
     console.print("written: " + ", ".join(str(path) for path in paths), soft_wrap=True)
-    return EXIT_FAILED if report.breaches else EXIT_OK
+    faults = report.accounts.faults if report.accounts is not None else []
+    return EXIT_FAILED if report.breaches or faults else EXIT_OK
 
 
 def _print_report(report: Report, console: Any) -> None:
@@ -299,6 +300,15 @@
             f"questions by status {report.questions}; answered within "
             f"{' / '.join(f'{v:.3f}' for v in report.answer_s)} s; reasons {report.reasons}"
         )
+    accounts = report.accounts
+    if accounts is not None:
+        console.print(
+            f"accounts: {accounts.accounted} of {accounts.ended} ended jobs, "
+            f"{accounts.attempts} attempts ({accounts.unmeasured} not measured) of "
+            f"{accounts.starts} starts; useful {accounts.useful_s} of "
+            f"{accounts.useful_really_s} s, wasted {accounts.wasted_s} of "
+            f"{accounts.wasted_really_s} s; faults {accounts.faults or 'none'}"
+        )
     console.print(f"broken rules: {len(report.breaches)}")
     for breach in report.breaches:
         console.print(breach)
--- a/badgerseam/lab/experiment.py
+++ b/badgerseam/lab/experiment.py
@@ -10,13 +10,16 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
+from badgerseam.cli.client import Unreachable
 from badgerseam.lab.faults import Breaker, Fault
 from badgerseam.lab.lab import Lab, LabError
+from badgerseam.lab.reconcile import reconcile
 from badgerseam.lab.report import Report, summarize
 from badgerseam.lab.site import Site
 from badgerseam.settings import SettingsError
 
 SAMPLE_S = 1.0
+ACCOUNTS_S = 4.0
 
 
 class Step(Struct, frozen=True, forbid_unknown_fields=True):
@@ -96,7 +99,14 @@
             await asyncio.sleep(0.1)
     finally:
         asker.stop()
-    return summarize(lab, samples, asker)
+    if experiment.settle_s > 0:
+        # Summaries of cancelled jobs are written behind everything else.
+        await asyncio.sleep(ACCOUNTS_S)
+    try:
+        accounts = await reconcile(lab)
+    except Unreachable:
+        accounts = None
+    return summarize(lab, samples, asker, accounts)
 
 
 def _sample(lab: Lab, samples: list[Sample]) -> None:
--- /dev/null
+++ b/badgerseam/lab/reconcile.py
@@ -0,0 +1,90 @@
+"""Accounts against the history of the machines: every ended job once, no second too many."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from msgspec import Struct
+
+from badgerseam.cli.client import Front
+from badgerseam.lab.lab import Lab
+from badgerseam.slurm.client import Batch, Refusal
+from badgerseam.wire.accounting import Line
+
+LATE_S = 1.0
+"""How late reports may show a start or an end, together."""
+
+
+class Reconciled(Struct, frozen=True):
+    """What the accounts say beside what happened."""
+
+    ended: int
+    """Jobs whose end a user was told, or whose tasks were all done."""
+    accounted: int
+    missing: int
+    attempts: int
+    """As accounted; some are placed and never start."""
+    starts: int
+    unmeasured: int
+    useful_s: float
+    useful_really_s: float
+    wasted_s: float
+    wasted_really_s: float
+    faults: list[str]
+    """Where the accounts claim what did not happen."""
+
+
+async def reconcile(lab: Lab) -> Reconciled | None:
+    """Compare, from the accounts of any controller; None if none are kept."""
+    batch = Batch(Front(f"127.0.0.1:{lab.front_port}", 20.0))
+    try:
+        lines = [line async for line in batch.accounting({})]
+    except Refusal:
+        return None
+    return compare(lab, lines)
+
+
+def compare(lab: Lab, lines: list[Line]) -> Reconciled:
+    """Compare lists of ended jobs with the history so far."""
+    starts: Counter[str] = Counter()
+    seconds: dict[tuple[str, str], float] = {}
+    began: dict[tuple[str, str], float] = {}
+    ended: set[str] = set()
+    for event in lab.history.events:
+        job = event.job.partition("/")[0]
+        if event.kind == "on":
+            starts[job] += 1
+            began[event.job, event.machine] = event.t
+        elif event.kind == "off" and (event.job, event.machine) in began:
+            spent = event.t - began.pop((event.job, event.machine))
+            kind = "useful" if event.text == "done" else "wasted"
+            seconds[job, kind] = seconds.get((job, kind), 0.0) + spent
+        elif event.kind == "answer" and event.phase in ("done", "withdrawn"):
+            ended.add(job)
+    faults: list[str] = []
+    seen: Counter[str] = Counter(line.id for line in lines)
+    faults += [f"{job}: accounted {count} times" for job, count in seen.items() if count > 1]
+    for line in lines:
+        if line.id not in ended and line.state == "withdrawn":
+            faults.append(f"{line.id}: accounted as cancelled, and nobody was told so")
+        if line.complete and line.attempts < starts[line.id]:
+            faults.append(f"{line.id}: {line.attempts} attempts, {starts[line.id]} starts")
+        # What ran twice as wasted first and useful then is told apart only by kind.
+        real = seconds.get((line.id, "useful"), 0.0) + seconds.get((line.id, "wasted"), 0.0)
+        told = line.useful_s + line.wasted_s
+        if told > real + LATE_S * max(1, line.attempts):
+            faults.append(f"{line.id}: {told:.1f} s accounted, {real:.1f} s on machines")
+    missing = sorted(ended - set(seen))
+    return Reconciled(
+        len(ended),
+        len(seen),
+        len(missing),
+        sum(line.attempts for line in lines),
+        sum(starts[line.id] for line in lines),
+        sum(line.unmeasured for line in lines),
+        round(sum(line.useful_s for line in lines), 1),
+        round(sum(seconds.get((line.id, "useful"), 0.0) for line in lines), 1),
+        round(sum(line.wasted_s for line in lines), 1),
+        round(sum(seconds.get((line.id, "wasted"), 0.0) for line in lines), 1),
+        faults,
+    )
--- a/badgerseam/lab/report.py
+++ b/badgerseam/lab/report.py
@@ -12,6 +12,8 @@
 from hdrh.histogram import HdrHistogram
 from msgspec import Struct, field
 
+from badgerseam.lab.reconcile import Reconciled
+
 if TYPE_CHECKING:
     from badgerseam.lab.experiment import Sample
     from badgerseam.lab.history import Event
@@ -53,6 +55,8 @@
     """Answers to questions why a job waits, by status; 0: no response."""
     answer_s: list[float] = field(default_factory=list)
     reasons: dict[str, int] = field(default_factory=dict)
+    accounts: Reconciled | None = None
+    """The accounts beside the history."""
     samples: list[Any] = field(default_factory=list)
 
 
@@ -65,7 +69,9 @@
     return [round(histogram.get_value_at_percentile(q) / 1e6, 4) for q in QUANTILES]
 
 
-def summarize(lab: Lab, samples: list[Sample], asker: Asker) -> Report:
+def summarize(
+    lab: Lab, samples: list[Sample], asker: Asker, accounts: Reconciled | None = None
+) -> Report:
     """The figures of a lab's history so far."""
     events = lab.history.events
     accept: list[float] = []
@@ -99,6 +105,7 @@
         if times.get_total_count()
         else [],
         dict(asker.codes.most_common()),
+        accounts,
         [msgspec.to_builtins(sample) for sample in samples],
     )
 
