--- a/badgerseam/accounting/accounts.py
+++ b/badgerseam/accounting/accounts.py
@@ -12,10 +12,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from badgerseam.accounting.book import Book
 from badgerseam.accounting.meter import Meter, cause_of
 from badgerseam.sched.snapshot import slots_of
-from badgerseam.wire.accounting import Usage
+from badgerseam.wire.accounting import Usage, usage_of
 from badgerseam.wire.state import StoredJob
 
 if TYPE_CHECKING:
@@ -81,7 +83,8 @@
         if usage is None:
             assert spec is not None
             # Its owner ended before it wrote this: what was measured is lost, and said to be.
-            usage = _unknown(spec.team, entry.stored, self._model.clock.wall())
+            usage = usage_of(spec, entry.stored.at, None, self._model.clock.wall())
+            usage = msgspec.structs.replace(usage, complete=False)
         return StoredJob("withdrawn", entry.stored.tasks, entry.stored.at, None, usage)
 
     # ---- what happens to jobs ----
@@ -124,30 +127,3 @@
         entry = self.unclosed.get(job.id)
         if entry is not None and self._model.shares[job.share].owned:
             entry.usage = self.usage(job)
-
-
-def _unknown(team: str, stored: StoredJob, wall: float) -> Usage:
-    spec = stored.spec
-    assert spec is not None
-    terms = spec.terms
-    return Usage(
-        team,
-        spec.job_class,
-        spec.priority,
-        None if terms is None else terms.name,
-        None if terms is None else terms.user,
-        spec.cpus,
-        spec.gpus,
-        spec.memory_gb,
-        stored.at,
-        None,
-        round(wall, 3),
-        0,
-        0,
-        0.0,
-        0.0,
-        0.0,
-        0.0,
-        [],
-        False,
-    )
--- a/badgerseam/accounting/meter.py
+++ b/badgerseam/accounting/meter.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from badgerseam.wire.accounting import CAUSES, Usage
+import msgspec
+
+from badgerseam.wire.accounting import CAUSES, Usage, usage_of
 
 if TYPE_CHECKING:
     from badgerseam.model.job import Attempt, Job
@@ -56,27 +58,16 @@
 
     def usage(self, job: Job, wall: float) -> Usage:
         """The summary that goes into the job's final record."""
-        spec = job.spec
-        terms = spec.terms
-        return Usage(
-            spec.team,
-            spec.job_class,
-            spec.priority,
-            None if terms is None else terms.name,
-            None if terms is None else terms.user,
-            spec.cpus,
-            spec.gpus,
-            spec.memory_gb,
-            round(job.submitted, 3),
-            None if self.first_start is None else round(self.first_start, 3),
-            round(wall, 3),
-            self.before + self.placed,
-            max(0, self.before + self.placed - self.measured),
-            round(self.useful_s, 3),
-            round(self.wasted_s, 3),
-            round(self.spot_s, 3),
-            round(self.money, 6),
-            list(self.causes),
+        attempts = self.before + self.placed
+        return msgspec.structs.replace(
+            usage_of(job.spec, job.submitted, self.first_start, wall),
+            attempts=attempts,
+            unmeasured=max(0, attempts - self.measured),
+            useful_s=round(self.useful_s, 3),
+            wasted_s=round(self.wasted_s, 3),
+            spot_s=round(self.spot_s, 3),
+            money=round(self.money, 6),
+            causes=list(self.causes),
         )
 
 
--- a/badgerseam/api/accounting.py
+++ b/badgerseam/api/accounting.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-from urllib.parse import parse_qsl
-
 from badgerseam.accounting.book import Book
-from badgerseam.api.questions import NDJSON
+from badgerseam.api.lists import BadQuery, lines_reply, read_filters
 from badgerseam.http.server import Reply
 from badgerseam.model.model import Model
 from badgerseam.wire.accounting import Line, encode
 
 ACCOUNTING = "/accounting"
-MOST_LINES = 500
 MOST_LOOKED = 2000
 """Jobs looked at for one answer; the last line then says where to go on."""
 FILTERS = ("job", "team", "class", "user", "name", "state", "since", "until", "limit", "after")
@@ -32,19 +29,11 @@
     def jobs(self, query: str) -> Reply:
         """Ended jobs, the latest first, a line each; a last line {"after": ID} if there may be
         more."""
-        filters = dict(parse_qsl(query, keep_blank_values=True))
-        unknown = sorted(filters.keys() - set(FILTERS))
-        if unknown:
-            text = f"unknown: {', '.join(unknown)[:100]}; known are {', '.join(FILTERS)}"
-            return Reply(400, encode({"error": text}))
-        limit = filters.get("limit", "100")
-        if not limit.isdecimal() or not 1 <= int(limit) <= MOST_LINES:
-            return Reply(400, encode({"error": f"limit: a number from 1 to {MOST_LINES}"}))
         try:
-            since = float(filters.get("since", "0"))
-            until = float(filters.get("until", "inf"))
-        except ValueError:
-            return Reply(400, encode({"error": "since, until: seconds since 1970"}))
+            filters, limit = read_filters(query, FILTERS)
+            since, until = _times(filters)
+        except BadQuery as bad:
+            return bad.reply
         found: list[bytes] = []
         more: str | None = None
         with self._model.lock:
@@ -56,12 +45,19 @@
             for looked, entry in enumerate(lines, 1):
                 if since <= entry.ended_at <= until and _matches(entry, filters):
                     found.append(encode(entry))
-                if len(found) >= int(limit) or looked >= MOST_LOOKED:
+                if len(found) >= limit or looked >= MOST_LOOKED:
                     more = entry.id
                     break
         if more is not None:
             found.append(encode({"after": more}))
-        return Reply(200, b"".join(text + b"\n" for text in found), content_type=NDJSON)
+        return lines_reply(found)
+
+
+def _times(filters: dict[str, str]) -> tuple[float, float]:
+    try:
+        return float(filters.get("since", "0")), float(filters.get("until", "inf"))
+    except ValueError as error:
+        raise BadQuery("since, until: seconds since 1970") from error
 
 
 def _matches(entry: Line, filters: dict[str, str]) -> bool:
--- a/badgerseam/api/questions.py
+++ b/badgerseam/api/questions.py
@@ -5,8 +5,8 @@
 import asyncio
 import heapq
 import math
-from urllib.parse import parse_qsl
 
+from badgerseam.api.lists import BadQuery, lines_reply, read_filters
 from badgerseam.explain.explainer import Explainer
 from badgerseam.explain.reasons import TERMS
 from badgerseam.http.budget import Budget
@@ -18,13 +18,11 @@
 from badgerseam.wire.users import Terms
 
 RETRY_S = 1
-MOST_LINES = 500
 LINES_A_QUESTION = 50
 """Lines with reasons that count as one question."""
 PLAIN_LINES_A_QUESTION = 500
 """Lines without reasons that do: they need no survey."""
 NO_TERMS = Terms()
-NDJSON = "application/x-ndjson"
 FILTERS = ("after", "limit", "team", "class", "reasons", "waiting")
 
 
@@ -53,24 +51,20 @@
 
     async def queue(self, query: str) -> Reply:
         """Open jobs in the order of their ids, a line each."""
-        filters = dict(parse_qsl(query, keep_blank_values=True))
-        unknown = sorted(filters.keys() - set(FILTERS))
-        if unknown:
-            text = f"unknown: {', '.join(unknown)[:100]}; known are {', '.join(FILTERS)}"
-            return Reply(400, encode({"error": text}))
-        limit = filters.get("limit", "100")
-        if not limit.isdecimal() or not 1 <= int(limit) <= MOST_LINES:
-            return Reply(400, encode({"error": f"limit: a number from 1 to {MOST_LINES}"}))
+        try:
+            filters, limit = read_filters(query, FILTERS)
+        except BadQuery as bad:
+            return bad.reply
         reasons = filters.get("reasons") in ("1", "true")
         each = LINES_A_QUESTION if reasons else PLAIN_LINES_A_QUESTION
-        refusal = self.turned_away(int(limit) / each)
+        refusal = self.turned_away(limit / each)
         if refusal is not None:
             return refusal
         model = self._model
         with model.lock:
             jobs = [job for share in model.open_jobs for job in share.values() if _open(job)]
             jobs = [job for job in jobs if _matches(job, filters)]
-            jobs = heapq.nsmallest(int(limit), jobs, key=lambda job: job.id)
+            jobs = heapq.nsmallest(limit, jobs, key=lambda job: job.id)
         answers: dict[str, Why] = {}
         if reasons:
             by_share: dict[int, list[str]] = {}
@@ -81,8 +75,7 @@
             )
             answers = {answer.id: answer for part in found for answer in part}
         with model.lock:
-            lines = [encode(self._line(job, answers.get(job.id))) for job in jobs]
-        return Reply(200, b"".join(line + b"\n" for line in lines), content_type=NDJSON)
+            return lines_reply(encode(self._line(job, answers.get(job.id))) for job in jobs)
 
     def _term(self, job: Job) -> list[Code]:
         """The term that holds a job back, which needs no survey to be known."""
--- a/badgerseam/wire/accounting.py
+++ b/badgerseam/wire/accounting.py
@@ -5,6 +5,8 @@
 import msgspec
 from msgspec import Struct, field
 
+from badgerseam.wire.users import Submission
+
 CAUSES = ("done", "evicted", "drained", "taken", "lost", "error", "cancelled")
 """Why attempts ended; the order is that of the counts, and only grows."""
 
@@ -23,14 +25,14 @@
     submitted: float
     started: float | None
     ended: float
-    attempts: int
-    unmeasured: int
+    attempts: int = 0
+    unmeasured: int = 0
     """Attempts whose times nobody saw: an earlier owner's, or never seen to run."""
-    useful_s: float
-    wasted_s: float
-    spot_s: float
-    money: float
-    causes: list[int]
+    useful_s: float = 0.0
+    wasted_s: float = 0.0
+    spot_s: float = 0.0
+    money: float = 0.0
+    causes: list[int] = field(default_factory=list)
     complete: bool = True
     """False: its owner ended before the summary was written; attempts and times are not known."""
 
@@ -76,6 +78,24 @@
     money: float
 
 
+def usage_of(spec: Submission, submitted: float, started: float | None, ended: float) -> Usage:
+    """A job's summary before anything is counted."""
+    terms = spec.terms
+    return Usage(
+        spec.team,
+        spec.job_class,
+        spec.priority,
+        None if terms is None else terms.name,
+        None if terms is None else terms.user,
+        spec.cpus,
+        spec.gpus,
+        spec.memory_gb,
+        round(submitted, 3),
+        None if started is None else round(started, 3),
+        round(ended, 3),
+    )
+
+
 def line(job_id: str, state: str, tasks: int, usage: Usage) -> Line:
     """A stored summary as it is told."""
     ends = {cause: count for cause, count in zip(CAUSES, usage.causes, strict=False) if count}
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -7,6 +7,8 @@
 import msgspec
 import pytest
 
+from badgerseam.api.batch import BatchApi
+from badgerseam.api.questions import Questions
 from badgerseam.api.users import Api
 from badgerseam.http.server import Reply
 from badgerseam.wire import state as wire
@@ -14,7 +16,7 @@
 from tests.stand_ins import Rig, submission
 
 
-def api(rig: Rig) -> Api:
+def api(rig: Rig, questions: Questions | None = None, batch: BatchApi | None = None) -> Api:
     return Api(
         rig.model,
         rig.state,  # type: ignore[arg-type]
@@ -22,6 +24,8 @@
         rig.member,
         rig.control,
         lambda: None,
+        questions,
+        batch,
     )
 
 
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -13,7 +13,6 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from badgerseam.api.batch import BatchApi
-from badgerseam.api.users import Api
 from badgerseam.batch.numbers import BLOCK, FIRST, Numbers
 from badgerseam.model.job import Job, Phase
 from badgerseam.model.model import job_key
@@ -22,6 +21,7 @@
 from badgerseam.wire import state as wire
 from badgerseam.wire.users import Terms
 from tests.stand_ins import Rig, submission
+from tests.test_api import api
 
 
 class Desk(Rig):
@@ -36,20 +36,10 @@
 
     def ask(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
         """A request, and its answer's status and body."""
-        api = Api(
-            self.model,
-            self.state,  # type: ignore[arg-type]
-            self.ledger,
-            self.member,
-            self.control,
-            lambda: None,
-            None,
-            self.batch,
-        )
         data = b"" if body is None else msgspec.json.encode(body)
         if isinstance(body, msgspec.Raw):
             data = bytes(body)
-        reply = self.run(api.handle(method, path, data))
+        reply = self.run(api(self, None, self.batch).handle(method, path, data))
         return reply.status, msgspec.json.decode(reply.body)
 
     def batch_job(self, job_id: str = "job-000001", **terms: Any) -> Job:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -10,7 +10,6 @@
 import pytest
 
 from badgerseam.api.questions import Questions
-from badgerseam.api.users import Api
 from badgerseam.explain.explainer import Explainer
 from badgerseam.explain.history import History
 from badgerseam.http.server import Reply
@@ -23,6 +22,7 @@
 from badgerseam.wire import state as wire
 from badgerseam.wire.explain import Blocked, CloudView, Code, Why
 from tests.stand_ins import Rig, Worker, silent
+from tests.test_api import api
 
 
 class Site(Rig):
@@ -467,20 +467,8 @@
     assert rig.run(rig.explainer.for_sibling(0, [job.id])) is None
 
 
-def _api(rig: Site) -> Api:
-    return Api(
-        rig.model,
-        rig.state,  # type: ignore[arg-type]
-        rig.ledger,
-        rig.member,
-        rig.control,
-        lambda: None,
-        rig.questions,
-    )
-
-
 def _get(rig: Site, path: str) -> Reply:
-    return rig.run(_api(rig).handle("GET", path, b""))
+    return rig.run(api(rig, rig.questions).handle("GET", path, b""))
 
 
 def test_on_http() -> None:
@@ -491,7 +479,7 @@
     assert (reply.status, answer.id, answer.phase) == (200, "job-000001", "pending")
     assert _get(rig, "/submissions/job-000002/why").status == 404
     assert _get(rig, "/submissions/nonsense/why").status == 404
-    rig.run(_api(rig).handle("POST", "/submissions/job-000001/abort", b""))
+    rig.run(api(rig, rig.questions).handle("POST", "/submissions/job-000001/abort", b""))
     answer = explain.why_decoder.decode(_get(rig, "/submissions/job-000001/why").body)
     assert (answer.phase, answer.groups) == ("withdrawn", [])
     rig.state.down = True
