A log of attempts behind the urgent writes: where, how long, why ended, evicted for whom

Need: a summary counts attempts and does not tell them. Change: records of each share go into one value each log_s, under keys that no controller follows; unanswered writes are repeated under their own key, readers keep one record of an attempt that two owners saw, and say how many there should be.

--- a/badgerseam/accounting/accounts.py
+++ b/badgerseam/accounting/accounts.py
@@ -17,10 +17,11 @@
 from badgerseam.accounting.book import Book
 from badgerseam.accounting.meter import Meter, cause_of
 from badgerseam.sched.snapshot import slots_of
-from badgerseam.wire.accounting import Usage, usage_of
+from badgerseam.wire.accounting import AttemptRecord, Usage, usage_of
 from badgerseam.wire.state import StoredJob
 
 if TYPE_CHECKING:
+    from badgerseam.accounting.attempts import AttemptLog
     from badgerseam.model.job import Attempt, Job
     from badgerseam.model.model import Model
 
@@ -46,6 +47,8 @@
         self._model = model
         self.book = Book(most_jobs)
         self.unclosed: dict[str, Unclosed] = {}
+        self.log: AttemptLog | None = None
+        """Where attempts are logged one by one."""
         self.loading = False
         """A share is being read: what is placed and taken back then is no news."""
 
@@ -114,9 +117,28 @@
         if entry is not None and slots_of(machine.total) > 0:
             hour = entry.spot_price if machine.spot else entry.price
             price = hour * slots_of(job.need) / slots_of(machine.total)
-        clock = self._model.clock
+        now, wall = self._model.clock.now(), self._model.clock.wall()
         cause = "done" if done else cause_of(attempt)
-        job.meter.end(attempt, cause, clock.now(), clock.wall(), price)
+        seconds, money = job.meter.end(attempt, cause, now, wall, price)
+        if self.log is not None:
+            evicted = cause == "evicted"
+            record = AttemptRecord(
+                job.id,
+                attempt.task,
+                attempt.number,
+                machine.name,
+                machine.type,
+                machine.zone,
+                machine.spot,
+                round(wall - (now - attempt.planned_at), 3),
+                round(wall, 3),
+                cause,
+                None if seconds is None else round(seconds, 3),
+                round(money, 6),
+                attempt.evicted_for if evicted else None,
+                attempt.cost if evicted else None,
+            )
+            self.log.add(job.share, record)
 
     def usage(self, job: Job) -> Usage | None:
         """The summary of a job that is done."""
--- a/badgerseam/accounting/meter.py
+++ b/badgerseam/accounting/meter.py
@@ -37,12 +37,17 @@
     causes: list[int] = field(default_factory=lambda: [0] * len(CAUSES))
     """Ends by cause."""
 
-    def end(self, attempt: Attempt, cause: str, now: float, wall: float, price: float) -> None:
-        """An attempt that was durable is over. `price`: of its part of the machine, an hour."""
+    def end(
+        self, attempt: Attempt, cause: str, now: float, wall: float, price: float
+    ) -> tuple[float | None, float]:
+        """An attempt that was durable is over. `price`: of its part of the machine, an hour.
+
+        The seconds that it ran, if that was seen from its start on, and what they cost.
+        """
         self.causes[CAUSES.index(cause)] += 1
         if attempt.started_at <= 0 or attempt.inherited:
             # Never seen to run, or not from its start on.
-            return
+            return None, 0.0
         spent = max(0.0, now - attempt.started_at)
         self.measured += 1
         self.money += price * spent / 3600
@@ -55,6 +60,7 @@
         begun = wall - spent
         if self.first_start is None or begun < self.first_start:
             self.first_start = begun
+        return spent, price * spent / 3600
 
     def usage(self, job: Job, wall: float) -> Usage:
         """The summary that goes into the job's final record."""
--- a/badgerseam/api/accounting.py
+++ b/badgerseam/api/accounting.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+from urllib.parse import parse_qsl
+
+from badgerseam.accounting.attempts import AttemptLog
 from badgerseam.accounting.book import Book
 from badgerseam.api.lists import BadQuery, lines_reply, read_filters
-from badgerseam.http.server import Reply
+from badgerseam.http.budget import Budget
+from badgerseam.http.server import Reply, error_reply
 from badgerseam.model.model import Model
-from badgerseam.wire.accounting import Line, encode
+from badgerseam.wire.accounting import AttemptsEnd, Line, attempt_line, encode
 
 ACCOUNTING = "/accounting"
+ATTEMPTS_PER_S = 2.0
+"""Each reads pages of the log from the state service, whose requests others need as well."""
 MOST_LOOKED = 2000
 """Jobs looked at for one answer; the last line then says where to go on."""
 FILTERS = ("job", "team", "class", "user", "name", "state", "since", "until", "limit", "after")
@@ -17,9 +23,38 @@
 class AccountingApi:
     """Lists and totals, from any controller."""
 
-    def __init__(self, model: Model, book: Book) -> None:
+    def __init__(self, model: Model, book: Book, attempts: AttemptLog | None = None) -> None:
         self._model = model
         self._book = book
+        self._attempts = attempts
+        self._door = Budget(model.clock, ATTEMPTS_PER_S, 3.0)
+
+    async def attempts(self, query: str) -> Reply:
+        """The attempts of one job, a line each, and a last line that counts them."""
+        job_id = dict(parse_qsl(query)).get("job", "")
+        if self._attempts is None:
+            return error_reply(404, "no log of attempts is kept (accounting.attempts)")
+        if not self._door.take():
+            return error_reply(429, "too many questions", 1)
+        with self._model.lock:
+            ended = self._book.get(job_id)
+            job = self._model.job(job_id)
+            if ended is not None:
+                team, since, until = ended.team, ended.submitted_at, ended.ended_at
+                count = ended.attempts
+            elif job is not None:
+                team, since, until = job.spec.team, job.submitted, self._model.clock.wall()
+                count = 0 if job.meter is None else job.meter.before + job.meter.placed
+            else:
+                return error_reply(404, "no such job in the accounts")
+            index = self._model.team_index.get(team)
+            share = None if index is None else self._model.teams[index].share
+        if share is None:
+            return error_reply(404, "its team is not among the settings any more")
+        bound = self._model.settings.params.time_bound_ms / 1000
+        found, whole = await self._attempts.read(share, job_id, since - bound, until + bound)
+        lines = [encode(attempt_line(record)) for record in found]
+        return lines_reply([*lines, encode(AttemptsEnd(len(found), count, whole))])
 
     def totals(self) -> Reply:
         """By day and team."""
--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -152,6 +152,8 @@
                 return error_reply(503, "starting", RETRY_S)
             if path == ACCOUNTING:
                 return self._accounting.jobs(query)
+            if path == f"{ACCOUNTING}/attempts":
+                return await self._accounting.attempts(query)
             if path == f"{ACCOUNTING}/totals":
                 return self._accounting.totals()
             return error_reply(404, "no such path")
--- a/badgerseam/model/job.py
+++ b/badgerseam/model/job.py
@@ -58,6 +58,7 @@
     stop_sent: bool = False
     cost: float | None = None
     """Of all that was evicted with it on its machine, if it is being evicted."""
+    evicted_for: str | None = None
     inherited: bool = False
     """Placed by an earlier owner: when it began to run is not known."""
     error: bool = False
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -9,6 +9,7 @@
 from typing import cast
 
 from badgerseam.accounting.accounts import Accounts
+from badgerseam.accounting.attempts import AttemptLog
 from badgerseam.api.accounting import AccountingApi
 from badgerseam.api.batch import BatchApi
 from badgerseam.api.questions import Questions
@@ -113,7 +114,11 @@
         if tunables.accounting is not None:
             accounts = Accounts(self.model, tunables.accounting.most_jobs)
             self.model.accounts = accounts
-            accounting = AccountingApi(self.model, accounts.book)
+            if tunables.accounting.attempts:
+                accounts.log = AttemptLog(
+                    self.model, self.state, self.committer, tunables.accounting, self._process_name
+                )
+            accounting = AccountingApi(self.model, accounts.book, accounts.log)
         self.api = Api(
             self.model,
             self.state,
@@ -128,6 +133,10 @@
         self._pulse_at: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def _process_name(self) -> str:
+        # The lease's number makes it one that no other process has had.
+        return f"{self.settings.node}-{self.member.lease}"
+
     # ---- driving ----
 
     def pulse(self) -> None:
@@ -213,4 +222,7 @@
             group.create_task(self.peers.keep_health())
             if self.explainer is not None and self.explainer.samples:
                 group.create_task(self.explainer.keep_samples())
+            accounts = self.model.accounts
+            if accounts is not None and accounts.log is not None:
+                group.create_task(accounts.log.keep())
             group.create_task(self._tick())
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -233,6 +233,8 @@
             attempt = job.attempts[stop.key[1]]
             self.stop(attempt, stop.wait_s)
             attempt.cost = stop.cost
+            claimant = model.jobs[stop.by]
+            attempt.evicted_for = None if claimant is None else claimant.id
             attempt.machine.evictions.append(now)
             log.debug("evicting %s at cost %.4f", attempt.name, stop.cost)
             share.evicted += 1
--- a/badgerseam/sched/pts.py
+++ b/badgerseam/sched/pts.py
@@ -132,7 +132,7 @@
             # Their room may serve requests that found none before.
             bench.full.clear()
         bench.result.stops += [
-            Stop(victim.key, cost, request.wait_s) for victim, cost in step.victims
+            Stop(victim.key, cost, request.wait_s, request.job) for victim, cost in step.victims
         ]
         bench.result.starts.append(Start(request.job, bench.nodes[step.position].index))
     return len(steps)
--- a/badgerseam/sched/snapshot.py
+++ b/badgerseam/sched/snapshot.py
@@ -154,6 +154,8 @@
     """Of the machine's victims together."""
     wait_s: float | None
     """How soon the work that needs the room should start."""
+    by: int = -1
+    """The job that needs it."""
 
 
 @dataclass(slots=True)
--- a/badgerseam/settings.py
+++ b/badgerseam/settings.py
@@ -135,6 +135,11 @@
     most_jobs: Annotated[
         int, Meta(ge=1, description="ended jobs that a controller can list; totals outlive them")
     ] = 100_000
+    attempts: Annotated[bool, Meta(description="keep a log of attempts as well")] = True
+    log_s: Annotated[
+        float, Meta(gt=0, description="interval of writing the log, one value a share")
+    ] = 10.0
+    log_days: Annotated[float, Meta(gt=0, description="how long the log is kept")] = 90.0
 
 
 class Tunables(Struct, frozen=True, forbid_unknown_fields=True):
--- a/badgerseam/slurm/acct.py
+++ b/badgerseam/slurm/acct.py
@@ -15,7 +15,7 @@
 from badgerseam.slurm.states import PHASES, wanted_states
 from badgerseam.slurm.table import Field, R, Table
 from badgerseam.slurm.values import ValueProblem, begin
-from badgerseam.wire.accounting import DayTotal, Line
+from badgerseam.wire.accounting import AttemptLine, DayTotal, Line
 
 FORMAT = "JobID:12,JobName:14,Account:10,State:10,NTasks:.7,Attempts:.9,Elapsed:.10,CPUTime:.12"
 TOTALS = "Day:10,Account:14,Jobs:.7,Cancelled:.10,Attempts:.9,CPUTime:.14,Wasted:.14,Money:.12"
@@ -63,6 +63,23 @@
     Field("", "Ends", "Ends", _ends),
     Field("", "Money", "Money", lambda line: f"{line.money:.4f}"),
 ]
+ATTEMPTS = "JobID:16,Attempt:.7,Machine:12,State:10,Seconds:.10,Start:20,End:20,EvictedFor:14"
+ATTEMPT_FIELDS: list[Field[AttemptLine]] = [
+    Field("", "JobID", "JobID", lambda line: f"{line.id.partition('-')[2]}_{line.task}"),
+    Field("", "Attempt", "Attempt", lambda line: str(line.attempt)),
+    Field("", "Machine", "Machine", lambda line: line.machine),
+    Field("", "Partition", "Partition", lambda line: line.type),
+    Field("", "Zone", "Zone", lambda line: line.zone),
+    Field("", "Spot", "Spot", lambda line: "yes" if line.spot else "no"),
+    Field("", "State", "State", lambda line: line.cause),
+    Field("", "Placed", "Placed", lambda line: _when(line.placed_at)),
+    Field("", "Start", "Start", lambda line: _when(_start(line))),
+    Field("", "End", "End", lambda line: _when(line.ended_at)),
+    Field("", "Seconds", "Seconds", lambda line: _or(line.seconds, "{:.3f}")),
+    Field("", "Money", "Money", lambda line: f"{line.money:.6f}"),
+    Field("", "EvictedFor", "EvictedFor", lambda line: line.evicted_for or ""),
+    Field("", "Cost", "Cost", lambda line: _or(line.cost, "{:.4f}")),
+]
 TOTAL_FIELDS: list[Field[DayTotal]] = [
     Field("", "Day", "Day", lambda total: total.day),
     Field("", "Account", "Account", lambda total: total.team),
@@ -76,6 +93,14 @@
 ]
 
 
+def _start(line: AttemptLine) -> float | None:
+    return None if line.seconds is None else line.ended_at - line.seconds
+
+
+def _or(value: float | None, text: str) -> str:
+    return "unknown" if value is None else text.format(value)
+
+
 def _elapsed(line: Line) -> float:
     return 0.0 if line.started_at is None else max(0.0, line.ended_at - line.started_at)
 
@@ -95,6 +120,7 @@
     made.add_argument("-P", "--parsable2", action="store_true", help="fields joined by |")
     made.add_argument("--csv", action="store_true", help="line by line as it comes")
     made.add_argument("--json", action="store_true")
+    made.add_argument("--attempts", action="store_true", help="of the jobs named, one by one")
     made.add_argument("--totals", action="store_true", help="by team and day (UTC)")
     node(made)
     return made
@@ -146,6 +172,9 @@
         totals = [t for t in totals if options.account in (None, t.team)]
         _print(Table(TOTAL_FIELDS), options.format or TOTALS, totals, options)
         return
+    if options.attempts:
+        await _attempts(batch, options)
+        return
     table = Table(JOB_FIELDS)
     columns = table.long(options.format or FORMAT)
     if options.csv:
@@ -160,6 +189,23 @@
     )
 
 
+async def _attempts(batch: Batch, options: argparse.Namespace) -> None:
+    if options.jobs is None:
+        raise ValueProblem("--attempts: name jobs with -j")
+    found: list[AttemptLine] = []
+    for job in options.jobs.split(","):
+        job_id = await batch.id_of(job.strip())
+        lines, end = await batch.attempts(job_id)
+        found += lines
+        if end.records < end.attempts or not end.whole:
+            print(
+                f"bsacct: {job_id}: {end.records} of {end.attempts} attempts have a record"
+                f"{'' if end.whole else '; not all of the log was looked at'}",
+                file=sys.stderr,
+            )
+    _print(Table(ATTEMPT_FIELDS), options.format or ATTEMPTS, found, options)
+
+
 def _print(table: Table[R], text: str, rows: list[R], options: argparse.Namespace) -> None:
     columns = table.long(text)
     if options.json:
--- a/badgerseam/slurm/client.py
+++ b/badgerseam/slurm/client.py
@@ -144,6 +144,15 @@
                 return
             after = more
 
+    async def attempts(
+        self, job: str
+    ) -> tuple[list[accounting_wire.AttemptLine], accounting_wire.AttemptsEnd]:
+        """A job's attempts, and how many there were."""
+        response = await self._ask("GET", f"/accounting/attempts?job={job}")
+        *lines, last = response.body.splitlines()
+        found = [accounting_wire.attempt_decoder.decode(line) for line in lines]
+        return found, accounting_wire.attempts_end_decoder.decode(last)
+
     async def totals(self) -> list[accounting_wire.DayTotal]:
         """By team and day."""
         response = await self._ask("GET", "/accounting/totals")
--- a/badgerseam/wire/accounting.py
+++ b/badgerseam/wire/accounting.py
@@ -37,6 +37,57 @@
     """False: its owner ended before the summary was written; attempts and times are not known."""
 
 
+class AttemptRecord(Struct, frozen=True, array_like=True):
+    """What a controller has seen of an attempt's end. Times of day in seconds since 1970."""
+
+    job: str
+    task: int
+    attempt: int
+    machine: str
+    type: str
+    zone: str
+    spot: bool
+    placed: float
+    ended: float
+    cause: str
+    seconds: float | None = None
+    """It ran, if that was seen from its start on."""
+    money: float = 0.0
+    by: str | None = None
+    """The job that it was evicted for."""
+    cost: float | None = None
+    """Of that eviction, by the paper's equation."""
+
+
+class AttemptLine(Struct, frozen=True, omit_defaults=True, rename="camel"):
+    """An attempt as it is told."""
+
+    id: str
+    task: int
+    attempt: int
+    machine: str
+    type: str
+    zone: str
+    spot: bool
+    placed_at: float
+    ended_at: float
+    cause: str
+    seconds: float | None = None
+    money: float = 0.0
+    evicted_for: str | None = None
+    cost: float | None = None
+
+
+class AttemptsEnd(Struct, frozen=True, rename="camel"):
+    """The last line of a list of attempts."""
+
+    records: int
+    attempts: int
+    """That the job's summary counts; fewer records: an owner ended before it wrote them."""
+    whole: bool
+    """Whether all of the log was looked at that may hold its records."""
+
+
 class Line(Struct, frozen=True, omit_defaults=True, rename="camel"):
     """A job that has ended."""
 
@@ -125,6 +176,28 @@
     )
 
 
+def attempt_line(record: AttemptRecord) -> AttemptLine:
+    """A stored record as it is told."""
+    return AttemptLine(
+        record.job,
+        record.task,
+        record.attempt,
+        record.machine,
+        record.type,
+        record.zone,
+        record.spot,
+        record.placed,
+        record.ended,
+        record.cause,
+        record.seconds,
+        record.money,
+        record.by,
+        record.cost,
+    )
+
+
+attempt_decoder: msgspec.json.Decoder[AttemptLine] = msgspec.json.Decoder(AttemptLine)
+attempts_end_decoder: msgspec.json.Decoder[AttemptsEnd] = msgspec.json.Decoder(AttemptsEnd)
 line_decoder: msgspec.json.Decoder[Line] = msgspec.json.Decoder(Line)
 totals_decoder: msgspec.json.Decoder[list[DayTotal]] = msgspec.json.Decoder(list[DayTotal])
 encode = msgspec.json.Encoder().encode
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -141,6 +141,11 @@
             raise Unavailable("503")
         return self.core.get(key)
 
+    async def page(self, prefix: str, after: str | None) -> wire.KeyPage:
+        if self.down:
+            raise Unavailable("503")
+        return self.core.page(prefix, after or "", 1000)
+
     async def grant(self, ttl_s: float) -> int:
         return self.core.grant(ttl_s)
 
--- a/tests/test_accounting.py
+++ b/tests/test_accounting.py
@@ -9,15 +9,18 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from badgerseam.accounting import attempts
 from badgerseam.accounting.accounts import Accounts
+from badgerseam.accounting.attempts import AttemptLog, unpack
 from badgerseam.accounting.book import Book
 from badgerseam.api.accounting import AccountingApi
 from badgerseam.http.server import Reply
 from badgerseam.model.job import Job, Stage
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import job_key
+from badgerseam.settings import AccountingOptions
 from badgerseam.wire import state as wire
-from badgerseam.wire.accounting import DayTotal, Line, Usage, line_decoder
+from badgerseam.wire.accounting import AttemptRecord, DayTotal, Line, Usage, line_decoder
 from tests.stand_ins import Rig, Worker
 
 
@@ -221,6 +224,112 @@
     assert usage.causes[0] == 2
 
 
+class Archive(Office):
+    """A controller that logs attempts."""
+
+    def __init__(self, beside: Rig | None = None, name: str = "n-0-1") -> None:
+        super().__init__(beside=beside)
+        self.log = AttemptLog(
+            self.model,
+            self.state,  # type: ignore[arg-type]
+            self.committer,
+            AccountingOptions(log_days=1.0),
+            lambda: name,
+        )
+        self.accounts.log = self.log
+
+    def write(self) -> None:
+        async def work() -> None:
+            for _ in range(300):
+                self.log.flush()
+                await asyncio.sleep(0.002)
+
+        self.run(work())
+
+    def logged(self, job: str = "job-000001") -> list[AttemptRecord]:
+        found, whole = self.run(self.log.read(0, job, 0.0, self.clock.wall()))
+        assert whole
+        return found
+
+
+def attempt(number: int, task: int = 0, seconds: float | None = 3.0) -> AttemptRecord:
+    return AttemptRecord("job-000001", task, number, "m-1", "c8", "a", False, 1.0, 4.0, "done",
+                         seconds)  # fmt: skip
+
+
+@pytest.mark.parametrize("fate", ["ok", "lost", "silent", "late", "503"])
+def test_an_attempt_is_logged_once_whatever_becomes_of_the_write(fate: str) -> None:
+    rig = Archive()
+    rig.own()
+    _, worker = rig.up()
+    rig.job(pieces=1)
+    rig.start(worker)
+    worker.finish("job-000001/0")
+    rig.report(worker)
+    rig.state.script = [fate]
+    rig.write()
+    rig.state.deliver()
+    rig.write()
+    [found] = rig.logged()
+    assert (found.cause, found.machine, found.task) == ("done", "m-1", 0) and len(rig.log) == 0
+    keys = [key for key in rig.state.data if key.startswith("ba/")]
+    assert len(keys) == 1, "an unanswered write is sent again under its own key"
+
+
+def test_an_eviction_names_the_job_that_it_was_for() -> None:
+    rig = Archive()
+    rig.own()
+    _, worker = rig.up()
+    rig.job(pieces=1, cpus=8.0)
+    rig.start(worker)
+    rig.job(job_id="job-000002", pieces=1, cpus=8.0, rank="high")
+    rig.start(worker)
+    rig.start(worker)
+    rig.write()
+    [found] = rig.logged()
+    assert (found.cause, found.by) == ("evicted", "job-000002") and found.cost is not None
+
+
+def test_what_two_owners_saw_of_one_attempt_is_told_once() -> None:
+    rig = Archive()
+    other = Archive(beside=rig, name="n-1-2")
+    rig.log.add(0, attempt(1))
+    other.log.add(0, attempt(1, seconds=None))
+    other.log.add(0, attempt(2))
+    rig.write()
+    other.write()
+    assert rig.logged() == other.logged() == [attempt(1), attempt(2)]
+
+
+def test_values_stay_within_the_state_services_limit_and_nothing_is_lost() -> None:
+    rig = Archive()
+    for number in range(3000):
+        rig.log.add(0, attempt(1 + number % 3, number // 3, seconds=number * 0.001))
+    rig.write()
+    limit = rig.settings.params.state.value_kb * 1024
+    sizes = [len(bytes(v)) for k, (v, _, _) in rig.state.data.items() if k.startswith("ba/")]
+    assert 1 < len(sizes) < 60 and max(sizes) <= limit
+    assert len(rig.logged()) == 3000
+    with pytest.raises(ValueError, match=r"Error|character|incorrect|header|overflow"):
+        unpack("no such thing")
+
+
+def test_the_log_is_bounded_in_memory_and_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(attempts, "MOST_WAITING", 5)
+    rig = Archive()
+    rig.own()
+    for number in range(8):
+        rig.log.add(0, attempt(number))
+    assert (len(rig.log), rig.log.given_up) == (5, 3)
+    rig.write()
+    rig.clock.time += 2 * 86400
+    rig.lease()
+    rig.log.add(0, attempt(9))
+    rig.write()
+    rig.run(rig.log.trim())
+    assert [found.attempt for found in rig.logged()] == [9]
+
+
 def record(number: int, team: str = "red", ended: float = 0.0, **fields: object) -> Usage:
     usage = Usage(team, "c", "high", "n", "ana", 2.0, 0.0, 4.0, 0.0, 1.0, ended, 3, 1, 5.0, 2.0,
                   0.0, 0.25, [2, 1])  # fmt: skip
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -319,7 +319,7 @@
 
     async def play() -> None:
         options = tmp_path / "options.json"
-        options.write_text('{"explain": {}, "batch": {}, "accounting": {}}')
+        options.write_text('{"explain": {}, "batch": {}, "accounting": {"log_s": 0.5}}')
         lab = Lab(small_site(), tmp_path / "lab", Clock(), Random(1), options=options)
         await lab.start()
         try:
@@ -356,6 +356,8 @@
                 assert (await ask(lab, "GET", f"/submissions/{job}"))["phase"] == "withdrawn"
             await asyncio.sleep(3.0)
             assert not lab.breaches()
+            rows = await command(lab, bsacct, "--attempts", "-j", number, "-n", "-o", "JobID,State")
+            assert rows.split() == [w for n in range(3) for w in (f"{number}_{n}", "done")]
             # What either used is told the same, and agrees with what the machines have seen.
             lines = [
                 json.loads(await command(lab, bsacct, "--json", "-j", job))[0]
