--- a/badgerseam/accounting/meter.py
+++ b/badgerseam/accounting/meter.py
@@ -74,9 +74,17 @@
             spot_s=round(self.spot_s, 3),
             money=round(self.money, 6),
             causes=list(self.causes),
+            eligible=_eligible(job),
         )
 
 
+def _eligible(job: Job) -> float | None:
+    """When the job could have started; None if it never could, or an earlier owner saw it."""
+    if job.spec.terms is None:
+        return round(job.submitted, 3)
+    return None if job.eligible_at is None else round(job.eligible_at, 3)
+
+
 def cause_of(attempt: Attempt) -> str:
     """Why an attempt that did not complete is over."""
     machine = attempt.machine
--- a/badgerseam/batch/terms.py
+++ b/badgerseam/batch/terms.py
@@ -29,6 +29,12 @@
 
     def held(self, job: Job) -> str | None:
         """Why no more tasks of a job with terms may start now; None if they may."""
+        held = self._held(job)
+        if held in (None, "throttle") and job.eligible_at is None:
+            job.eligible_at = self._model.clock.wall()
+        return held
+
+    def _held(self, job: Job) -> str | None:
         terms = job.spec.terms
         if terms is None:
             return None
--- a/badgerseam/model/job.py
+++ b/badgerseam/model/job.py
@@ -107,6 +107,8 @@
     """All tasks are done, but this is not durable yet."""
     errors: int = 0
     retry_at: float = 0.0
+    eligible_at: float | None = None
+    """Time of day at which its terms were first seen to let it start."""
     met: bool = False
     """Its dependencies are met."""
     shunned: set[int] = field(default_factory=set)
--- a/badgerseam/slurm/acct.py
+++ b/badgerseam/slurm/acct.py
@@ -34,6 +34,12 @@
     return line.id.partition("-")[2].lstrip("0") or "0"
 
 
+def _planned(line: Line) -> str:
+    if line.eligible_at is None or line.started_at is None:
+        return "Unknown"
+    return _span(max(0.0, line.started_at - line.eligible_at))
+
+
 def _ends(line: Line) -> str:
     return ";".join(f"{cause}={count}" for cause, count in line.ends.items())
 
@@ -48,8 +54,10 @@
     Field("", "State", "State", lambda line: PHASES[line.state]),
     Field("", "ExitCode", "ExitCode", lambda line: "0:0" if line.state == "done" else "0:15"),
     Field("", "Submit", "Submit", lambda line: _when(line.submitted_at)),
+    Field("", "Eligible", "Eligible", lambda line: _when(line.eligible_at)),
     Field("", "Start", "Start", lambda line: _when(line.started_at)),
     Field("", "End", "End", lambda line: _when(line.ended_at)),
+    Field("", "Planned", "Planned", _planned),
     Field("", "Elapsed", "Elapsed", lambda line: _span(_elapsed(line))),
     Field("", "NTasks", "NTasks", lambda line: str(line.tasks)),
     Field("", "AllocCPUS", "AllocCPUS", lambda line: f"{line.cpus * line.tasks:g}"),
--- a/badgerseam/slurm/submit.py
+++ b/badgerseam/slurm/submit.py
@@ -45,6 +45,7 @@
     "reservation": "there are no reservations; guarantees are the teams' own",
     "licenses": "licenses are not counted",
     "no-requeue": "a task that loses its machine is always run again",
+    "priority": "ranks go by --qos, order within a rank by --deadline",
     "nice": "order within a rank follows deadlines; say --qos or --deadline",
     "kill-on-invalid-dep": "a job whose dependency can never be met waits until it is cancelled",
 }
--- a/badgerseam/wire/accounting.py
+++ b/badgerseam/wire/accounting.py
@@ -35,6 +35,8 @@
     causes: list[int] = field(default_factory=list)
     complete: bool = True
     """False: its owner ended before the summary was written; attempts and times are not known."""
+    eligible: float | None = None
+    """When its terms let it start: its submission, if it has none."""
 
 
 class AttemptRecord(Struct, frozen=True, array_like=True):
@@ -113,6 +115,7 @@
     money: float = 0.0
     ends: dict[str, int] = field(default_factory=dict)
     complete: bool = True
+    eligible_at: float | None = None
 
 
 class DayTotal(Struct, frozen=True, rename="camel"):
@@ -173,6 +176,7 @@
         usage.money,
         ends,
         usage.complete,
+        usage.eligible,
     )
 
 
