--- a/badgerseam/sched/pts.py
+++ b/badgerseam/sched/pts.py
@@ -19,6 +19,7 @@
 from badgerseam.sched.bench import (
     Bench,
     allowed,
+    barred,
     eviction_cost,
     pretend_evicted,
     pretend_taken,
@@ -173,7 +174,7 @@
             count = 0
             for position in ties:
                 node = nodes[position]
-                if not allowed(self._request, node, zones):
+                if barred(self._request, node, zones):
                     # Where a zone is full, or not the job's, that does not change any more.
                     del self._score[position]
                     continue
@@ -206,7 +207,7 @@
         """What may be evicted, by position: the victims and their waste."""
         for position in bench.roomy:
             node = bench.nodes[position]
-            if node.index in request.shunned or not allowed(request, node, zones):
+            if node.index in request.shunned or barred(request, node, zones):
                 continue
             self._put(position, node)
 
@@ -259,7 +260,7 @@
                 if (
                     node.running
                     and node.index not in request.shunned
-                    and allowed(request, node, self._zones)
+                    and not barred(request, node, self._zones)
                 ):
                     self._consider(position, node)
         best: int | None = None
@@ -268,7 +269,7 @@
             node = bench.nodes[position]
             if self._grade(node) > grade:
                 continue
-            if not allowed(request, node, self._zones):
+            if barred(request, node, self._zones):
                 continue
             cost = eviction_cost(bench, len(victims), waste)
             if best is None or (cost, position) < (best_cost, best):
