--- a/badgerseam/cli/render.py
+++ b/badgerseam/cli/render.py
@@ -5,6 +5,7 @@
 import shutil
 import textwrap
 
+from badgerseam.explain.words import counted
 from badgerseam.wire.explain import QueueLine, Reason, Why
 
 STATES = {
@@ -31,11 +32,6 @@
     return f"{seconds / 60:.0f} min" if seconds < 5400 else f"{seconds / 3600:.1f} h"
 
 
-def count(number: int, thing: str) -> str:
-    """Such as 1 job, 3 jobs."""
-    return f"{number} {thing}{'' if number == 1 else 's'}"
-
-
 def why_text(answer: Why) -> str:
     """An answer, the binding reasons marked with a star."""
     head = f"{answer.id}: {answer.phase}"
@@ -45,13 +41,13 @@
     for group in answer.groups:
         alone = group.tasks == 1
         what = STATES[group.state][alone]
-        lines.append(f"  {count(group.tasks, 'task')} {what}")
+        lines.append(f"  {counted(group.tasks, 'task')} {what}")
         for reason in group.reasons:
             lines += _reason(reason)
     if answer.ahead is not None and answer.ahead.jobs:
         ahead = answer.ahead
         more = " ..." if ahead.jobs > len(ahead.first) else ""
-        text = f"Before it: {count(ahead.jobs, 'job')} with {count(ahead.tasks, 'task')} "
+        text = f"Before it: {counted(ahead.jobs, 'job')} with {counted(ahead.tasks, 'task')} "
         text += f"({', '.join(ahead.first)}"
         lines += textwrap.wrap(
             f"{text}{more})", width(), initial_indent="  ", subsequent_indent="    "
--- a/badgerseam/explain/reasons.py
+++ b/badgerseam/explain/reasons.py
@@ -7,6 +7,7 @@
 from badgerseam.batch.terms import TermsRules
 from badgerseam.explain.supply import Supply, supply_reasons
 from badgerseam.explain.surveys import Survey
+from badgerseam.explain.words import counted
 from badgerseam.model.job import HIGH_RANK, RANKS, Attempt, Job, Stage
 from badgerseam.model.model import Model
 from badgerseam.model.resources import Resources
@@ -312,7 +313,8 @@
 ) -> tuple[str, str, list[str]]:
     model, request = context.model, finding.request
     who = [
-        f"{model.teams[h.team].name}: {_tasks(h.tasks)} of {RANK_NAMES[h.rank]}, {amount(h.room)}"
+        f"{model.teams[h.team].name}: {counted(h.tasks, 'task')} of {RANK_NAMES[h.rank]}, "
+        f"{amount(h.room)}"
         for h in barred.holders[:MOST_NAMED]
     ]
     team = model.teams[request.team]
@@ -334,10 +336,6 @@
     return text, change + ".", who
 
 
-def _tasks(number: int) -> str:
-    return "1 task" if number == 1 else f"{number} tasks"
-
-
 # ---- tasks that have one ----
 
 
@@ -394,7 +392,9 @@
         leaving = [o for a in attempts for o in a.machine.attempts.values() if o.stopping]
         who = sorted({other.name for other in leaving})[:MOST_NAMED]
         grace = max((other.grace_s for other in leaving), default=0.0)
-        text = f"Its room {where} is being left by {_tasks(len(leaving))} that were stopped"
+        text = (
+            f"Its room {where} is being left by {counted(len(leaving), 'task')} that were stopped"
+        )
         costs = [other.cost for other in leaving if other.cost is not None]
         if costs:
             spared = sum(
@@ -402,7 +402,8 @@
                 for attempt in attempts
                 for other in attempt.machine.attempts.values()
             )
-            text += f" for it at a cost of {max(costs):.3f}; {_tasks(spared)} of lower rank spared"
+            text += f" for it at a cost of {max(costs):.3f}"
+            text += f"; {counted(spared, 'task')} of lower rank spared"
         text += "."
         change = "They have saved and exited."
         expected = round(grace, 1)
--- a/badgerseam/explain/supply.py
+++ b/badgerseam/explain/supply.py
@@ -7,7 +7,9 @@
 from dataclasses import dataclass, field
 
 from badgerseam.clock import Clock
+from badgerseam.explain.words import counted
 from badgerseam.fleet.demand import Offer, options, virtual_node
+from badgerseam.fleet.manager import BOOT_SPREAD
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model, Share
 from badgerseam.sched.bench import barred
@@ -17,7 +19,6 @@
 
 VIEW_S = 1.0
 """How long the leader's word about the cloud is used."""
-BOOT_SPREAD = 1.5
 
 AskLeader = Callable[[], Awaitable[CloudView | None]]
 """The leader's view of the cloud, or None if it cannot be asked."""
@@ -106,7 +107,7 @@
         found.append(
             Reason(
                 "booting",
-                f"{_machines(len(useful))} that could take its tasks "
+                f"{counted(len(useful), 'machine')} that could take its tasks "
                 f"{'is' if len(useful) == 1 else 'are'} starting.",
                 machines=len(useful),
                 expected_s=round(min(useful), 1),
@@ -117,7 +118,7 @@
         found.append(
             Reason(
                 "renting",
-                f"{_machines(asked)} that could take its tasks "
+                f"{counted(asked, 'machine')} that could take its tasks "
                 f"{'has' if asked == 1 else 'have'} been asked of the cloud, without an answer "
                 "yet.",
                 machines=asked,
@@ -131,7 +132,7 @@
         found.append(
             Reason(
                 "out_of_use",
-                f"{_machines(sum(map(len, down.values())))} of its share "
+                f"{counted(sum(map(len, down.values())), 'machine')} of its share "
                 f"take no tasks now: {', '.join(parts)}.",
                 machines=sum(map(len, down.values())),
                 who=names,
@@ -185,7 +186,3 @@
             )[:8],
         )
     ]
-
-
-def _machines(count: int) -> str:
-    return "1 machine" if count == 1 else f"{count} machines"
--- /dev/null
+++ b/badgerseam/explain/words.py
@@ -0,0 +1,8 @@
+"""Words that statements have in common."""
+
+from __future__ import annotations
+
+
+def counted(number: int, thing: str) -> str:
+    """Such as 1 job, 3 jobs."""
+    return f"{number} {thing}{'' if number == 1 else 's'}"
--- a/badgerseam/lab/history.py
+++ b/badgerseam/lab/history.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from pathlib import Path
 from typing import IO, Literal
 
@@ -73,12 +73,3 @@
         if self._file is not None:
             self._file.close()
             self._file = None
-
-
-def read_history(path: Path) -> Iterator[Event]:
-    """The events of a file; a last line that was cut off is left out."""
-    decoder: msgspec.json.Decoder[Event] = msgspec.json.Decoder(Event)
-    with path.open("rb") as lines:
-        for line in lines:
-            if line.endswith(b"\n"):
-                yield decoder.decode(line)
