--- a/badgerseam/cluster/peers.py
+++ b/badgerseam/cluster/peers.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from badgerseam.fleet.manager import Returns
+from badgerseam.fleet.returns import Returns
 from badgerseam.http.client import Client, NoResponse
 from badgerseam.http.server import Reply, error_reply
 from badgerseam.model.machine import Machine
--- /dev/null
+++ b/badgerseam/fleet/hiring.py
@@ -0,0 +1,227 @@
+"""Renting machines, and writing the first record of those that came, asked for or not."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from badgerseam.cluster.member import Member
+from badgerseam.fleet.cloud import Cloud, CloudTrouble, NoCapacity
+from badgerseam.fleet.demand import Offer
+from badgerseam.model.model import LEADER_KEY, Model, hire_key
+from badgerseam.sched import pts
+from badgerseam.store.committer import Committer, Urgency
+from badgerseam.store.roster import NOT_WRITTEN, Roster
+from badgerseam.wire import cloud as cloud_wire
+from badgerseam.wire import state as wire
+
+log = logging.getLogger("badgerseam.fleet")
+
+NO_CAPACITY_S = 10.0
+MOST_NO_CAPACITY_S = 30.0
+
+
+class Hiring:
+    """Requests to the cloud that are persisted under unique names before they are sent."""
+
+    def __init__(
+        self,
+        model: Model,
+        member: Member,
+        committer: Committer,
+        roster: Roster,
+        cloud: Cloud,
+        spawn: Callable[[Awaitable[object]], None],
+        changed: Callable[[], None],
+    ) -> None:
+        self._model = model
+        self._member = member
+        self._committer = committer
+        self._roster = roster
+        self._cloud = cloud
+        self._spawn = spawn
+        self._changed = changed
+        self._clock = model.clock
+        self.blocked: dict[Offer, tuple[float, float]] = {}
+        """Offers without capacity: until when they are left alone, and the pause."""
+        self.under_way: set[str] = set()
+        """Names of the requests that somebody here is seeing to."""
+        self.asking: dict[str, wire.StoredHire] = {}
+        """Requests that are not durable yet."""
+        self.recording: set[str] = set()
+        """Machines whose first record is being written."""
+        self._serial = 0
+
+    def resume(self) -> None:
+        """See to the requests that are durable and that nobody here is seeing to."""
+        for name, (hire, _) in list(self._model.hires.items()):
+            if name not in self.under_way:
+                self.under_way.add(name)
+                self._spawn(self.hire(name, hire))
+
+    def ask(self, shares: list[int], offer: Offer) -> None:
+        held = self._model.leader
+        if self._member.lease is None or held is None:
+            return
+        self._serial += 1
+        name = f"{self._prefix()}-{self._serial}"
+        hire = wire.StoredHire(
+            shares, offer.type, offer.zone, offer.spot, round(self._clock.wall(), 1)
+        )
+        self.asking[name] = hire
+        self.under_way.add(name)
+        self._spawn(self._persist(name, hire, held.version))
+
+    async def _persist(self, name: str, hire: wire.StoredHire, version: int) -> None:
+        model = self._model
+        value = wire.raw(hire)
+        try:
+            revision = await self._committer.commit(
+                Urgency.PLACE,
+                {LEADER_KEY: version, hire_key(name): 0},
+                [wire.Write(put=hire_key(name), value=value)],
+                wanted=lambda: self._member.is_leader,
+            )
+        except NOT_WRITTEN as error:
+            log.debug("hire %s not persisted: %r", name, error)
+            self.under_way.discard(name)
+            return
+        finally:
+            self.asking.pop(name, None)
+        with model.lock:
+            model.apply(hire_key(name), value, revision)
+        await self.hire(name, hire)
+
+    async def hire(self, name: str, hire: wire.StoredHire) -> None:
+        """Repeat a persisted request until it is answered."""
+        offer = Offer(hire.type, hire.zone, hire.spot)
+        count = len(hire.shares)
+        request = cloud_wire.Rent(name, hire.type, hire.zone, hire.spot, count)
+        pause = 0.5
+        try:
+            while self._member.is_leader:
+                try:
+                    names = await self._cloud.rent(request)
+                    break
+                except NoCapacity:
+                    names = []
+                    break
+                except CloudTrouble as error:
+                    log.debug("hire %s: %s", name, error)
+                    await asyncio.sleep(pause)
+                    pause = min(pause * 2, 4.0)
+            else:
+                return
+            log.info(
+                "hire %s: %d of %d %s in %s%s for shares %s",
+                name,
+                len(names),
+                count,
+                hire.type,
+                hire.zone,
+                " (spot)" if hire.spot else "",
+                " ".join(f"{share}:{n}" for share, n in sorted(Counter(hire.shares).items())),
+            )
+            if len(names) < count:
+                self._block(offer, bool(names))
+            rows = [
+                wire.StoredMachine(machine, share, hire.type, hire.zone, hire.spot, "", hire.at)
+                for machine, share in zip(names, hire.shares, strict=False)
+            ]
+            while self._member.is_leader:
+                # Some may have been adopted already, from a report or the list, or are just being:
+                # they must not be recorded twice.
+                with self._model.lock:
+                    fresh = [r for r in rows if r.name not in self._model.machine_index]
+                    ready = self.recording.isdisjoint(r.name for r in fresh)
+                    if ready:
+                        self.recording.update(r.name for r in fresh)
+                if ready and await self._record(fresh, name, name):
+                    break
+                await asyncio.sleep(0.3)
+        finally:
+            self.under_way.discard(name)
+
+    def _block(self, offer: Offer, some: bool) -> None:
+        """Leave an offer alone for a while, longer if nothing was to be had again."""
+        _, pause = self.blocked.get(offer, (0.0, 0.0))
+        pause = NO_CAPACITY_S if some or pause == 0 else min(2 * pause, MOST_NO_CAPACITY_S)
+        self.blocked[offer] = (self._clock.now() + pause, pause)
+
+    # ---- records ----
+
+    def adopt(self, rows: list[wire.StoredMachine]) -> None:
+        """Take machines that we have no record of, each into the share with the fewest for its
+        work."""
+        model = self._model
+        fresh = [
+            row
+            for row in rows
+            if row.name not in model.gone
+            and row.name not in model.machine_index
+            and row.name not in self.recording
+        ]
+        if not fresh or not model.types:
+            return
+        counts = [
+            sum(machine.total.cpus or 1.0 for machine in fleet.values()) for fleet in model.fleets
+        ]
+        work = [self._work(share) for share in range(len(counts))]
+        adopted = []
+        for row in fresh:
+            share = max(
+                range(len(counts)), key=lambda index: (work[index] + 1) / (counts[index] + 1)
+            )
+            counts[share] += model.capacity(row.type).cpus or 1.0
+            adopted.append(msgspec.structs.replace(row, share=share))
+            log.info("adopting %s for share %d", row.name, share)
+        self.recording.update(row.name for row in adopted)
+        self._serial += 1
+        self._spawn(self._record(adopted, None, f"{self._prefix()}-{self._serial}"))
+
+    def _prefix(self) -> str:
+        # The lease's number makes the names ones that no other process has used.
+        return f"{self._member.node}-{self._member.lease}"
+
+    def _work(self, share: int) -> float:
+        total = 0.0
+        for job in self._model.open_jobs[share].values():
+            total += pts.slots_of(job.need) * (job.waiting() + len(job.attempts))
+        for team in self._model.teams:
+            if team.share == share:
+                total += 0.05 * (team.guarantee.cpus + team.guarantee.gpus)
+        return total
+
+    async def _record(self, rows: list[wire.StoredMachine], hire: str | None, group: str) -> bool:
+        """Write records of machines, and delete the hire that brought them with the last."""
+        model = self._model
+        most = self._roster.most_rows
+        try:
+            for first in range(0, max(len(rows), 1), most):
+                part = rows[first : first + most]
+                held = model.leader
+                if held is None:
+                    return False
+                also = []
+                if hire is not None and first + most >= len(rows):
+                    also.append(wire.Write(delete=hire_key(hire)))
+                name = group if first == 0 else f"{group}-{first}"
+                if part or also:
+                    await self._roster.add(
+                        name,
+                        part,
+                        (LEADER_KEY, held.version),
+                        also,
+                        lambda: self._member.is_leader,
+                    )
+        except NOT_WRITTEN as error:
+            log.debug("machines not recorded: %r", error)
+            return False
+        finally:
+            self.recording.difference_update(row.name for row in rows)
+            self._changed()
+        return True
--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -4,28 +4,25 @@
 
 import asyncio
 import logging
-from collections import Counter
 from collections.abc import Awaitable, Callable
 from random import Random
 from statistics import NormalDist
 
-import msgspec
-
 from badgerseam.cluster.member import Member
 from badgerseam.fleet import policy
-from badgerseam.fleet.cloud import Cloud, CloudTrouble, NoCapacity
+from badgerseam.fleet.cloud import Cloud, CloudTrouble
 from badgerseam.fleet.demand import Offer, options, virtual_node
-from badgerseam.model.job import HIGH_RANK, Stage
+from badgerseam.fleet.hiring import Hiring
+from badgerseam.fleet.releases import Releases
+from badgerseam.fleet.returns import DROP
+from badgerseam.model.job import HIGH_RANK
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import (
     LEADER_KEY,
     TYPES_KEY,
     Model,
     Share,
-    claim_key,
-    hire_key,
 )
-from badgerseam.model.resources import NOTHING
 from badgerseam.sched import pts
 from badgerseam.sched.planner import Planner
 from badgerseam.settings import Tunables
@@ -42,18 +39,13 @@
 """The least that a machine is charged for."""
 BOOT_SPREAD = 1.5
 """How much longer than stated a boot usually takes at most."""
-DROP = -1
-"""Where a machine is moved that is to be released."""
 TYPES_S = 20.0
-NO_CAPACITY_S = 10.0
-MOST_NO_CAPACITY_S = 30.0
 TELL_S = 10.0
 DEPARTURES = 0.8
 """Standard deviations of arrivals that departures make room for (measured: no reserve was needed
 where four fifths are to start in time)."""
 MOST_AT_ONCE = 150
 MOST_HOSTS = 50
-MOST_RELEASED = 100
 VACATE_S = 3.0
 """How long HP work waits before a machine of another share is vacated for it."""
 ADDRESSES_S = 2.5
@@ -82,7 +74,6 @@
         self._model = model
         self._member = member
         self._committer = committer
-        self._roster = roster
         self._cloud = cloud
         self._planner = planner
         self._tunables = tunables
@@ -90,18 +81,10 @@
         self._mover = mover
         self._changed = changed
         self._clock = model.clock
-        self._blocked: dict[Offer, tuple[float, float]] = {}
-        """Offers without capacity: until when they are left alone, and the pause."""
-        self._hiring: set[str] = set()
-        self._releasing: set[str] = set()
-        self._to_release: list[str] = []
-        self._release_runs = False
+        self.hiring = Hiring(model, member, committer, roster, cloud, self._spawn, changed)
+        self.releases = Releases(model, member, roster, cloud, self._spawn, changed)
         self._moving: set[str] = set()
         self._missing: dict[str, int] = {}
-        self._recording: set[str] = set()
-        """Machines whose first record is being written."""
-        self._asking: dict[str, wire.StoredHire] = {}
-        self._serial = 0
         self._learnt_at = -1e9
         self._vacated_at: dict[int, float] = {}
         self._told_at = -1e9
@@ -211,7 +194,7 @@
         now = self._clock.now()
         blocked = [
             Blocked(offer.type, offer.zone, offer.spot, round(until - now, 1))
-            for offer, (until, _) in self._blocked.items()
+            for offer, (until, _) in self.hiring.blocked.items()
             if until > now
         ]
         trouble = self._cloud.trouble
@@ -281,80 +264,8 @@
                     if missed * self._list_pause_s > 2 * lag:
                         log.info("%s is not listed any more", machine.name)
                         release.append(machine.name)
-            self._adopt(adopt)
-        self._release(release)
-
-    def _adopt(self, rows: list[wire.StoredMachine]) -> None:
-        """Take machines that we have no record of, each into the share with the fewest for its
-        work."""
-        model = self._model
-        fresh = [
-            row
-            for row in rows
-            if row.name not in model.gone
-            and row.name not in model.machine_index
-            and row.name not in self._recording
-        ]
-        if not fresh or not model.types:
-            return
-        counts = [
-            sum(machine.total.cpus or 1.0 for machine in fleet.values()) for fleet in model.fleets
-        ]
-        work = [self._work(share) for share in range(len(counts))]
-        adopted = []
-        for row in fresh:
-            share = max(
-                range(len(counts)), key=lambda index: (work[index] + 1) / (counts[index] + 1)
-            )
-            counts[share] += model.capacity(row.type).cpus or 1.0
-            adopted.append(msgspec.structs.replace(row, share=share))
-            log.info("adopting %s for share %d", row.name, share)
-        self._recording.update(row.name for row in adopted)
-        self._serial += 1
-        self._spawn(self._record(adopted, None, f"{self._prefix()}-{self._serial}"))
-
-    def _prefix(self) -> str:
-        # The lease's number makes the names ones that no other process has used.
-        return f"{self._member.node}-{self._member.lease}"
-
-    def _work(self, share: int) -> float:
-        total = 0.0
-        for job in self._model.open_jobs[share].values():
-            total += pts.slots_of(job.need) * (job.waiting() + len(job.attempts))
-        for team in self._model.teams:
-            if team.share == share:
-                total += 0.05 * (team.guarantee.cpus + team.guarantee.gpus)
-        return total
-
-    async def _record(self, rows: list[wire.StoredMachine], hire: str | None, group: str) -> bool:
-        """Write records of machines, and delete the hire that brought them with the last."""
-        model = self._model
-        most = self._roster.most_rows
-        try:
-            for first in range(0, max(len(rows), 1), most):
-                part = rows[first : first + most]
-                held = model.leader
-                if held is None:
-                    return False
-                also = []
-                if hire is not None and first + most >= len(rows):
-                    also.append(wire.Write(delete=hire_key(hire)))
-                name = group if first == 0 else f"{group}-{first}"
-                if part or also:
-                    await self._roster.add(
-                        name,
-                        part,
-                        (LEADER_KEY, held.version),
-                        also,
-                        lambda: self._member.is_leader,
-                    )
-        except NOT_WRITTEN as error:
-            log.debug("machines not recorded: %r", error)
-            return False
-        finally:
-            self._recording.difference_update(row.name for row in rows)
-            self._changed()
-        return True
+            self.hiring.adopt(adopt)
+        self.releases.release(release)
 
     # ---- a round ----
 
@@ -370,12 +281,9 @@
                 for r in model.unknown.values()
             ]
             model.unknown.clear()
-            self._adopt(unknown)
-            for name, (hire, _) in list(model.hires.items()):
-                if name not in self._hiring:
-                    self._hiring.add(name)
-                    self._spawn(self._hire(name, hire))
-            self._release([m.name for m in model.machines.values() if m.dropped])
+            self.hiring.adopt(unknown)
+            self.hiring.resume()
+            self.releases.release([m.name for m in model.machines.values() if m.dropped])
             self._decide(now)
 
     def _decide(self, now: float) -> None:
@@ -402,7 +310,7 @@
             tunables.arrivals_s,
             (self._guarantee_spread, tunables.reserve_spread),
         )
-        blocked = {offer for offer, (until, _) in self._blocked.items() if until > now}
+        blocked = {offer for offer, (until, _) in self.hiring.blocked.items() if until > now}
         choices = options(model.types, blocked)
         if now - self._moved_at < tunables.move_s:
             empty.clear()
@@ -435,9 +343,9 @@
             asked.setdefault(offer, []).append(share)
         # One request an offer for all shares, and none that would wait for its turn: the cloud
         # allows few calls, and what is asked later is asked for all that is lacking by then.
-        turns = int(self._cloud.budget.available()) - len(self._hiring)
+        turns = int(self._cloud.budget.available()) - len(self.hiring.under_way)
         for offer, shares in list(asked.items())[: max(0, turns)]:
-            self._ask(shares[:MOST_HOSTS], offer)
+            self.hiring.ask(shares[:MOST_HOSTS], offer)
 
     def _snapshot(self, share: Share, now: float) -> pts.Snapshot:
         """A share's machines as the records have them, those on their way included."""
@@ -453,7 +361,7 @@
                     continue
             if machine.name not in self._moving:
                 nodes.append(planner.node(machine, now))
-        hires = {name: hire for name, (hire, _) in model.hires.items()} | self._asking
+        hires = {name: hire for name, (hire, _) in model.hires.items()} | self.hiring.asking
         for hire in hires.values():
             offer = Offer(hire.type, hire.zone, hire.spot)
             for _ in range(hire.shares.count(share.index)):
@@ -565,274 +473,3 @@
                 await asyncio.sleep(2.0)
         finally:
             self._moving -= names
-
-    # ---- renting ----
-
-    def _ask(self, shares: list[int], offer: Offer) -> None:
-        held = self._model.leader
-        if self._member.lease is None or held is None:
-            return
-        self._serial += 1
-        name = f"{self._prefix()}-{self._serial}"
-        hire = wire.StoredHire(
-            shares, offer.type, offer.zone, offer.spot, round(self._clock.wall(), 1)
-        )
-        self._asking[name] = hire
-        self._hiring.add(name)
-        self._spawn(self._persist(name, hire, held.version))
-
-    async def _persist(self, name: str, hire: wire.StoredHire, version: int) -> None:
-        model = self._model
-        value = wire.raw(hire)
-        try:
-            revision = await self._committer.commit(
-                Urgency.PLACE,
-                {LEADER_KEY: version, hire_key(name): 0},
-                [wire.Write(put=hire_key(name), value=value)],
-                wanted=lambda: self._member.is_leader,
-            )
-        except NOT_WRITTEN as error:
-            log.debug("hire %s not persisted: %r", name, error)
-            self._hiring.discard(name)
-            return
-        finally:
-            self._asking.pop(name, None)
-        with model.lock:
-            model.apply(hire_key(name), value, revision)
-        await self._hire(name, hire)
-
-    async def _hire(self, name: str, hire: wire.StoredHire) -> None:
-        """Repeat a persisted request until it is answered."""
-        offer = Offer(hire.type, hire.zone, hire.spot)
-        count = len(hire.shares)
-        request = cloud_wire.Rent(name, hire.type, hire.zone, hire.spot, count)
-        pause = 0.5
-        try:
-            while self._member.is_leader:
-                try:
-                    names = await self._cloud.rent(request)
-                    break
-                except NoCapacity:
-                    names = []
-                    break
-                except CloudTrouble as error:
-                    log.debug("hire %s: %s", name, error)
-                    await asyncio.sleep(pause)
-                    pause = min(pause * 2, 4.0)
-            else:
-                return
-            log.info(
-                "hire %s: %d of %d %s in %s%s for shares %s",
-                name,
-                len(names),
-                count,
-                hire.type,
-                hire.zone,
-                " (spot)" if hire.spot else "",
-                " ".join(f"{share}:{n}" for share, n in sorted(Counter(hire.shares).items())),
-            )
-            if len(names) < count:
-                self._block(offer, bool(names))
-            rows = [
-                wire.StoredMachine(machine, share, hire.type, hire.zone, hire.spot, "", hire.at)
-                for machine, share in zip(names, hire.shares, strict=False)
-            ]
-            while self._member.is_leader:
-                # Some may have been adopted already, from a report or the list, or are just being:
-                # they must not be recorded twice.
-                with self._model.lock:
-                    fresh = [r for r in rows if r.name not in self._model.machine_index]
-                    ready = self._recording.isdisjoint(r.name for r in fresh)
-                    if ready:
-                        self._recording.update(r.name for r in fresh)
-                if ready and await self._record(fresh, name, name):
-                    break
-                await asyncio.sleep(0.3)
-        finally:
-            self._hiring.discard(name)
-
-    def _block(self, offer: Offer, some: bool) -> None:
-        """Leave an offer alone for a while, longer if nothing was to be had again."""
-        _, pause = self._blocked.get(offer, (0.0, 0.0))
-        pause = NO_CAPACITY_S if some or pause == 0 else min(2 * pause, MOST_NO_CAPACITY_S)
-        self._blocked[offer] = (self._clock.now() + pause, pause)
-
-    # ---- releasing ----
-
-    def _release(self, names: list[str]) -> None:
-        """Release machines, as many with one call as have gathered since the last one."""
-        fresh = [name for name in names if name not in self._releasing]
-        if not fresh:
-            return
-        self._releasing.update(fresh)
-        self._to_release += fresh
-        if not self._release_runs:
-            self._release_runs = True
-            self._spawn(self._release_all())
-
-    async def _release_all(self) -> None:
-        try:
-            while self._to_release:
-                await self._cloud.turn()
-                names = self._to_release[:MOST_RELEASED]
-                del self._to_release[:MOST_RELEASED]
-                await self._return(names)
-        finally:
-            self._release_runs = False
-
-    async def _return(self, names: list[str]) -> None:
-        model = self._model
-        try:
-            await self._cloud.release(names)
-            log.info("released %s", " ".join(names))
-            held = model.leader
-            with model.lock:
-                machines = [m for m in map(model.machine, names) if m is not None]
-            if held is not None:
-                await self._roster.change(
-                    machines,
-                    lambda row: None,
-                    (LEADER_KEY, held.version),
-                    lambda: self._member.is_leader,
-                )
-            self._changed()
-        except CloudTrouble as error:
-            log.debug("release: %s", error)
-            await asyncio.sleep(0.5)
-        finally:
-            self._releasing.difference_update(names)
-
-
-class Returns:
-    """An owner's part: giving up machines of its shares, or passing them on."""
-
-    def __init__(self, model: Model, roster: Roster, planner: Planner) -> None:
-        self._model = model
-        self._roster = roster
-        self._planner = planner
-
-    async def rewrite(self, machines: list[Machine], share: int) -> set[str]:
-        """Write machines of one share anew, on condition that we still own it; those written."""
-        if not machines:
-            return set()
-        owner = self._model.shares[machines[0].share]
-        term = owner.term
-        addresses = {machine.name: machine.addr for machine in machines}
-
-        def edit(row: wire.StoredMachine) -> wire.StoredMachine:
-            if row.share != owner.index:
-                return row
-            addr = addresses[row.name]
-            if share == DROP:
-                return msgspec.structs.replace(row, dropped=True, addr=addr)
-            return msgspec.structs.replace(row, share=share, addr=addr)
-
-        return await self._roster.change(
-            machines,
-            edit,
-            (claim_key(owner.index), term),
-            lambda: owner.owned and owner.term == term,
-        )
-
-    async def drop(self) -> None:
-        """Have machines released that are lost, or drained and empty."""
-        by_share: dict[int, list[Machine]] = {}
-        with self._model.lock:
-            for machine in self.finished():
-                machine.returning = True
-                by_share.setdefault(machine.share, []).append(machine)
-        for machines in by_share.values():
-            try:
-                await self.rewrite(machines, DROP)
-            finally:
-                for machine in machines:
-                    machine.returning = False
-
-    async def give(self, machines: list[Machine], share: int, vacate: bool = False) -> set[str]:
-        """Pass empty machines of a share on to another, or, to vacate them, have their work
-        stopped; the names for which that is done."""
-        done: set[str] = set()
-        giving = []
-        with self._model.lock:
-            for machine in machines:
-                if vacate and share == DROP:
-                    if not machine.draining and self._movable(machine):
-                        log.info("%s is emptied: others have room", machine.name)
-                        machine.draining = True
-                        done.add(machine.name)
-                elif vacate and not machine.draining and self._low_only(machine):
-                    log.info("vacating %s for share %d", machine.name, share)
-                    machine.draining = True
-                    machine.vacate_to = share
-                    done.add(machine.name)
-                elif self._empty(machine) and not machine.giving:
-                    machine.vacate_to = None
-                    machine.draining = machine.giving = True
-                    giving.append(machine)
-        written = await self.rewrite(giving, share)
-        for machine in giving:
-            machine.giving = False
-            if machine.name not in written:
-                machine.draining = False
-        return done | written
-
-    def _low_only(self, machine: Machine) -> bool:
-        return self._model.shares[machine.share].owned and all(
-            attempt.job.rank < HIGH_RANK for attempt in machine.attempts.values()
-        )
-
-    def _movable(self, machine: Machine) -> bool:
-        """Whether only replicas are on it, that have run for long enough to be moved."""
-        now = self._model.clock.now()
-        return (
-            self._model.shares[machine.share].owned
-            and machine.strays == NOTHING
-            and machine.recall_at is None
-            and all(
-                attempt.job.service
-                and attempt.stage == Stage.RUNNING
-                and not attempt.stopping
-                and now - attempt.started_at > policy.SETTLED_S / 2
-                for attempt in machine.attempts.values()
-            )
-        )
-
-    def vacated(self) -> list[tuple[Machine, int]]:
-        """Machines that have become empty for another share."""
-        return [
-            (machine, machine.vacate_to)
-            for machine in self._model.machines.values()
-            if machine.vacate_to is not None and not machine.giving and self._empty(machine)
-        ]
-
-    def _empty(self, machine: Machine) -> bool:
-        return (
-            self._model.shares[machine.share].owned
-            and (not machine.draining or machine.vacate_to is not None)
-            and not machine.dropped
-            and (machine.session == 0 or machine.clear)
-            and self._planner.free_of_work(machine)
-        )
-
-    def finished(self) -> list[Machine]:
-        """Machines of owned shares that are to be released: lost, or drained and empty."""
-        model = self._model
-        return [
-            machine
-            for machine in model.machines.values()
-            if model.shares[machine.share].owned
-            and not machine.dropped
-            and not machine.returning
-            and (
-                machine.lost
-                or machine.given_up
-                or (
-                    machine.draining
-                    and machine.recall_at is None
-                    and machine.session > 0
-                    and not machine.giving
-                    and machine.vacate_to is None
-                    and self._planner.free_of_work(machine)
-                )
-            )
-        ]
--- /dev/null
+++ b/badgerseam/fleet/returns.py
@@ -0,0 +1,156 @@
+"""An owner's part: giving up machines of its shares, or passing them on."""
+
+from __future__ import annotations
+
+import logging
+
+import msgspec
+
+from badgerseam.fleet import policy
+from badgerseam.model.job import HIGH_RANK, Stage
+from badgerseam.model.machine import Machine
+from badgerseam.model.model import Model, claim_key
+from badgerseam.model.resources import NOTHING
+from badgerseam.sched.planner import Planner
+from badgerseam.store.roster import Roster
+from badgerseam.wire import state as wire
+
+log = logging.getLogger("badgerseam.fleet")
+
+DROP = -1
+"""Where a machine is moved that is to be released."""
+
+
+class Returns:
+    """An owner's part: giving up machines of its shares, or passing them on."""
+
+    def __init__(self, model: Model, roster: Roster, planner: Planner) -> None:
+        self._model = model
+        self._roster = roster
+        self._planner = planner
+
+    async def rewrite(self, machines: list[Machine], share: int) -> set[str]:
+        """Write machines of one share anew, on condition that we still own it; those written."""
+        if not machines:
+            return set()
+        owner = self._model.shares[machines[0].share]
+        term = owner.term
+        addresses = {machine.name: machine.addr for machine in machines}
+
+        def edit(row: wire.StoredMachine) -> wire.StoredMachine:
+            if row.share != owner.index:
+                return row
+            addr = addresses[row.name]
+            if share == DROP:
+                return msgspec.structs.replace(row, dropped=True, addr=addr)
+            return msgspec.structs.replace(row, share=share, addr=addr)
+
+        return await self._roster.change(
+            machines,
+            edit,
+            (claim_key(owner.index), term),
+            lambda: owner.owned and owner.term == term,
+        )
+
+    async def drop(self) -> None:
+        """Have machines released that are lost, or drained and empty."""
+        by_share: dict[int, list[Machine]] = {}
+        with self._model.lock:
+            for machine in self.finished():
+                machine.returning = True
+                by_share.setdefault(machine.share, []).append(machine)
+        for machines in by_share.values():
+            try:
+                await self.rewrite(machines, DROP)
+            finally:
+                for machine in machines:
+                    machine.returning = False
+
+    async def give(self, machines: list[Machine], share: int, vacate: bool = False) -> set[str]:
+        """Pass empty machines of a share on to another, or, to vacate them, have their work
+        stopped; the names for which that is done."""
+        done: set[str] = set()
+        giving = []
+        with self._model.lock:
+            for machine in machines:
+                if vacate and share == DROP:
+                    if not machine.draining and self._movable(machine):
+                        log.info("%s is emptied: others have room", machine.name)
+                        machine.draining = True
+                        done.add(machine.name)
+                elif vacate and not machine.draining and self._low_only(machine):
+                    log.info("vacating %s for share %d", machine.name, share)
+                    machine.draining = True
+                    machine.vacate_to = share
+                    done.add(machine.name)
+                elif self._empty(machine) and not machine.giving:
+                    machine.vacate_to = None
+                    machine.draining = machine.giving = True
+                    giving.append(machine)
+        written = await self.rewrite(giving, share)
+        for machine in giving:
+            machine.giving = False
+            if machine.name not in written:
+                machine.draining = False
+        return done | written
+
+    def _low_only(self, machine: Machine) -> bool:
+        return self._model.shares[machine.share].owned and all(
+            attempt.job.rank < HIGH_RANK for attempt in machine.attempts.values()
+        )
+
+    def _movable(self, machine: Machine) -> bool:
+        """Whether only replicas are on it, that have run for long enough to be moved."""
+        now = self._model.clock.now()
+        return (
+            self._model.shares[machine.share].owned
+            and machine.strays == NOTHING
+            and machine.recall_at is None
+            and all(
+                attempt.job.service
+                and attempt.stage == Stage.RUNNING
+                and not attempt.stopping
+                and now - attempt.started_at > policy.SETTLED_S / 2
+                for attempt in machine.attempts.values()
+            )
+        )
+
+    def vacated(self) -> list[tuple[Machine, int]]:
+        """Machines that have become empty for another share."""
+        return [
+            (machine, machine.vacate_to)
+            for machine in self._model.machines.values()
+            if machine.vacate_to is not None and not machine.giving and self._empty(machine)
+        ]
+
+    def _empty(self, machine: Machine) -> bool:
+        return (
+            self._model.shares[machine.share].owned
+            and (not machine.draining or machine.vacate_to is not None)
+            and not machine.dropped
+            and (machine.session == 0 or machine.clear)
+            and self._planner.free_of_work(machine)
+        )
+
+    def finished(self) -> list[Machine]:
+        """Machines of owned shares that are to be released: lost, or drained and empty."""
+        model = self._model
+        return [
+            machine
+            for machine in model.machines.values()
+            if model.shares[machine.share].owned
+            and not machine.dropped
+            and not machine.returning
+            and (
+                machine.lost
+                or machine.given_up
+                or (
+                    machine.draining
+                    and machine.recall_at is None
+                    and machine.session > 0
+                    and not machine.giving
+                    and machine.vacate_to is None
+                    and self._planner.free_of_work(machine)
+                )
+            )
+        ]
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -20,7 +20,8 @@
 from badgerseam.cluster.peers import Peers
 from badgerseam.explain.explainer import Explainer
 from badgerseam.fleet.cloud import Cloud
-from badgerseam.fleet.manager import Fleet, Returns
+from badgerseam.fleet.manager import Fleet
+from badgerseam.fleet.returns import Returns
 from badgerseam.http.client import Client
 from badgerseam.http.server import Handler, Server
 from badgerseam.model.machine import Machine
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -11,7 +11,7 @@
 
 from badgerseam.clock import Clock
 from badgerseam.cluster.member import Member
-from badgerseam.fleet.manager import Returns
+from badgerseam.fleet.returns import Returns
 from badgerseam.http.budget import Budget
 from badgerseam.http.client import NoResponse, NotSent, Response
 from badgerseam.lab.state import StateCore
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -12,7 +12,8 @@
 from badgerseam.fleet import policy
 from badgerseam.fleet.cloud import Cloud, CloudTrouble, NoCapacity
 from badgerseam.fleet.demand import Offer, options
-from badgerseam.fleet.manager import DROP, Fleet
+from badgerseam.fleet.manager import Fleet
+from badgerseam.fleet.returns import DROP
 from badgerseam.http.client import NoResponse, Response
 from badgerseam.model.model import Arrival, hire_key
 from badgerseam.model.resources import NOTHING, Resources
@@ -67,7 +68,7 @@
 
 
 async def _quick(rented: Fleet, name: str, hire: wire.StoredHire) -> None:
-    await asyncio.wait_for(rented._hire(name, hire), 10.0)
+    await asyncio.wait_for(rented.hiring.hire(name, hire), 10.0)
 
 
 def test_a_rental_never_overwrites_the_record_of_a_machine() -> None:
@@ -89,7 +90,7 @@
     hire = wire.StoredHire([1, 1], "c8", "a", False, 0.0)
 
     async def work() -> None:
-        rented._adopt([rig.row("m-7")])
+        rented.hiring.adopt([rig.row("m-7")])
         await _quick(rented, "n-0-1-9", hire)
 
     asyncio.run(work())
@@ -109,7 +110,7 @@
             cloud_wire.Listed("m-9", "10.1.0.9:1", "c8", "a", False, "running", 100.0),
         ]
         rented._compare(listed, rig.clock.wall())
-        while rented._releasing or rented._recording:
+        while rented.releases.under_way or rented.hiring.recording:
             await asyncio.sleep(0)
 
     rig.run(compare())
@@ -130,7 +131,7 @@
     http.script = [lost]
 
     async def release() -> None:
-        rented._release(["m-1"])
+        rented.releases.release(["m-1"])
         for _ in range(10):
             await asyncio.sleep(0)
 
