The model in files by concern: keys, records of shares, state with its small changes, replica

model/model.py held keys, plain records, lookups, the life of attempts and the application of changes in 709 lines.

--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -16,7 +16,8 @@
 from badgerseam.cluster.member import Member
 from badgerseam.http.server import Reply, error_reply
 from badgerseam.model.job import Job, Phase
-from badgerseam.model.model import Model, job_key
+from badgerseam.model.keys import job_key
+from badgerseam.model.model import Model
 from badgerseam.model.resources import Resources
 from badgerseam.store.client import Refused, StateClient, Unavailable
 from badgerseam.store.ledger import Ledger
--- a/badgerseam/batch/numbers.py
+++ b/badgerseam/batch/numbers.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from badgerseam.model.model import PREFIX, Model
+from badgerseam.model.keys import PREFIX
+from badgerseam.model.model import Model
 from badgerseam.store.client import Refused, StateClient
 from badgerseam.store.committer import Committer, Urgency
 from badgerseam.wire import state as wire
--- a/badgerseam/batch/terms.py
+++ b/badgerseam/batch/terms.py
@@ -5,7 +5,9 @@
 from collections.abc import Awaitable, Callable
 
 from badgerseam.model.job import Job, Phase
-from badgerseam.model.model import Model, job_key, name_key
+from badgerseam.model.keys import job_key
+from badgerseam.model.model import Model
+from badgerseam.model.records import name_key
 from badgerseam.wire.users import Dependency, Submission, Terms
 
 MOST_WALKED = 1000
--- a/badgerseam/cluster/member.py
+++ b/badgerseam/cluster/member.py
@@ -6,7 +6,9 @@
 import logging
 from collections.abc import Callable, Coroutine
 
-from badgerseam.model.model import LEADER_KEY, Held, Model, Share, claim_key, node_key
+from badgerseam.model.keys import LEADER_KEY, claim_key, node_key
+from badgerseam.model.model import Model
+from badgerseam.model.state import Held, Share
 from badgerseam.settings import Tunables
 from badgerseam.store.client import LeaseLost, Refused, StateClient, Unavailable
 from badgerseam.store.committer import Committer, Dropped, Urgency
--- a/badgerseam/explain/explainer.py
+++ b/badgerseam/explain/explainer.py
@@ -14,7 +14,8 @@
 from badgerseam.explain.supply import AskLeader, CloudWord
 from badgerseam.explain.surveys import NotOwner, Survey, Surveys
 from badgerseam.model.job import Job
-from badgerseam.model.model import Model, Share
+from badgerseam.model.model import Model
+from badgerseam.model.state import Share
 from badgerseam.sched.planner import Planner
 from badgerseam.settings import ExplainOptions
 from badgerseam.wire.explain import Code, Group, Question, Reason, Why
--- a/badgerseam/explain/supply.py
+++ b/badgerseam/explain/supply.py
@@ -11,7 +11,8 @@
 from badgerseam.fleet.demand import Offer, options, virtual_node
 from badgerseam.fleet.manager import BOOT_SPREAD
 from badgerseam.model.machine import Machine
-from badgerseam.model.model import Model, Share
+from badgerseam.model.model import Model
+from badgerseam.model.state import Share
 from badgerseam.sched.bench import barred
 from badgerseam.sched.planner import Planner
 from badgerseam.sched.snapshot import Node, Request
--- a/badgerseam/explain/surveys.py
+++ b/badgerseam/explain/surveys.py
@@ -15,7 +15,8 @@
 from badgerseam.explain.supply import CloudWord, Supply, supply_of
 from badgerseam.http.budget import Budget
 from badgerseam.model.job import Job
-from badgerseam.model.model import Model, Share
+from badgerseam.model.model import Model
+from badgerseam.model.state import Share
 from badgerseam.sched.diagnosis import Finding, still, survey
 from badgerseam.sched.planner import Planner
 from badgerseam.wire.explain import CloudView
--- a/badgerseam/fleet/hiring.py
+++ b/badgerseam/fleet/hiring.py
@@ -12,7 +12,8 @@
 from badgerseam.cluster.member import Member
 from badgerseam.fleet.cloud import Cloud, CloudTrouble, NoCapacity
 from badgerseam.fleet.demand import Offer
-from badgerseam.model.model import LEADER_KEY, Model, hire_key
+from badgerseam.model.keys import LEADER_KEY, hire_key
+from badgerseam.model.model import Model
 from badgerseam.sched import pts
 from badgerseam.store.committer import Committer, Urgency
 from badgerseam.store.roster import NOT_WRITTEN, Roster
--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -16,13 +16,10 @@
 from badgerseam.fleet.releases import Releases
 from badgerseam.fleet.returns import DROP
 from badgerseam.model.job import HIGH_RANK
+from badgerseam.model.keys import LEADER_KEY, TYPES_KEY
 from badgerseam.model.machine import Machine
-from badgerseam.model.model import (
-    LEADER_KEY,
-    TYPES_KEY,
-    Model,
-    Share,
-)
+from badgerseam.model.model import Model
+from badgerseam.model.state import Share
 from badgerseam.sched import pts
 from badgerseam.sched.planner import Planner
 from badgerseam.settings import Tunables
--- a/badgerseam/fleet/policy.py
+++ b/badgerseam/fleet/policy.py
@@ -9,8 +9,8 @@
 
 from badgerseam.fleet.demand import Offer, Option, Wants
 from badgerseam.model.job import HIGH_RANK
-from badgerseam.model.model import Arrival
 from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.model.state import Arrival
 from badgerseam.sched import pts
 
 SETTLED_S = 60.0
--- a/badgerseam/fleet/releases.py
+++ b/badgerseam/fleet/releases.py
@@ -8,7 +8,8 @@
 
 from badgerseam.cluster.member import Member
 from badgerseam.fleet.cloud import Cloud, CloudTrouble
-from badgerseam.model.model import LEADER_KEY, Model
+from badgerseam.model.keys import LEADER_KEY
+from badgerseam.model.model import Model
 from badgerseam.store.roster import Roster
 
 log = logging.getLogger("badgerseam.fleet")
--- a/badgerseam/fleet/returns.py
+++ b/badgerseam/fleet/returns.py
@@ -8,8 +8,9 @@
 
 from badgerseam.fleet import policy
 from badgerseam.model.job import HIGH_RANK, Stage
+from badgerseam.model.keys import claim_key
 from badgerseam.model.machine import Machine
-from badgerseam.model.model import Model, claim_key
+from badgerseam.model.model import Model
 from badgerseam.model.resources import NOTHING
 from badgerseam.sched.planner import Planner
 from badgerseam.store.roster import Roster
--- a/badgerseam/lab/measures.py
+++ b/badgerseam/lab/measures.py
@@ -19,7 +19,8 @@
 from badgerseam.lab.load import make_job
 from badgerseam.lab.site import JobClass, Ports, Site, controller_settings
 from badgerseam.model.job import Job, Stage
-from badgerseam.model.model import Model, claim_key, group_key, job_key
+from badgerseam.model.keys import claim_key, group_key, job_key
+from badgerseam.model.model import Model
 from badgerseam.sched.planner import Planner
 from badgerseam.settings import ExplainOptions, Team, Tunables
 from badgerseam.wire import state as wire
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -1,208 +1,35 @@
-"""All shared state of a controller, behind one lock that is never held over I/O."""
+"""The shared state as the state service's changes make it, and what changes with a claim."""
 
 from __future__ import annotations
 
-import threading
-from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
 
-from badgerseam.clock import Clock
 from badgerseam.model.job import (
     FINISHED,
-    IDLE,
     PHASE_NAMES,
-    PLACED,
-    Attempt,
     Job,
     Phase,
     Stage,
 )
+from badgerseam.model.keys import (
+    PREFIX,
+)
 from badgerseam.model.machine import Machine
-from badgerseam.model.resources import NOTHING, Resources
-from badgerseam.settings import Settings
+from badgerseam.model.state import Arrival, Held, Page, Share
 from badgerseam.wire import state as wire
 from badgerseam.wire.cloud import MachineType
-from badgerseam.wire.workers import Report
 
 if TYPE_CHECKING:
-    from badgerseam.accounting.accounts import Accounts
-
-PREFIX = "bs/"
-
-
-def job_key(job_id: str) -> str:
-    return f"{PREFIX}j/{job_id}"
-
-
-def page_key(share: int, page: int) -> str:
-    return f"{PREFIX}p/{share}/{page}"
-
-
-def group_key(group: str) -> str:
-    return f"{PREFIX}m/{group}"
-
-
-def claim_key(share: int) -> str:
-    return f"{PREFIX}c/{share}"
-
-
-def counts_key(share: int) -> str:
-    return f"{PREFIX}g/{share}"
-
-
-def node_key(node: str) -> str:
-    return f"{PREFIX}n/{node}"
-
-
-def hire_key(name: str) -> str:
-    return f"{PREFIX}h/{name}"
-
-
-LEADER_KEY = f"{PREFIX}l"
-TYPES_KEY = f"{PREFIX}f"
-
-
-@dataclass(frozen=True, slots=True)
-class Arrival:
-    """A job as it came, for what the next ones may need."""
-
-    at: float
-    job_class: str
-    share: int
-    tasks: int
-    need: Resources
-    rank: int
-    spot: bool
-
-
-@dataclass(slots=True)
-class TeamState:
-    name: str
-    share: int
-    guarantee: Resources
-    limit: Resources
-    used: Resources = NOTHING
-
-
-@dataclass(slots=True)
-class Held:
-    """A claim as the replica shows it."""
-
-    claim: wire.Claim
-    version: int
-
-
-@dataclass(slots=True)
-class Page:
-    """Tasks of many jobs under one key, as they are stored."""
-
-    version: int
-    jobs: dict[str, wire.JobRows]
-
-
-@dataclass(slots=True)
-class Share:
-    """A share of teams and machines."""
-
-    index: int
-    held: Held | None = None
-    owned: bool = False
-    """This process acts for the share."""
-    releasing: bool = False
-    term: int = 0
-    finished: int = 0
-    evicted: int = 0
-    counts_version: int = 0
-    owned_since: float = 0.0
-    vacant_since: float = 0.0
-    ever_held: bool = False
-    planned: list[Attempt] = field(default_factory=list)
-    """Placements to be made durable."""
-    bits_due: dict[int, float] = field(default_factory=dict)
-    """Jobs with finished tasks to be made durable, and by when."""
-    committing: bool = False
-    """A transaction with tasks of the share is on its way; there is one at a time."""
-    last_holder: str | None = None
-    """The controller that held the share before its present claim, as far as known."""
+    pass
+from badgerseam.model.records import Records, name_key
 
 
 @dataclass(slots=True)
-class Model:
-    settings: Settings
-    clock: Clock
-    lock: threading.RLock = field(default_factory=threading.RLock)
-    types: dict[str, MachineType] = field(default_factory=dict)
-    types_version: int = 0
-    jobs: list[Job | None] = field(default_factory=list)
-    job_index: dict[str, int] = field(default_factory=dict)
-    ended: dict[str, tuple[Phase, int]] = field(default_factory=dict)
-    open_jobs: list[dict[int, Job]] = field(default_factory=list)
-    """Open and lingering jobs of each share, by index."""
-    free_jobs: list[int] = field(default_factory=list)
-    versions: dict[str, int] = field(default_factory=dict)
-    """The latest version applied of machine and claim keys, against replays."""
-    machines: dict[int, Machine] = field(default_factory=dict)
-    fleets: list[dict[int, Machine]] = field(default_factory=list)
-    """The machines of each share, by index."""
-    machine_index: dict[str, int] = field(default_factory=dict)
-    next_machine: int = 0
-    groups: dict[str, tuple[int, dict[str, wire.StoredMachine]]] = field(default_factory=dict)
-    """The machines' records as they are stored: version and rows of each key."""
-    teams: list[TeamState] = field(default_factory=list)
-    team_index: dict[str, int] = field(default_factory=dict)
-    shares: list[Share] = field(default_factory=list)
-    nodes: dict[str, Held] = field(default_factory=dict)
-    leader: Held | None = None
-    hires: dict[str, tuple[wire.StoredHire, int]] = field(default_factory=dict)
-    pages: list[dict[int, Page]] = field(default_factory=list)
-    """The tasks of each share as they are stored."""
-    revision: int = 0
-    loaded: bool = False
-    loading: bool = False
-    arrivals: deque[Arrival] = field(default_factory=lambda: deque(maxlen=500))
-    kicks: set[int] = field(default_factory=set)
-    """Shares whose waiting work should be looked at."""
-    pushes: set[int] = field(default_factory=set)
-    """Machines that may have commands to get."""
-    ending: set[int] = field(default_factory=set)
-    """Jobs whose tasks are all done, which is to be made durable."""
-    unknown: dict[str, Report] = field(default_factory=dict)
-    """Reports of machines without a record."""
-    accounts: Accounts | None = None
-    """Where they are kept."""
-    named: dict[tuple[int, str, str], set[int]] = field(default_factory=dict)
-    """Open jobs with a name, by team, user and name."""
-    gone: set[str] = field(default_factory=set)
-    """Machines whose record was removed: a late report of theirs is no news."""
-
-    def __post_init__(self) -> None:
-        params = self.settings.params
-        count = params.initial_size
-        self.shares = [Share(index) for index in range(count)]
-        self.open_jobs = [{} for _ in range(count)]
-        self.fleets = [{} for _ in range(count)]
-        self.pages = [{} for _ in range(count)]
-        order = sorted(params.teams, key=lambda team: team.name)
-        for index, team in enumerate(order):
-            self.team_index[team.name] = index
-            self.teams.append(
-                TeamState(
-                    team.name,
-                    index * count // len(order) if len(order) >= count else index,
-                    Resources(team.cpus, team.gpus, float("inf")),
-                    Resources(team.cpus_max, team.gpus_max, float("inf")),
-                )
-            )
-
-    @property
-    def chunk_size(self) -> int:
-        """Tasks whose bits, four to a byte, take a quarter of a value."""
-        return max(64, int(self.settings.params.state.value_kb * 1024))
-
-    # ---- the replica: changes in the order of the state service ----
+class Model(Records):
+    """Applies the changes of the replica, in the order of the state service."""
 
     def apply(self, key: str, value: msgspec.Raw | None, version: int) -> None:
         """Take over one change; None is a removal."""
@@ -249,12 +76,6 @@
                 if not share.owned:
                     share.finished, share.evicted = counts.finished, counts.evicted
 
-    def set_types(self, types: list[MachineType]) -> None:
-        self.types = {entry.name: entry for entry in types}
-        for machine in self.machines.values():
-            machine.total = self.capacity(machine.type)
-            machine.node = None
-
     def _apply_job(self, job_id: str, value: msgspec.Raw, version: int) -> None:
         if job_id in self.ended and self.accounts is None:
             return
@@ -503,16 +324,6 @@
             # had it before: a leader neither used nor returned such machines.
             machine.forget()
 
-    @property
-    def cut_bound_s(self) -> float:
-        """How long an owner that cannot reach the state service goes on answering reports.
-
-        Whatever happens meanwhile to a job elsewhere, its tasks are gone by bound + lease_s, which
-        has to stay below cancel_s.
-        """
-        workers = self.settings.params.workers
-        return max(0.0, workers.cancel_s - workers.lease_s * 1.001 - 4.0)
-
     def _apply_claim(self, index: int, value: msgspec.Raw | None, version: int) -> None:
         if index >= len(self.shares):
             return
@@ -525,127 +336,6 @@
         else:
             share.ever_held = True
 
-    # ---- lookups and small changes; callers hold the lock ----
-
-    def capacity(self, type_name: str) -> Resources:
-        entry = self.types.get(type_name)
-        return NOTHING if entry is None else Resources(entry.cpus, entry.gpus, entry.memory_gb)
-
-    def job(self, job_id: str) -> Job | None:
-        index = self.job_index.get(job_id)
-        return None if index is None else self.jobs[index]
-
-    def machine(self, name: str) -> Machine | None:
-        index = self.machine_index.get(name)
-        return None if index is None else self.machines[index]
-
-    def find(self, task_name: str) -> tuple[Job, int] | None:
-        """The open or lingering job and the number behind a task's wire name."""
-        job_id, _, number = task_name.partition("/")
-        job = self.job(job_id)
-        if job is None or not number.isdecimal() or int(number) >= job.tasks:
-            return None
-        return job, int(number)
-
-    def place(self, job: Job, task: int, number: int, machine: Machine, stage: Stage) -> Attempt:
-        """Put a task on a machine; its team pays from now on."""
-        attempt = Attempt(job, task, number, machine, stage)
-        attempt.planned_at = self.clock.now()
-        if stage == Stage.PLANNED:
-            self.shares[job.share].planned.append(attempt)
-        job.attach(attempt)
-        job.tries[task] = number
-        job.status[task] = PLACED
-        # Every controller sees placements, so that a new owner knows where images are.
-        machine.images.add(job.spec.image)
-        return attempt
-
-    def unplace(self, attempt: Attempt) -> None:
-        """The attempt is certainly over."""
-        machine = attempt.machine
-        if self.accounts is not None and attempt.stage != Stage.PLANNED and not attempt.finishing:
-            self.accounts.ended(attempt, done=False)
-        attempt.job.release(attempt)
-        self.kicks.add(attempt.job.share)
-        if not machine.attempts:
-            machine.idle_since = self.clock.now()
-        if attempt.job.phase != Phase.OPEN:
-            self.settle(attempt.job)
-
-    def finish(self, attempt: Attempt, write_by: float) -> None:
-        """The attempt's task has completed; the machine's room is free."""
-        job, task = attempt.job, attempt.task
-        if job.status[task] == FINISHED:
-            return
-        if self.accounts is not None:
-            self.accounts.ended(attempt, done=True)
-        job.completed(attempt)
-        job.status[task] = FINISHED
-        job.finished += 1
-        if job.finished == job.tasks and not job.service and job.phase == Phase.OPEN:
-            job.ending = True
-            self.ending.add(job.index)
-        job.bits_changed.add(job.mark_done(task))
-        self.shares[job.share].bits_due.setdefault(job.index, write_by)
-        self.kicks.add(job.share)
-        if len(attempt.machine.attempts) == 1:
-            attempt.machine.idle_since = self.clock.now()
-
-    def forget_finished(self, attempt: Attempt) -> None:
-        """The finished task is durable: its machine may be told to reap it."""
-        attempt.job.detach(attempt)
-        self.pushes.add(attempt.machine.index)
-
-    def settle(self, job: Job) -> None:
-        """Forget an ended job as soon as none of its tasks can be on a machine."""
-        if job.phase == Phase.OPEN:
-            return
-        job.ending = False
-        owned = self.shares[job.share].owned
-        for attempt in list(job.attempts.values()):
-            if attempt.finishing or job.phase == Phase.DONE:
-                job.detach(attempt)
-            elif owned:
-                attempt.stopping = True
-                attempt.machine.node = None
-                attempt.grace_s = 0.0
-                attempt.stop_sent = False
-                self.pushes.add(attempt.machine.index)
-        self.kicks.add(job.share)
-        if job.attempts or self.jobs[job.index] is not job:
-            return
-        if self.accounts is not None:
-            self.accounts.settled(job)
-        self.shares[job.share].bits_due.pop(job.index, None)
-        key = name_key(job)
-        if key is not None and key in self.named:
-            self.named[key].discard(job.index)
-            if not self.named[key]:
-                del self.named[key]
-        self.jobs[job.index] = None
-        self.free_jobs.append(job.index)
-        del self.job_index[job.id]
-        del self.open_jobs[job.share][job.index]
-
-    def keys(self) -> list[str]:
-        """The keys of all that can be removed again, as far as known."""
-        keys = [group_key(group) for group in self.groups]
-        keys += [node_key(name) for name in self.nodes]
-        keys += [claim_key(share.index) for share in self.shares if share.held]
-        keys += [hire_key(name) for name in self.hires]
-        keys += [page_key(share, page) for share, pages in enumerate(self.pages) for page in pages]
-        if self.leader is not None:
-            keys.append(LEADER_KEY)
-        return keys
-
-    def usage(self, team: int) -> Resources:
-        """What a team's tasks use or may use, finished ones aside."""
-        total = NOTHING
-        for job in self.open_jobs[self.teams[team].share].values():
-            if job.team == team and job.live:
-                total = total.plus(job.need.times(job.live))
-        return total
-
     def own(self, share: Share, term: int, alone: bool) -> None:
         """Start to act for a share whose claim the replica has just shown as ours.
 
@@ -694,16 +384,5 @@
         self.kicks.add(share.index)
 
 
-def name_key(job: Job) -> tuple[int, str, str] | None:
-    """Team, user and name of a job that has all of them."""
-    terms = job.spec.terms
-    if terms is None or terms.name is None or terms.user is None:
-        return None
-    return job.team, terms.user, terms.name
-
-
 def _held(value: msgspec.Raw | None, version: int) -> Held | None:
     return None if value is None else Held(msgspec.json.decode(value, type=wire.Claim), version)
-
-
-__all__ = ["FINISHED", "IDLE", "PLACED", "Held", "Model", "Share", "TeamState"]
--- /dev/null
+++ b/badgerseam/model/records.py
@@ -0,0 +1,258 @@
+"""The shared state itself, and the small changes of jobs and tasks that keep it in order."""
+
+from __future__ import annotations
+
+import threading
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from badgerseam.clock import Clock
+from badgerseam.model.job import (
+    FINISHED,
+    PLACED,
+    Attempt,
+    Job,
+    Phase,
+    Stage,
+)
+from badgerseam.model.keys import (
+    LEADER_KEY,
+    claim_key,
+    group_key,
+    hire_key,
+    node_key,
+    page_key,
+)
+from badgerseam.model.machine import Machine
+from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.model.state import Arrival, Held, Page, Share, TeamState
+from badgerseam.settings import Settings
+from badgerseam.wire import state as wire
+from badgerseam.wire.cloud import MachineType
+from badgerseam.wire.workers import Report
+
+if TYPE_CHECKING:
+    from badgerseam.accounting.accounts import Accounts
+
+
+@dataclass(slots=True)
+class Records:
+    """All shared state of a controller, behind one lock that is never held over I/O.
+
+    Callers hold the lock.
+    """
+
+    settings: Settings
+    clock: Clock
+    lock: threading.RLock = field(default_factory=threading.RLock)
+    types: dict[str, MachineType] = field(default_factory=dict)
+    types_version: int = 0
+    jobs: list[Job | None] = field(default_factory=list)
+    job_index: dict[str, int] = field(default_factory=dict)
+    ended: dict[str, tuple[Phase, int]] = field(default_factory=dict)
+    open_jobs: list[dict[int, Job]] = field(default_factory=list)
+    """Open and lingering jobs of each share, by index."""
+    free_jobs: list[int] = field(default_factory=list)
+    versions: dict[str, int] = field(default_factory=dict)
+    """The latest version applied of machine and claim keys, against replays."""
+    machines: dict[int, Machine] = field(default_factory=dict)
+    fleets: list[dict[int, Machine]] = field(default_factory=list)
+    """The machines of each share, by index."""
+    machine_index: dict[str, int] = field(default_factory=dict)
+    next_machine: int = 0
+    groups: dict[str, tuple[int, dict[str, wire.StoredMachine]]] = field(default_factory=dict)
+    """The machines' records as they are stored: version and rows of each key."""
+    teams: list[TeamState] = field(default_factory=list)
+    team_index: dict[str, int] = field(default_factory=dict)
+    shares: list[Share] = field(default_factory=list)
+    nodes: dict[str, Held] = field(default_factory=dict)
+    leader: Held | None = None
+    hires: dict[str, tuple[wire.StoredHire, int]] = field(default_factory=dict)
+    pages: list[dict[int, Page]] = field(default_factory=list)
+    """The tasks of each share as they are stored."""
+    revision: int = 0
+    loaded: bool = False
+    loading: bool = False
+    arrivals: deque[Arrival] = field(default_factory=lambda: deque(maxlen=500))
+    kicks: set[int] = field(default_factory=set)
+    """Shares whose waiting work should be looked at."""
+    pushes: set[int] = field(default_factory=set)
+    """Machines that may have commands to get."""
+    ending: set[int] = field(default_factory=set)
+    """Jobs whose tasks are all done, which is to be made durable."""
+    unknown: dict[str, Report] = field(default_factory=dict)
+    """Reports of machines without a record."""
+    accounts: Accounts | None = None
+    """Where they are kept."""
+    named: dict[tuple[int, str, str], set[int]] = field(default_factory=dict)
+    """Open jobs with a name, by team, user and name."""
+    gone: set[str] = field(default_factory=set)
+    """Machines whose record was removed: a late report of theirs is no news."""
+
+    def __post_init__(self) -> None:
+        params = self.settings.params
+        count = params.initial_size
+        self.shares = [Share(index) for index in range(count)]
+        self.open_jobs = [{} for _ in range(count)]
+        self.fleets = [{} for _ in range(count)]
+        self.pages = [{} for _ in range(count)]
+        order = sorted(params.teams, key=lambda team: team.name)
+        for index, team in enumerate(order):
+            self.team_index[team.name] = index
+            self.teams.append(
+                TeamState(
+                    team.name,
+                    index * count // len(order) if len(order) >= count else index,
+                    Resources(team.cpus, team.gpus, float("inf")),
+                    Resources(team.cpus_max, team.gpus_max, float("inf")),
+                )
+            )
+
+    @property
+    def chunk_size(self) -> int:
+        """Tasks whose bits, four to a byte, take a quarter of a value."""
+        return max(64, int(self.settings.params.state.value_kb * 1024))
+
+    def set_types(self, types: list[MachineType]) -> None:
+        self.types = {entry.name: entry for entry in types}
+        for machine in self.machines.values():
+            machine.total = self.capacity(machine.type)
+            machine.node = None
+
+    @property
+    def cut_bound_s(self) -> float:
+        """How long an owner that cannot reach the state service goes on answering reports.
+
+        Whatever happens meanwhile to a job elsewhere, its tasks are gone by bound + lease_s, which
+        has to stay below cancel_s.
+        """
+        workers = self.settings.params.workers
+        return max(0.0, workers.cancel_s - workers.lease_s * 1.001 - 4.0)
+
+    def capacity(self, type_name: str) -> Resources:
+        entry = self.types.get(type_name)
+        return NOTHING if entry is None else Resources(entry.cpus, entry.gpus, entry.memory_gb)
+
+    def job(self, job_id: str) -> Job | None:
+        index = self.job_index.get(job_id)
+        return None if index is None else self.jobs[index]
+
+    def machine(self, name: str) -> Machine | None:
+        index = self.machine_index.get(name)
+        return None if index is None else self.machines[index]
+
+    def find(self, task_name: str) -> tuple[Job, int] | None:
+        """The open or lingering job and the number behind a task's wire name."""
+        job_id, _, number = task_name.partition("/")
+        job = self.job(job_id)
+        if job is None or not number.isdecimal() or int(number) >= job.tasks:
+            return None
+        return job, int(number)
+
+    def place(self, job: Job, task: int, number: int, machine: Machine, stage: Stage) -> Attempt:
+        """Put a task on a machine; its team pays from now on."""
+        attempt = Attempt(job, task, number, machine, stage)
+        attempt.planned_at = self.clock.now()
+        if stage == Stage.PLANNED:
+            self.shares[job.share].planned.append(attempt)
+        job.attach(attempt)
+        job.tries[task] = number
+        job.status[task] = PLACED
+        # Every controller sees placements, so that a new owner knows where images are.
+        machine.images.add(job.spec.image)
+        return attempt
+
+    def unplace(self, attempt: Attempt) -> None:
+        """The attempt is certainly over."""
+        machine = attempt.machine
+        if self.accounts is not None and attempt.stage != Stage.PLANNED and not attempt.finishing:
+            self.accounts.ended(attempt, done=False)
+        attempt.job.release(attempt)
+        self.kicks.add(attempt.job.share)
+        if not machine.attempts:
+            machine.idle_since = self.clock.now()
+        if attempt.job.phase != Phase.OPEN:
+            self.settle(attempt.job)
+
+    def finish(self, attempt: Attempt, write_by: float) -> None:
+        """The attempt's task has completed; the machine's room is free."""
+        job, task = attempt.job, attempt.task
+        if job.status[task] == FINISHED:
+            return
+        if self.accounts is not None:
+            self.accounts.ended(attempt, done=True)
+        job.completed(attempt)
+        job.status[task] = FINISHED
+        job.finished += 1
+        if job.finished == job.tasks and not job.service and job.phase == Phase.OPEN:
+            job.ending = True
+            self.ending.add(job.index)
+        job.bits_changed.add(job.mark_done(task))
+        self.shares[job.share].bits_due.setdefault(job.index, write_by)
+        self.kicks.add(job.share)
+        if len(attempt.machine.attempts) == 1:
+            attempt.machine.idle_since = self.clock.now()
+
+    def forget_finished(self, attempt: Attempt) -> None:
+        """The finished task is durable: its machine may be told to reap it."""
+        attempt.job.detach(attempt)
+        self.pushes.add(attempt.machine.index)
+
+    def settle(self, job: Job) -> None:
+        """Forget an ended job as soon as none of its tasks can be on a machine."""
+        if job.phase == Phase.OPEN:
+            return
+        job.ending = False
+        owned = self.shares[job.share].owned
+        for attempt in list(job.attempts.values()):
+            if attempt.finishing or job.phase == Phase.DONE:
+                job.detach(attempt)
+            elif owned:
+                attempt.stopping = True
+                attempt.machine.node = None
+                attempt.grace_s = 0.0
+                attempt.stop_sent = False
+                self.pushes.add(attempt.machine.index)
+        self.kicks.add(job.share)
+        if job.attempts or self.jobs[job.index] is not job:
+            return
+        if self.accounts is not None:
+            self.accounts.settled(job)
+        self.shares[job.share].bits_due.pop(job.index, None)
+        key = name_key(job)
+        if key is not None and key in self.named:
+            self.named[key].discard(job.index)
+            if not self.named[key]:
+                del self.named[key]
+        self.jobs[job.index] = None
+        self.free_jobs.append(job.index)
+        del self.job_index[job.id]
+        del self.open_jobs[job.share][job.index]
+
+    def keys(self) -> list[str]:
+        """The keys of all that can be removed again, as far as known."""
+        keys = [group_key(group) for group in self.groups]
+        keys += [node_key(name) for name in self.nodes]
+        keys += [claim_key(share.index) for share in self.shares if share.held]
+        keys += [hire_key(name) for name in self.hires]
+        keys += [page_key(share, page) for share, pages in enumerate(self.pages) for page in pages]
+        if self.leader is not None:
+            keys.append(LEADER_KEY)
+        return keys
+
+    def usage(self, team: int) -> Resources:
+        """What a team's tasks use or may use, finished ones aside."""
+        total = NOTHING
+        for job in self.open_jobs[self.teams[team].share].values():
+            if job.team == team and job.live:
+                total = total.plus(job.need.times(job.live))
+        return total
+
+
+def name_key(job: Job) -> tuple[int, str, str] | None:
+    """Team, user and name of a job that has all of them."""
+    terms = job.spec.terms
+    if terms is None or terms.name is None or terms.user is None:
+        return None
+    return job.team, terms.user, terms.name
--- /dev/null
+++ b/badgerseam/model/state.py
@@ -0,0 +1,73 @@
+"""What a controller knows of shares, teams, claims and arrivals: plain records."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from badgerseam.model.job import Attempt
+from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.wire import state as wire
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A job as it came, for what the next ones may need."""
+
+    at: float
+    job_class: str
+    share: int
+    tasks: int
+    need: Resources
+    rank: int
+    spot: bool
+
+
+@dataclass(slots=True)
+class TeamState:
+    name: str
+    share: int
+    guarantee: Resources
+    limit: Resources
+    used: Resources = NOTHING
+
+
+@dataclass(slots=True)
+class Held:
+    """A claim as the replica shows it."""
+
+    claim: wire.Claim
+    version: int
+
+
+@dataclass(slots=True)
+class Page:
+    """Tasks of many jobs under one key, as they are stored."""
+
+    version: int
+    jobs: dict[str, wire.JobRows]
+
+
+@dataclass(slots=True)
+class Share:
+    """A share of teams and machines."""
+
+    index: int
+    held: Held | None = None
+    owned: bool = False
+    """This process acts for the share."""
+    releasing: bool = False
+    term: int = 0
+    finished: int = 0
+    evicted: int = 0
+    counts_version: int = 0
+    owned_since: float = 0.0
+    vacant_since: float = 0.0
+    ever_held: bool = False
+    planned: list[Attempt] = field(default_factory=list)
+    """Placements to be made durable."""
+    bits_due: dict[int, float] = field(default_factory=dict)
+    """Jobs with finished tasks to be made durable, and by when."""
+    committing: bool = False
+    """A transaction with tasks of the share is on its way; there is one at a time."""
+    last_holder: str | None = None
+    """The controller that held the share before its present claim, as far as known."""
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -9,8 +9,9 @@
 from badgerseam.clock import Clock
 from badgerseam.model.job import HIGH_RANK, Attempt, Job, Phase, Stage
 from badgerseam.model.machine import Machine
-from badgerseam.model.model import Model, Share
+from badgerseam.model.model import Model
 from badgerseam.model.resources import NOTHING
+from badgerseam.model.state import Share
 from badgerseam.sched import pts
 from badgerseam.settings import Tunables
 
--- a/badgerseam/store/ledger.py
+++ b/badgerseam/store/ledger.py
@@ -9,15 +9,9 @@
 import msgspec
 
 from badgerseam.model.job import PHASE_NAMES, Job, Phase, Stage
-from badgerseam.model.model import (
-    Model,
-    Page,
-    Share,
-    claim_key,
-    counts_key,
-    job_key,
-    page_key,
-)
+from badgerseam.model.keys import claim_key, counts_key, job_key, page_key
+from badgerseam.model.model import Model
+from badgerseam.model.state import Page, Share
 from badgerseam.store.client import Refused, StateClient, Unavailable
 from badgerseam.store.committer import Committer, Dropped, Urgency
 from badgerseam.store.pages import Draft, compose
--- a/badgerseam/store/pages.py
+++ b/badgerseam/store/pages.py
@@ -10,7 +10,9 @@
 from dataclasses import dataclass, field
 
 from badgerseam.model.job import FINISHED, Attempt, Job, Phase, Stage
-from badgerseam.model.model import Model, Page, Share, claim_key, job_key, page_key
+from badgerseam.model.keys import claim_key, job_key, page_key
+from badgerseam.model.model import Model
+from badgerseam.model.state import Page, Share
 from badgerseam.wire import state as wire
 
 FILL = 0.95
--- a/badgerseam/store/replica.py
+++ b/badgerseam/store/replica.py
@@ -6,7 +6,8 @@
 import logging
 from collections.abc import Callable
 
-from badgerseam.model.model import PREFIX, Model
+from badgerseam.model.keys import PREFIX
+from badgerseam.model.model import Model
 from badgerseam.store.client import StateClient, TooOld, Unavailable
 
 log = logging.getLogger("badgerseam.store")
--- a/badgerseam/store/roster.py
+++ b/badgerseam/store/roster.py
@@ -6,8 +6,9 @@
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
 
+from badgerseam.model.keys import group_key
 from badgerseam.model.machine import Machine
-from badgerseam.model.model import Model, group_key
+from badgerseam.model.model import Model
 from badgerseam.store.client import LeaseLost, Refused, StateClient, Unavailable
 from badgerseam.store.committer import Committer, Dropped, Urgency
 from badgerseam.wire import state as wire
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -17,8 +17,9 @@
 from badgerseam.lab.state import StateCore
 from badgerseam.lab.worker import Description, Held, Identity, Results, WorkerCore
 from badgerseam.model.job import Attempt, Job, Stage
+from badgerseam.model.keys import claim_key, group_key, page_key
 from badgerseam.model.machine import Machine
-from badgerseam.model.model import Model, claim_key, group_key, page_key
+from badgerseam.model.model import Model
 from badgerseam.model.resources import NOTHING
 from badgerseam.sched.planner import Planner
 from badgerseam.settings import (
--- a/tests/test_accounting.py
+++ b/tests/test_accounting.py
@@ -17,8 +17,8 @@
 from badgerseam.api.accounting import AccountingApi
 from badgerseam.http.server import Reply
 from badgerseam.model.job import Stage
+from badgerseam.model.keys import job_key
 from badgerseam.model.machine import Machine
-from badgerseam.model.model import job_key
 from badgerseam.settings import AccountingOptions
 from badgerseam.store.client import Unavailable
 from badgerseam.wire import state as wire
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -15,7 +15,7 @@
 from badgerseam.api.batch import BatchApi
 from badgerseam.batch.numbers import BLOCK, FIRST, Numbers
 from badgerseam.model.job import Job, Phase
-from badgerseam.model.model import job_key
+from badgerseam.model.keys import job_key
 from badgerseam.settings import BatchOptions
 from badgerseam.store.client import Unavailable
 from badgerseam.wire import state as wire
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -15,7 +15,7 @@
 from badgerseam.http.server import Reply
 from badgerseam.lab.worker import Description
 from badgerseam.model.job import Job, Stage
-from badgerseam.model.model import group_key, hire_key
+from badgerseam.model.keys import group_key, hire_key
 from badgerseam.model.resources import NOTHING
 from badgerseam.settings import ExplainOptions
 from badgerseam.wire import explain
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,8 +15,9 @@
 from badgerseam.fleet.manager import Fleet
 from badgerseam.fleet.returns import DROP
 from badgerseam.http.client import NoResponse, Response
-from badgerseam.model.model import Arrival, hire_key
+from badgerseam.model.keys import hire_key
 from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.model.state import Arrival
 from badgerseam.sched import pts
 from badgerseam.wire import cloud as cloud_wire
 from badgerseam.wire import state as wire
