A controller that no worker reaches hands its shares on before their leases end

Ruled out: the cut from the state service, after which others act within 4 s; the refused connections, which nothing depends on. Change: workers/hearing.py counts the time it lived through without a word of any worker; after one and a half report intervals it says in its own record that it is deaf, and gives its claims up. Siblings take them at once and leave them there until workers answer it again for a while. A controller that is cut off from the state service is left out: others take its shares by themselves.

--- a/badgerseam/cluster/member.py
+++ b/badgerseam/cluster/member.py
@@ -46,6 +46,8 @@
         self.lease: int | None = None
         self.confirmed_at = -1e9
         """Sending time of the last confirmed renewal."""
+        self.deaf = False
+        """No worker reaches us: others are to act for our shares."""
         self._present = False
         self._claiming: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -56,12 +58,17 @@
 
     @property
     def is_leader(self) -> bool:
-        return self._is_mine(self._model.leader) and self.fresh(self._ttl)
+        return self._is_mine(self._model.leader) and self.connected
 
     def fresh(self, seconds: float) -> bool:
         """Whether the state service confirmed our lease that recently."""
         return self.lease is not None and self._clock.now() - self.confirmed_at < seconds
 
+    @property
+    def connected(self) -> bool:
+        """Whether the state service has renewed our lease within its time."""
+        return self.fresh(self._ttl)
+
     def entitled(self, share: Share) -> bool:
         """Whether reports of the share's workers may be answered.
 
@@ -124,15 +131,15 @@
         self._changed()
 
     async def _announce(self) -> None:
-        lease = self.lease
+        lease, deaf = self.lease, self.deaf
         if lease is None:
             return
         write = wire.Write(
-            put=node_key(self.node), value=wire.raw(wire.Claim(self.node, lease)), lease=lease
+            put=node_key(self.node), value=wire.raw(wire.Claim(self.node, lease, deaf)), lease=lease
         )
         try:
             await self._committer.commit(Urgency.CLAIM, {}, [write], 2.0)
-            self._present = True
+            self._present = deaf == self.deaf
         except LeaseLost:
             self._lose_lease()
         except (Refused, Unavailable, Dropped):
@@ -150,8 +157,11 @@
             for name in list(self._alive_since):
                 if name not in model.nodes:
                     del self._alive_since[name]
-            for name in model.nodes:
-                self._alive_since.setdefault(name, now)
+            for name, held in model.nodes.items():
+                if held.claim.deaf:
+                    self._alive_since.pop(name, None)
+                else:
+                    self._alive_since.setdefault(name, now)
             for share in model.shares:
                 mine = self._is_mine(share.held)
                 if share.owned and (
@@ -175,6 +185,8 @@
 
     def _should_claim(self, share: Share, now: float) -> bool:
         held = share.held
+        if self.deaf:
+            return False
         if held is not None:
             # Ours from before a restart: the process that held it is certainly gone.
             return held.claim.node == self.node and held.claim.lease != self.lease
@@ -182,14 +194,15 @@
         if home == self.node:
             return True
         vacant = now - max(share.vacant_since, self._started)
-        if home in self._model.nodes:
+        present = self._model.nodes.get(home)
+        if present is not None and not present.claim.deaf:
             return vacant > HOME_GRACE_S + self._turn() * STAGGER_S
         wait = 0.0 if share.ever_held else HOME_GRACE_S
         return vacant >= wait + self._turn() * STAGGER_S
 
     def _turn(self) -> int:
         """Our turn among the living when something is to be claimed: the least busy first."""
-        load: dict[str, int] = {name: 0 for name in self._model.nodes}
+        load = {name: 0 for name, held in self._model.nodes.items() if not held.claim.deaf}
         for share in self._model.shares:
             if share.held is not None and share.held.claim.node in load:
                 load[share.held.claim.node] += 1
@@ -212,6 +225,29 @@
             and now - since > STEADY_S
         )
 
+    # ---- a controller that no worker reaches ----
+
+    def hand_on(self) -> bool:
+        """Have others act for our shares, until `hear_again`; False if there is nobody else."""
+        others = (held for name, held in self._model.nodes.items() if name != self.node)
+        if self.deaf or self.lease is None or all(held.claim.deaf for held in others):
+            return False
+        self.deaf = True
+        self._spawn(self._withdraw())
+        return True
+
+    async def _withdraw(self) -> None:
+        # Known to the others first: they would leave the shares to us for a while.
+        await self._announce()
+        with self._model.lock:
+            for share in self._model.shares:
+                if share.owned and self.deaf:
+                    self.resign(share)
+
+    def hear_again(self) -> None:
+        """Take shares as before."""
+        self.deaf = self._present = False
+
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -177,6 +177,7 @@
                         model.kicks.add(own.index)
                 if self.control.lacks_addresses():
                     self.fleet.learn_addresses()
+                self.control.hearing.look()
                 self.control.watch()
                 self.control.suspect()
                 self.control.drain()
--- a/badgerseam/wire/state.py
+++ b/badgerseam/wire/state.py
@@ -76,6 +76,8 @@
 
     node: str
     lease: int
+    deaf: bool = False
+    """Of a controller's own record: it hears no worker, and takes no share."""
 
 
 class StoredJob(Struct, frozen=True, array_like=True):
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -17,6 +17,7 @@
 from badgerseam.model.resources import NOTHING
 from badgerseam.settings import Tunables
 from badgerseam.wire import workers as wire
+from badgerseam.workers.hearing import Hearing
 
 log = logging.getLogger("badgerseam.workers")
 
@@ -44,6 +45,7 @@
         changed: Callable[[], None],
         alone: Callable[[], str | None],
     ) -> None:
+        self.hearing = Hearing(model, member, http)
         self._model = model
         self._alone = alone
         self._member = member
@@ -65,6 +67,7 @@
             report = wire.report_decoder.decode(body)
         except msgspec.DecodeError:
             return error_reply(400, "not a report")
+        self.hearing.heard()
         model = self._model
         with model.lock:
             if not model.loaded:
@@ -324,6 +327,7 @@
             response = await self._http.request(machine.addr, "GET", "/inspect", None, 1.0)
             if response.status == 200:
                 report = wire.report_decoder.decode(response.body)
+                self.hearing.heard()
         except (NoResponse, msgspec.DecodeError):
             log.debug("%s cannot be inspected yet", machine.name)
         with self._model.lock:
@@ -349,6 +353,7 @@
             unanswered = False
             if response.status in (200, 409):
                 report = wire.report_decoder.decode(response.body)
+                self.hearing.heard()
         except NotSent:
             unanswered = sent = False
         except NoResponse:
--- /dev/null
+++ b/tests/test_hearing.py
@@ -0,0 +1,122 @@
+"""A controller that no worker reaches hands its shares on; time it did not live through is no
+evidence."""
+
+from __future__ import annotations
+
+import asyncio
+
+from badgerseam.model.keys import claim_key, node_key
+from badgerseam.wire import state as wire
+from tests.stand_ins import Rig, Worker, silent
+
+STEP_S = 0.2
+
+
+def hearing(beside: bool = True) -> Rig:
+    """An owner of one share with five machines that report, and a sibling."""
+    rig = Rig()
+    rig.own()
+    rig.set(node_key("n-0"), wire.Claim("n-0", 1))
+    if beside:
+        rig.set(node_key("n-1"), wire.Claim("n-1", 2))
+    for number in range(5):
+        rig.machine(f"m-{number}")
+        rig.report(Worker(f"m-{number}"))
+    rig.control.hearing.look()
+    return rig
+
+
+async def pass_time(rig: Rig, seconds: float, step_s: float = STEP_S) -> None:
+    for _ in range(round(seconds / step_s)):
+        rig.clock.time += step_s
+        rig.member.confirmed_at = rig.clock.now()
+        rig.control.hearing.look()
+        await rig.settle(3)
+    await asyncio.sleep(0.02)
+
+
+def held_by(rig: Rig, share: int = 0) -> str | None:
+    rig.sync()
+    held = rig.model.shares[share].held
+    return None if held is None else held.claim.node
+
+
+def test_a_controller_without_its_workers_hands_its_shares_on_within_seconds() -> None:
+    rig = hearing()
+
+    async def cut() -> None:
+        await pass_time(rig, 2.0)
+        assert not rig.member.deaf, "one interval and a quarter may pass between two reports"
+        await pass_time(rig, 2.0)
+
+    asyncio.run(cut())
+    assert rig.member.deaf
+    assert held_by(rig) is None
+    assert rig.model.nodes["n-0"].claim.deaf, "siblings do not leave its shares to it"
+    share = rig.model.shares[0]
+    assert not rig.member._should_claim(share, rig.clock.now()), "nor does it take them again"
+
+
+def test_one_report_is_enough_to_keep_the_shares() -> None:
+    rig = hearing()
+
+    async def weak() -> None:
+        for _ in range(4):
+            await pass_time(rig, 2.4)
+            rig.report(Worker("m-3"))
+
+    asyncio.run(weak())
+    assert not rig.member.deaf
+
+
+def test_a_controller_that_stood_still_has_not_listened() -> None:
+    rig = hearing()
+
+    async def freeze() -> None:
+        rig.clock.time += 21.0
+        await pass_time(rig, 2 * STEP_S)
+
+    asyncio.run(freeze())
+    assert not rig.member.deaf
+    assert rig.model.shares[0].owned
+
+
+def test_shares_stay_where_nobody_else_could_serve_them() -> None:
+    rig = hearing(beside=False)
+    asyncio.run(pass_time(rig, 10.0))
+    assert not rig.member.deaf
+    assert rig.model.shares[0].owned
+
+
+def test_shares_are_taken_again_only_when_workers_answer_for_a_while() -> None:
+    rig = hearing()
+
+    async def heal() -> None:
+        await pass_time(rig, 4.0)
+        rig.http.script = [silent] * 6
+        await pass_time(rig, 2.0)
+        assert rig.member.deaf, "they do not answer yet"
+        rig.http.script = [
+            lambda _: Worker("m-1").do({"warrant": 0, "tenure": 1, "orders": []})
+        ] * 60
+        await pass_time(rig, 1.2)
+        assert rig.member.deaf, "one answer is not enough"
+        await pass_time(rig, 4.0)
+
+    asyncio.run(heal())
+    assert not rig.member.deaf
+
+
+def test_a_sibling_takes_the_share_of_a_deaf_home_without_leaving_it_time() -> None:
+    rig = Rig(shares=3)
+    # Share 1 is at home on n-1.
+    rig.set(node_key("n-0"), wire.Claim("n-0", 1))
+    rig.set(node_key("n-2"), wire.Claim("n-2", 3))
+    rig.set(node_key("n-1"), wire.Claim("n-1", 2, True))
+    version = rig.claim(1, "n-1", 2)
+    rig.model.apply(claim_key(1), None, version + 1)
+    share = rig.model.shares[1]
+    assert rig.member._should_claim(share, rig.clock.now() + 0.6)
+    rig.claim(2, "n-2", 3)
+    rig.own(1)
+    assert not rig.member._should_return(share, rig.clock.now() + 60.0)
