A plan keeps machines of one score by zone instead of looking at each of them for every task

Change: one heap of scores, and of each score a heap of positions by zone; the job's rules are asked once a zone, since only those on zones depend on what has been placed. The plan is the same: the plain scan of tests/test_pts.py agrees.

--- a/badgerseam/sched/pts.py
+++ b/badgerseam/sched/pts.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from badgerseam.sched.bench import (
@@ -140,11 +140,18 @@
 
 
 class _Pool:
-    """Machines with room for a task of a request, best first."""
+    """Machines with room for a task of a request, best first.
+
+    Machines of one score are kept by zone: a fleet of hundreds holds many that are alike, empty
+    ones above all, and to look at each of them for every task took most of a plan's time.
+    """
 
     def __init__(self, request: Request) -> None:
         self._request = request
-        self._heap: list[tuple[tuple[float, ...], int]] = []
+        self._scores: list[tuple[float, ...]] = []
+        """A heap of the scores that occur."""
+        self._alike: dict[tuple[float, ...], dict[str, list[int]]] = {}
+        """Of each score and zone a heap of positions; what was scored anew is left in it."""
         self._score: dict[int, tuple[float, ...]] = {}
 
     def put(self, position: int, node: Node) -> None:
@@ -153,38 +160,40 @@
             self._score.pop(position, None)
             return
         score = _score(node, self._request)
-        if self._score.get(position) != score:
-            self._score[position] = score
-            heapq.heappush(self._heap, (score, position))
-
-    def _best(self) -> Iterator[int]:
-        """Positions that share the best score; they are taken off the heap."""
-        best: tuple[float, ...] | None = None
-        while self._heap and (best is None or self._heap[0][0] == best):
-            score, position = heapq.heappop(self._heap)
-            if self._score.get(position) == score:
-                best = score
-                yield position
+        if self._score.get(position) == score:
+            return
+        self._score[position] = score
+        zones = self._alike.get(score)
+        if zones is None:
+            zones = self._alike[score] = {}
+            heapq.heappush(self._scores, score)
+        heapq.heappush(zones.setdefault(node.zone, []), position)
 
     def choose(self, nodes: list[Node], zones: dict[str, int]) -> int | None:
         """The best machine that the job's own rules allow, or None."""
-        while True:
-            ties = sorted(set(self._best()))
+        while self._scores:
+            score = self._scores[0]
+            alike = self._alike[score]
             chosen: int | None = None
-            count = 0
-            for position in ties:
-                node = nodes[position]
-                if barred(self._request, node, zones):
-                    # Where a zone is full, or not the job's, that does not change any more.
-                    del self._score[position]
+            least = 0
+            for zone in list(alike):
+                positions = alike[zone]
+                while positions and self._score.get(positions[0]) != score:
+                    heapq.heappop(positions)
+                # Of the job's rules only those on zones depend on what has been placed, and where
+                # a zone is full, or not the job's, that does not change any more.
+                if not positions or barred(self._request, nodes[positions[0]], zones):
+                    del alike[zone]
                     continue
-                heapq.heappush(self._heap, (self._score[position], position))
                 # Left open by the design: spread over zones.
-                used = zones.get(node.zone, 0)
-                if chosen is None or used < count:
-                    chosen, count = position, used
-            if chosen is not None or not self._heap:
+                used = zones.get(zone, 0)
+                if chosen is None or (used, positions[0]) < (least, chosen):
+                    chosen, least = positions[0], used
+            if chosen is not None:
                 return chosen
+            heapq.heappop(self._scores)
+            del self._alike[score]
+        return None
 
 
 class _Candidates:
