--- /dev/null
+++ b/badgerseam/cluster/deputies.py
@@ -0,0 +1,186 @@
+"""Answering reports for an owner that cannot be reached, so that its workers' leases go on.
+
+A zone that is cut off goes on working inside, and two zones that lose each other still reach the
+state service: a worker there may find a controller, but not the one that owns its share. A
+controller that cannot reach an owner either answers such a report in its place: with the token that
+the worker has shown, and no command but to halt what was cancelled. That changes nothing but the
+time at which the lease ends, so what has to be kept is the certainty about that end:
+
+- A controller that has lost the state service is a deputy only after its state lease must have
+  ended there, and for as long as an owner that was cut off would answer (`cut_bound_s`). Its own
+  record goes with that lease, and owners count the bound from when they see it go.
+- One that has not lost it says so first, by a record on its lease. As long as the record stands,
+  no machine's lease is known to have ended.
+- Before an owner concludes from silence that a lease has ended, it has the state service compare
+  these records with what it knows, at a time at which the lease would have ended already.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+
+from badgerseam.cluster.member import Member
+from badgerseam.model.keys import deputy_key, node_key
+from badgerseam.model.model import Model
+from badgerseam.model.state import Share
+from badgerseam.store.client import LeaseLost, Refused, StateClient, Unavailable
+from badgerseam.store.committer import Committer, Dropped, Urgency
+from badgerseam.wire import state as wire
+
+log = logging.getLogger("badgerseam.cluster")
+
+SLACK_S = 0.6
+"""A state lease may end 100 ms late, and a request takes its time."""
+VERIFY_S = 0.3
+"""Between comparisons."""
+DEADLINE_S = 2.0
+
+
+class Deputies:
+    """Both sides: standing in for owners, and counting with siblings that do."""
+
+    def __init__(
+        self,
+        model: Model,
+        member: Member,
+        state: StateClient,
+        committer: Committer,
+        ttl_s: float,
+        unreachable: Callable[[str], bool],
+    ) -> None:
+        self._model = model
+        self._member = member
+        self._state = state
+        self._committer = committer
+        self._ttl_s = ttl_s
+        self._unreachable = unreachable
+        self._clock = model.clock
+        self._siblings = [sibling.node for sibling in model.settings.siblings]
+        self._marks: dict[str, tuple[int, int]] = {}
+        """Of each sibling, the stamps of its records as last seen."""
+        self._until: dict[str, float] = {}
+        """Until when each sibling may have renewed leases in another's place."""
+        self._parted = False
+        self._verified_at = -1e9
+        self._asked_at = -1e9
+        self._announced: int | None = None
+        """The lease on which our record stands, while we may act on it."""
+        self._writing = False
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    # ---- as a deputy ----
+
+    def stands_in(self, share: Share) -> bool:
+        """Whether we answer reports of the share's workers in its owner's place."""
+        held, member = share.held, self._member
+        if held is None or held.claim.node == member.node:
+            return False
+        if not self._unreachable(held.claim.node):
+            return False
+        if not member.fresh(self._model.cut_bound_s):
+            # Tasks cancelled elsewhere could outlast their time.
+            return False
+        announced = self._announced is not None and self._announced == member.lease
+        return announced or not member.fresh(self._ttl_s + SLACK_S)
+
+    def review(self) -> None:
+        """Say that we stand in, or that we don't any more; called a few times a second."""
+        model, member = self._model, self._member
+        if not model.loaded or self._writing or not member.connected:
+            return
+        wanted = any(name in model.nodes and self._unreachable(name) for name in self._siblings)
+        if not wanted:
+            # From here on nothing is answered on the record, whatever becomes of the write.
+            self._announced = None
+        known = model.deputies.get(member.node)
+        stands = known is not None and known.claim.lease == member.lease and known.claim.active
+        if wanted and stands and self._announced is None:
+            self._announced = member.lease
+        elif wanted != stands and member.lease is not None:
+            self._writing = True
+            self._spawn(self._say(wanted, member.lease, 0 if known is None else known.version))
+
+    async def _say(self, active: bool, lease: int, version: int) -> None:
+        # A record is never taken away, except by the end of its lease: one that came and went
+        # between two looks would leave no trace.
+        key = deputy_key(self._member.node)
+        record = wire.Deputy(self._member.node, lease, active)
+        write = wire.Write(put=key, value=wire.raw(record), lease=lease)
+        try:
+            revision = await self._committer.commit(
+                Urgency.CLAIM,
+                {key: version},
+                [write],
+                DEADLINE_S,
+                wanted=lambda: self._member.lease == lease,
+            )
+            with self._model.lock:
+                self._model.apply(key, write.value, revision)
+            log.info("standing in for owners out of reach: %s", "yes" if active else "no more")
+        except (Refused, Unavailable, Dropped, LeaseLost) as error:
+            log.debug("%s: not written: %r", key, error)
+        finally:
+            self._writing = False
+
+    # ---- as an owner ----
+
+    def look(self) -> None:
+        """Take note of the siblings' records; called a few times a second."""
+        model, member = self._model, self._member
+        now = self._clock.now()
+        if not member.fresh(self._ttl_s / 2):
+            self._parted = True
+        elif self._parted:
+            # If it was an outage, every lease has had its full time again, a sibling's that is cut
+            # off among them: its record tells nothing before that has ended.
+            self._parted = False
+            for name in self._siblings:
+                self._until[name] = max(self._until.get(name, now), now + self._ttl_s + SLACK_S)
+        for name in self._siblings:
+            node, deputy = model.nodes.get(name), model.deputies.get(name)
+            mark = (0 if node is None else node.version, 0 if deputy is None else deputy.version)
+            if self._marks.get(name) != mark:
+                self._marks[name] = mark
+                # Back with a record of its own, it has the state service again.
+                self._until[name] = now + (0.0 if node is not None else model.cut_bound_s)
+            elif deputy is not None and deputy.claim.active:
+                self._until[name] = max(self._until[name], now)
+
+    def renewed_until(self) -> float:
+        """Until when somebody may have renewed leases in an owner's place."""
+        return max(self._until.values(), default=-1e9)
+
+    def certain_since(self, at: float) -> bool:
+        """Whether what is known of the siblings was true at that time; asks if not."""
+        if not self._siblings:
+            return True
+        if self._parted or not self._marks:
+            return False
+        if self._verified_at >= at:
+            return True
+        now = self._clock.now()
+        if now - self._asked_at >= VERIFY_S:
+            self._asked_at = now
+            self._spawn(self._verify(dict(self._marks)))
+        return False
+
+    async def _verify(self, marks: dict[str, tuple[int, int]]) -> None:
+        sent = self._clock.now()
+        conditions = []
+        for name, (node, deputy) in marks.items():
+            conditions.append(wire.Condition(node_key(name), node))
+            conditions.append(wire.Condition(deputy_key(name), deputy))
+        try:
+            await self._state.transact(conditions, [], DEADLINE_S)
+        except (Refused, Unavailable) as error:
+            log.debug("siblings' records not confirmed: %r", error)
+            return
+        if marks == self._marks:
+            self._verified_at = sent
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/badgerseam/cluster/peers.py
+++ b/badgerseam/cluster/peers.py
@@ -23,6 +23,8 @@
 STALE_S = 3.0
 """Without an answer of the state service for so long, something is wrong."""
 HEALTH_S = 0.7
+MISSED = 3
+"""Requests without an answer after which a sibling counts as out of reach."""
 LEADER_S = 0.5
 """What the leader gets to say what it knows of the cloud: a user waits for the answer."""
 
@@ -44,6 +46,8 @@
         self._http = http
         self._returns = returns
         self._node = settings.node
+        self._unanswered = {sibling.node: 0 for sibling in settings.siblings}
+        """Requests without an answer, less those answered since."""
         self._addresses = {sibling.node: sibling.peer_addr for sibling in settings.siblings}
 
     async def handle(self, method: str, path: str, body: bytes) -> Reply:
@@ -148,19 +152,25 @@
         recent = self._model.clock.now() - self._served_at < 3 * HEALTH_S
         return self._served if recent and self._state_age_s() > STALE_S else None
 
+    def unreachable(self, node: str) -> bool:
+        """Whether a sibling has not answered us for a while; one that answers again has to do so
+        as often. Counted, not timed: a process that stood still has asked nobody."""
+        return self._unanswered.get(node, 0) >= MISSED
+
     async def keep_health(self) -> None:
-        """While the state service does not answer us, ask the siblings whether it answers them."""
+        """Ask the siblings whether they are there, and whether the state service answers them."""
         while True:
-            await asyncio.sleep(HEALTH_S)
-            if self._state_age_s() > STALE_S / 2:
-                await asyncio.gather(*(self._ask_health(*item) for item in self._addresses.items()))
+            asked = (self._ask_health(*item) for item in self._addresses.items())
+            await asyncio.gather(asyncio.sleep(HEALTH_S), *asked)
 
     async def _ask_health(self, node: str, address: str) -> None:
         try:
             response = await self._http.request(address, "GET", "/health", None, HEALTH_S)
             health = wire.health_decoder.decode(response.body)
         except (NoResponse, msgspec.DecodeError):
+            self._unanswered[node] = min(self._unanswered[node] + 1, 2 * MISSED)
             return
+        self._unanswered[node] = max(self._unanswered[node] - 1, 0)
         if response.status == 200 and health.state_age_s < STALE_S / 2:
             self._served, self._served_at = node, self._model.clock.now()
 
--- a/badgerseam/model/keys.py
+++ b/badgerseam/model/keys.py
@@ -29,6 +29,10 @@
     return f"{PREFIX}n/{node}"
 
 
+def deputy_key(node: str) -> str:
+    return f"{PREFIX}d/{node}"
+
+
 def hire_key(name: str) -> str:
     return f"{PREFIX}h/{name}"
 
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -18,14 +17,11 @@
     PREFIX,
 )
 from badgerseam.model.machine import Machine
-from badgerseam.model.state import Arrival, Held, Page, Share
+from badgerseam.model.records import Records, name_key
+from badgerseam.model.state import Arrival, Held, Page, Share, StandIn
 from badgerseam.wire import state as wire
 from badgerseam.wire.cloud import MachineType
 
-if TYPE_CHECKING:
-    pass
-from badgerseam.model.records import Records, name_key
-
 
 @dataclass(slots=True)
 class Model(Records):
@@ -63,6 +59,12 @@
                     self.nodes.pop(name, None)
                 else:
                     self.nodes[name] = held
+            elif kind == "d":
+                if value is None:
+                    self.deputies.pop(name, None)
+                else:
+                    record: wire.Deputy = msgspec.json.decode(value, type=wire.Deputy)
+                    self.deputies[name] = StandIn(record, version)
             elif kind == "h":
                 if value is None:
                     self.hires.pop(name, None)
--- a/badgerseam/model/records.py
+++ b/badgerseam/model/records.py
@@ -19,6 +19,7 @@
 from badgerseam.model.keys import (
     LEADER_KEY,
     claim_key,
+    deputy_key,
     group_key,
     hire_key,
     node_key,
@@ -26,7 +27,7 @@
 )
 from badgerseam.model.machine import Machine
 from badgerseam.model.resources import NOTHING, Resources
-from badgerseam.model.state import Arrival, Held, Page, Share, TeamState
+from badgerseam.model.state import Arrival, Held, Page, Share, StandIn, TeamState
 from badgerseam.settings import Settings
 from badgerseam.wire import state as wire
 from badgerseam.wire.cloud import MachineType
@@ -67,6 +68,8 @@
     team_index: dict[str, int] = field(default_factory=dict)
     shares: list[Share] = field(default_factory=list)
     nodes: dict[str, Held] = field(default_factory=dict)
+    deputies: dict[str, StandIn] = field(default_factory=dict)
+    """Controllers that answer, or have answered, in place of owners out of reach."""
     leader: Held | None = None
     hires: dict[str, tuple[wire.StoredHire, int]] = field(default_factory=dict)
     pages: list[dict[int, Page]] = field(default_factory=list)
@@ -234,6 +237,7 @@
         """The keys of all that can be removed again, as far as known."""
         keys = [group_key(group) for group in self.groups]
         keys += [node_key(name) for name in self.nodes]
+        keys += [deputy_key(name) for name in self.deputies]
         keys += [claim_key(share.index) for share in self.shares if share.held]
         keys += [hire_key(name) for name in self.hires]
         keys += [page_key(share, page) for share, pages in enumerate(self.pages) for page in pages]
--- a/badgerseam/model/state.py
+++ b/badgerseam/model/state.py
@@ -39,6 +39,14 @@
     version: int
 
 
+@dataclass(slots=True)
+class StandIn:
+    """A deputy's record as the replica shows it."""
+
+    claim: wire.Deputy
+    version: int
+
+
 @dataclass(slots=True)
 class Page:
     """Tasks of many jobs under one key, as they are stored."""
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -16,6 +16,7 @@
 from badgerseam.api.users import Api
 from badgerseam.batch.numbers import Numbers
 from badgerseam.clock import Clock
+from badgerseam.cluster.deputies import Deputies
 from badgerseam.cluster.member import Member
 from badgerseam.cluster.peers import Peers
 from badgerseam.explain.explainer import Explainer
@@ -72,8 +73,22 @@
         self.member = Member(self.model, self.state, self.committer, tunables, self.pulse)
         self.planner = Planner(self.model, tunables)
         self.ledger = Ledger(self.model, self.state, self.committer, self.pulse, self.member.resign)
+        self.deputies = Deputies(
+            self.model,
+            self.member,
+            self.state,
+            self.committer,
+            tunables.claim_ttl_s,
+            lambda node: self.peers.unreachable(node),
+        )
         self.control = Control(
-            self.model, self.member, http, tunables, self.pulse, lambda: self.peers.alone()
+            self.model,
+            self.member,
+            http,
+            tunables,
+            self.pulse,
+            lambda: self.peers.alone(),
+            self.deputies,
         )
         self.roster = Roster(self.model, self.state, self.committer)
         self.returns = Returns(self.model, self.roster, self.planner)
@@ -178,6 +193,7 @@
                 if self.control.lacks_addresses():
                     self.fleet.learn_addresses()
                 self.control.hearing.look()
+                self.deputies.review()
                 self.control.watch()
                 self.control.suspect()
                 self.control.drain()
--- a/badgerseam/wire/state.py
+++ b/badgerseam/wire/state.py
@@ -80,6 +80,14 @@
     """Of a controller's own record: it hears no worker, and takes no share."""
 
 
+class Deputy(Struct, frozen=True, array_like=True):
+    """Whether a controller answers workers in place of owners that it cannot reach."""
+
+    node: str
+    lease: int
+    active: bool
+
+
 class StoredJob(Struct, frozen=True, array_like=True):
     """A job: open with its description, or ended with its number of tasks only."""
 
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from badgerseam.cluster.deputies import Deputies
 from badgerseam.cluster.member import Member
 from badgerseam.http.client import Client, NoResponse, NotSent
 from badgerseam.http.server import Reply, error_reply
@@ -44,7 +45,9 @@
         tunables: Tunables,
         changed: Callable[[], None],
         alone: Callable[[], str | None],
+        deputies: Deputies,
     ) -> None:
+        self.deputies = deputies
         self.hearing = Hearing(model, member, http)
         self._model = model
         self._alone = alone
@@ -80,6 +83,8 @@
             share = model.shares[machine.share]
             if not share.owned:
                 machine.addr = report.addr
+                if self.deputies.stands_in(share):
+                    return self._stand_in(report)
                 return self._redirect(None if share.held is None else share.held.claim.node)
             if not self._member.entitled(share):
                 return error_reply(503, "not entitled", 1)
@@ -105,8 +110,14 @@
         self._changed()
         return reply
 
-    def _expired(self, machine: Machine) -> bool:
-        return self._clock.now() > machine.answered_at + self.lease_bound_s
+    def _stand_in(self, report: wire.Report) -> Reply:
+        """Let the worker's lease go on; what was cancelled is halted, nothing else is ordered."""
+        halts = []
+        for item in report.tasks:
+            ended = self._model.ended.get(item.task.partition("/")[0])
+            if ended is not None and ended[0] == Phase.WITHDRAWN and item.state != "exited":
+                halts.append(wire.Command("halt", item.task, item.attempt, 0.0))
+        return Reply(200, wire.encode(wire.Orders(report.token, halts[:MOST_COMMANDS])))
 
     def _redirect(self, node: str | None) -> Reply:
         if node == self._member.node:
@@ -399,11 +410,17 @@
         """Give up machines whose leases have certainly ended; returned are those newly lost."""
         model = self._model
         lost = []
+        now = self._clock.now()
+        self.deputies.look()
+        others = self.deputies.renewed_until()
+        entitled = [share.owned and self._member.entitled(share) for share in model.shares]
         for machine in model.machines.values():
-            share = model.shares[machine.share]
-            if machine.lost or not share.owned or not self._member.entitled(share):
+            if machine.lost or not entitled[machine.share]:
+                continue
+            ends = max(machine.answered_at, others) + self.lease_bound_s
+            if now <= ends or (machine.session == 0 and not machine.attempts):
                 continue
-            if not self._expired(machine) or (machine.session == 0 and not machine.attempts):
+            if not self.deputies.certain_since(ends):
                 continue
             log.info("%s is lost with %d tasks", machine.name, len(machine.attempts))
             machine.lost = True
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from badgerseam.clock import Clock
+from badgerseam.cluster.deputies import Deputies
 from badgerseam.cluster.member import Member
 from badgerseam.fleet.returns import Returns
 from badgerseam.http.budget import Budget
@@ -17,7 +18,7 @@
 from badgerseam.lab.state import StateCore
 from badgerseam.lab.worker import Description, Held, Identity, Results, WorkerCore
 from badgerseam.model.job import Attempt, Job, Stage
-from badgerseam.model.keys import claim_key, group_key, page_key
+from badgerseam.model.keys import claim_key, group_key, node_key, page_key
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
 from badgerseam.model.resources import NOTHING
@@ -304,6 +305,15 @@
             self.changed,
             self.member.resign,
         )
+        self.out_of_reach: set[str] = set()
+        self.deputies = Deputies(
+            self.model,
+            self.member,
+            self.state,  # type: ignore[arg-type]
+            self.committer,
+            self.tunables.claim_ttl_s,
+            lambda node: node in self.out_of_reach,
+        )
         self.control = Control(
             self.model,
             self.member,
@@ -311,11 +321,16 @@
             self.tunables,
             self.changed,
             lambda: self.served_sibling,
+            self.deputies,
         )
         self.served_sibling: str | None = None
         self.model.loaded = True
+        if beside is None:
+            for number, sibling in enumerate(self.settings.siblings):
+                self.set(node_key(sibling.node), wire.Claim(sibling.node, 100 + number))
         self.set("bs/f", msgspec.json.decode(msgspec.json.encode(TYPES)))
         self.lease()
+        self.deputies.look()
 
     def changed(self) -> None:
         """The node's loops would look at what to do now; the tests do so themselves."""
@@ -394,6 +409,24 @@
         decoded: dict[str, Any] = msgspec.json.decode(reply.body)
         return decoded
 
+    def go_on(self, seconds: float, connected: bool = True) -> None:
+        """Time passes tick by tick, with the state service or without it."""
+        for _ in range(round(seconds / 0.2)):
+            self.clock.time += 0.2
+            if connected:
+                self.lease()
+            self.deputies.look()
+
+    def watch(self) -> list[Machine]:
+        """Which machines are lost, after the siblings' records were compared if need be."""
+
+        async def look() -> list[Machine]:
+            lost = self.control.watch()
+            await self.settle(3)
+            return lost + self.control.watch()
+
+        return asyncio.run(look())
+
     def plan(self, share: int = 0) -> dict[int, int]:
         return self.planner.run(self.model.shares[share])
 
--- /dev/null
+++ b/tests/test_deputies.py
@@ -0,0 +1,167 @@
+"""Controllers that answer for owners out of reach, and owners that count with them."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from badgerseam.model.job import IDLE, Phase
+from badgerseam.model.keys import deputy_key, node_key
+from badgerseam.wire import state as wire
+from tests.stand_ins import Rig, Worker, verbs
+
+LEASE_S = 17.1
+"""A little more than a worker's lease with all its margins."""
+
+
+def apart() -> tuple[Rig, Worker]:
+    """A share of n-1's with a machine that reports here."""
+    rig = Rig()
+    rig.claim(node="n-1", lease=9)
+    rig.machine()
+    return rig, Worker(token=77)
+
+
+async def say(rig: Rig) -> None:
+    """Let a deputy write what it has to say, and take note of it."""
+    rig.member._present = True
+    for _ in range(3):
+        rig.deputies.review()
+        await rig.settle(4)
+
+
+def answer(rig: Rig, worker: Worker) -> int:
+    return rig.control.checkin(worker.body()).status
+
+
+def test_a_worker_is_sent_to_its_owner_as_long_as_that_can_be_reached() -> None:
+    rig, worker = apart()
+    assert answer(rig, worker) == 421
+    rig.out_of_reach.add("n-1")
+    assert answer(rig, worker) == 421, "nothing has been said to the owner yet"
+    asyncio.run(say(rig))
+    assert answer(rig, worker) == 200
+    rig.out_of_reach.clear()
+    rig.state.script = ["503"] * 9
+    asyncio.run(say(rig))
+    assert answer(rig, worker) == 421, "even before the record says so"
+
+
+def test_a_deputy_gives_the_token_that_the_worker_has_shown_and_halts_what_was_cancelled() -> None:
+    rig, worker = apart()
+    rig.out_of_reach.add("n-1")
+    asyncio.run(say(rig))
+    job = rig.job(pieces=2)
+    worker.hold(f"{job.id}/0")
+    response = rig.report(worker)
+    assert response == {"warrant": 77, "orders": []}
+    ended = wire.StoredJob("withdrawn", 2, 0.0, job.spec)
+    rig.set(f"bs/j/{job.id}", ended)
+    assert rig.model.ended[job.id][0] == Phase.WITHDRAWN
+    assert verbs(rig.report(worker)) == [("halt", f"{job.id}/0")]
+
+
+def test_one_that_lost_the_state_service_stands_in_only_after_its_lease_and_within_the_bound() -> (
+    None
+):
+    rig, worker = apart()
+    rig.out_of_reach |= {"n-1", "n-2"}
+    rig.clock.time += rig.tunables.claim_ttl_s + 0.2
+    assert answer(rig, worker) == 421, "its own record may still stand"
+    rig.clock.time += 0.6
+    assert answer(rig, worker) == 200
+    rig.clock.time = rig.member.confirmed_at + rig.model.cut_bound_s + 0.1
+    assert answer(rig, worker) == 421
+
+
+def owner() -> tuple[Rig, Worker]:
+    """An owner whose machine falls silent with a task on it."""
+    rig = Rig()
+    rig.own()
+    worker = Worker()
+    machine = rig.machine()
+    rig.report(worker)
+    rig.running(rig.job(pieces=1), 0, machine, worker)
+    rig.report(worker)
+    return rig, worker
+
+
+def test_a_machine_is_not_lost_while_a_sibling_that_went_may_renew_its_lease() -> None:
+    rig, _ = owner()
+    rig.go_on(4.0)
+    rig.state.remove(node_key("n-1"))
+    rig.sync()
+    rig.go_on(rig.model.cut_bound_s + 15.0)
+    assert rig.watch() == [], "n-1 may be cut off together with the machine"
+    rig.go_on(3.0)
+    assert len(rig.watch()) == 1
+
+
+def test_a_sibling_that_is_back_renews_nothing_any_more() -> None:
+    rig, _ = owner()
+    rig.state.remove(node_key("n-1"))
+    rig.sync()
+    rig.go_on(3.0)
+    rig.set(node_key("n-1"), wire.Claim("n-1", 300))
+    rig.deputies.look()
+    rig.go_on(15.0)
+    assert rig.watch() == []
+    rig.go_on(3.0)
+    assert len(rig.watch()) == 1
+
+
+def test_a_machine_is_not_lost_while_a_sibling_says_that_it_stands_in() -> None:
+    rig, _ = owner()
+    rig.set(deputy_key("n-2"), wire.Deputy("n-2", 101, True))
+    rig.go_on(60.0)
+    assert rig.watch() == []
+    rig.set(deputy_key("n-2"), wire.Deputy("n-2", 101, False))
+    rig.deputies.look()
+    rig.go_on(LEASE_S)
+    assert len(rig.watch()) == 1
+
+
+def test_what_the_replica_has_not_shown_yet_counts() -> None:
+    rig, _ = owner()
+    rig.go_on(LEASE_S)
+    # Written, and not yet followed: the comparison finds it.
+    rig.state.put(deputy_key("n-2"), wire.Deputy("n-2", 101, True))
+    assert rig.watch() == []
+    rig.sync()
+    assert rig.watch() == []
+
+
+def test_an_owner_without_the_state_service_concludes_nothing_from_silence() -> None:
+    rig, _ = owner()
+    rig.go_on(LEASE_S + 1.0, connected=False)
+    job = rig.model.job("job-000001")
+    assert job is not None
+    assert rig.watch() == []
+    # An outage gives every lease its full time again, a sibling's that is cut off as well.
+    rig.go_on(10.0)
+    assert rig.watch() == []
+    assert job.status[0] != IDLE
+    rig.go_on(LEASE_S)
+    assert len(rig.watch()) == 1
+
+
+def test_an_owner_that_stood_still_asks_first() -> None:
+    rig, _ = owner()
+    rig.clock.time += 30.0
+    assert rig.watch() == [], "its last look at the siblings is as old as its silence"
+
+
+def test_a_record_is_written_once_and_taken_back_once() -> None:
+    rig, _ = apart()
+    rig.out_of_reach.add("n-1")
+    asyncio.run(say(rig))
+    before = rig.state.transactions
+    asyncio.run(say(rig))
+    assert rig.state.transactions == before
+    rig.out_of_reach.clear()
+    asyncio.run(say(rig))
+    assert rig.state.transactions == before + 1
+    held = rig.state.core.get(deputy_key("n-0"))
+    assert held is not None
+    assert msgspec.json.decode(held.value, type=wire.Deputy) == wire.Deputy("n-0", 1, False)
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -158,12 +158,10 @@
     job = rig.job(pieces=1)
     rig.running(job, 0, machine, worker)
     rig.report(worker)
-    rig.clock.time += 14.0
-    rig.lease()
-    assert rig.control.watch() == []
-    rig.clock.time += 3.0
-    rig.lease()
-    assert rig.control.watch() == [machine]
+    rig.go_on(14.0)
+    assert rig.watch() == []
+    rig.go_on(3.0)
+    assert rig.watch() == [machine]
     assert job.status[0] == IDLE
     # It resumes: what it holds counts as gone, so that its lease must not be renewed.
     assert rig.control.checkin(worker.body()).status == 503
@@ -176,12 +174,10 @@
     rig.page(0, rig.rows(job.id, (0, 1, "m-1")))
     rig.claim(node="n-1", lease=9)
     rig.own()
-    rig.clock.time += 14.0 + rig.model.cut_bound_s
-    rig.lease()
-    assert rig.control.watch() == []
-    rig.clock.time += 3.0
-    rig.lease()
-    assert rig.control.watch() == [machine]
+    rig.go_on(14.0 + rig.model.cut_bound_s)
+    assert rig.watch() == []
+    rig.go_on(3.0)
+    assert rig.watch() == [machine]
 
 
 def test_an_owner_that_is_cut_off_stops_answering_reports() -> None:
@@ -362,7 +358,6 @@
     rig.http.script = [lambda _: Response(200, worker.body())]
     asyncio.run(rig.push(machine))
     assert machine.session == 1
-    assert rig.control.watch() == []
-    rig.clock.time += 17
-    rig.lease()
-    assert rig.control.watch() == [machine]
+    assert rig.watch() == []
+    rig.go_on(17)
+    assert rig.watch() == [machine]
--- a/tests/test_hearing.py
+++ b/tests/test_hearing.py
@@ -17,8 +17,8 @@
     rig = Rig()
     rig.own()
     rig.set(node_key("n-0"), wire.Claim("n-0", 1))
-    if beside:
-        rig.set(node_key("n-1"), wire.Claim("n-1", 2))
+    if not beside:
+        rig.model.nodes = {"n-0": rig.model.nodes["n-0"]}
     for number in range(5):
         rig.machine(f"m-{number}")
         rig.report(Worker(f"m-{number}"))
