--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -175,8 +175,10 @@
         if self.shares[share].owned:
             # What we act on is what we wrote ourselves.
             return
+        known = {} if before is None else before.jobs
         for entry in entries:
-            job = self.job(entry.job)
+            # A page is written whole, mostly with what it held before.
+            job = None if known.get(entry.job) == entry else self.job(entry.job)
             if job is not None:
                 self._load_rows(job, entry, number)
         if before is not None:
