A zone out of reach is not given up machine by machine

Change: that a zone can be reached is told only by machines heard within one and a half report intervals, which every machine that reaches us has reported in. Test: a zone falls silent machine by machine, and nothing is given up (fails without the change).

--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -28,6 +28,8 @@
 """Commands in one response; some 90 bytes each, well within a line of 64 KiB."""
 SILENT_REPORTS = 3
 """Report intervals without a report after which a machine is asked."""
+RECENT_REPORTS = 1.5
+"""Report intervals within which any machine that can reach us has reported."""
 FAULTY_JOBS = 3
 """A machine on which tasks of so many jobs failed is drained."""
 
@@ -461,9 +463,10 @@
             if now - heard_at > SILENT_REPORTS * self._report_s:
                 if machine.session > 0 or machine.attempts:
                     silent.append(machine)
-            elif machine.session == 0:
-                continue
-            else:
+            elif machine.session > 0 and now - machine.heard_at <= RECENT_REPORTS * self._report_s:
+                # Only what was heard since the others fell silent tells that it lies with them:
+                # when a zone is cut off, all of its machines fall silent within one interval, and
+                # the first to be missed were given up since the last seemed to be heard still.
                 heard[machine.zone] = heard.get(machine.zone, 0) + 1
         if len(silent) > max(1, sum(heard.values()) // 2):
             return
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -317,6 +317,33 @@
     assert job.attempts[0].machine is machine
 
 
+def test_a_zone_that_falls_silent_machine_by_machine_is_not_given_up() -> None:
+    # Found on a day on which two zones lost each other: of a zone out of reach the machines that
+    # had reported first were released, since the others had been heard a little later.
+    rig, worker = ready()
+    near = Worker("m-0", zone="b")
+    rig.machine("m-0", zone="b")
+    others = [Worker(f"m-{number}") for number in range(2, 8)]
+    for other in others:
+        rig.machine(other.who.name)
+
+    async def look() -> None:
+        rig.control.suspect()
+        await rig.settle(6)
+
+    rig.report(worker)
+    for other in others:
+        rig.clock.time += 0.3
+        rig.report(other)
+    for _ in range(60):
+        rig.clock.time += 0.2
+        rig.lease()
+        rig.report(near)
+        rig.http.script = [silent] * 9
+        asyncio.run(look())
+    assert not any(machine.given_up for machine in rig.model.machines.values())
+
+
 def test_an_owner_that_alone_is_cut_off_sends_workers_to_a_sibling() -> None:
     rig, worker = ready()
     rig.clock.time += rig.tunables.claim_ttl_s + 0.5
