Sockets at one and a half times the fleet; bounds on numbers derived or told

Change: what is kept idle shrinks as the servers' connections grow; arrivals are forgotten by age; rows are counted by their length. Bounds that stay say at their definition what they bound.

--- a/badgerseam/fleet/hiring.py
+++ b/badgerseam/fleet/hiring.py
@@ -200,7 +200,7 @@
     async def _record(self, rows: list[wire.StoredMachine], hire: str | None, group: str) -> bool:
         """Write records of machines, and delete the hire that brought them with the last."""
         model = self._model
-        most = self._roster.most_rows
+        most = self._roster.most_rows(rows)
         try:
             for first in range(0, max(len(rows), 1), most):
                 part = rows[first : first + most]
--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -42,7 +42,10 @@
 """Standard deviations of arrivals that departures make room for (measured: no reserve was needed
 where four fifths are to start in time)."""
 MOST_AT_ONCE = 150
+"""Machines moved or rented in one round. A bound on the time a round takes, not on the fleet:
+rounds come four times a second, and the cloud's calls, of MOST_HOSTS each, are scarcer."""
 MOST_HOSTS = 50
+"""The protocol's limit of machines in one rental."""
 VACATE_S = 3.0
 """How long HP work waits before a machine of another share is vacated for it."""
 ADDRESSES_S = 2.5
@@ -299,6 +302,7 @@
                 idle.add(machine.index)
         nominal_s = max((entry.boot_s for entry in model.types.values()), default=30.0)
         boot_s = BOOT_SPREAD * nominal_s
+        policy.forget(model.arrivals, now, tunables.arrivals_s)
         kept = policy.reserves(
             model.arrivals,
             self._waits,
--- a/badgerseam/fleet/policy.py
+++ b/badgerseam/fleet/policy.py
@@ -47,6 +47,17 @@
     """Of each share, the tasks a job that found no room on its machines."""
 
 
+ARRIVAL_WINDOWS = 4
+"""Windows after which an arrival does not count any more."""
+
+
+def forget(arrivals: deque[Arrival], now: float, window_s: float) -> None:
+    """Drop the arrivals that are too old to count. They are nearly in order; one that came out of
+    it goes when it is the oldest."""
+    while arrivals and now - arrivals[0].at > ARRIVAL_WINDOWS * window_s:
+        arrivals.popleft()
+
+
 def reserves(
     arrivals: deque[Arrival],
     waits: dict[str | None, float],
@@ -67,7 +78,7 @@
     found = []
     by_class: dict[str, list[Arrival]] = {}
     for arrival in arrivals:
-        if now - arrival.at <= 4 * window_s:
+        if now - arrival.at <= ARRIVAL_WINDOWS * window_s:
             by_class.setdefault(arrival.job_class, []).append(arrival)
     # The classes of the highest rank choose first.
     for job_class, recent in sorted(by_class.items(), key=lambda item: -item[1][-1].rank):
--- a/badgerseam/http/client.py
+++ b/badgerseam/http/client.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import OrderedDict
+from collections.abc import Callable
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
@@ -62,15 +63,16 @@
     """Requests to any number of addresses over kept connections.
 
     A controller left alone has the reports of all workers and the users on its sockets: at most
-    `keep` connections are kept idle altogether, the most recently used ones.
+    `keep` connections, a number or what tells it now, are kept idle altogether, the most recently
+    used ones.
     """
 
-    def __init__(self, connect_s: float = 1.5, keep: int = 64) -> None:
+    def __init__(self, connect_s: float = 1.5, keep: int | Callable[[], int] = 64) -> None:
         self._tcp = TCPClient()
         self._idle: OrderedDict[IOStream, str] = OrderedDict()
         self._by_address: dict[str, list[IOStream]] = {}
         self._connect_s = connect_s
-        self._keep = keep
+        self._keep = keep if callable(keep) else lambda: keep
 
     async def request(
         self, address: str, method: str, path: str, body: bytes | None, deadline_s: float
@@ -113,7 +115,8 @@
     def _put(self, address: str, stream: IOStream) -> None:
         self._idle[stream] = address
         self._by_address.setdefault(address, []).append(stream)
-        if len(self._idle) > self._keep:
+        most = self._keep()
+        while len(self._idle) > most:
             oldest = next(iter(self._idle))
             self._take(oldest)
             oldest.close()
--- a/badgerseam/http/server.py
+++ b/badgerseam/http/server.py
@@ -7,10 +7,11 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from http.client import responses
+from typing import Any
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
 log = logging.getLogger("badgerseam.http")
 
@@ -38,13 +39,29 @@
     return Reply(status, b'{"error":"%s"}' % text.encode(), retry_after_s)
 
 
+class _Counting(HTTPServer):
+    """Knows how many connections are open."""
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        super().initialize(*args, **kwargs)
+        self.open = 0
+
+    def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
+        self.open += 1
+        super().handle_stream(stream, address)
+
+    def on_close(self, server_conn: object) -> None:
+        self.open -= 1
+        super().on_close(server_conn)
+
+
 class Server:
     """Serves one address with one handler of (method, path with its query, body)."""
 
     def __init__(self, handler: Handler) -> None:
         self._handler = handler
         self._tasks: set[asyncio.Task[None]] = set()
-        self._server = HTTPServer(
+        self._server = _Counting(
             self._request,
             max_buffer_size=2 * SWALLOW,
             max_body_size=SWALLOW,
@@ -57,6 +74,11 @@
         host, _, port = address.rpartition(":")
         self._server.listen(int(port), host, backlog=512)
 
+    @property
+    def connections(self) -> int:
+        """How many are open."""
+        return self._server.open
+
     def stop(self) -> None:
         self._server.stop()
 
--- a/badgerseam/model/records.py
+++ b/badgerseam/model/records.py
@@ -37,6 +37,10 @@
     from badgerseam.accounting.accounts import Accounts
 
 
+MOST_ARRIVALS = 20_000
+"""Against a leader that never looks; one that leads forgets what is too old to count."""
+
+
 @dataclass(slots=True)
 class Records:
     """All shared state of a controller, behind one lock that is never held over I/O.
@@ -77,7 +81,7 @@
     revision: int = 0
     loaded: bool = False
     loading: bool = False
-    arrivals: deque[Arrival] = field(default_factory=lambda: deque(maxlen=500))
+    arrivals: deque[Arrival] = field(default_factory=lambda: deque(maxlen=MOST_ARRIVALS))
     kicks: set[int] = field(default_factory=set)
     """Shares whose waiting work should be looked at."""
     pushes: set[int] = field(default_factory=set)
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -41,6 +41,10 @@
 TICK_S = 0.2
 KEPT = 0.2
 """Part of the sockets that connections kept idle may take; the rest is for those that come in."""
+SPARE = 0.1
+"""Part of the sockets that stays free for those that come next: a controller left alone with a fleet
+of most of its sockets keeps fewer connections idle."""
+LEAST_KEPT = 16
 PUSH_ROUNDS = 4
 """Ticks in which each machine is looked at once."""
 CLOSE_ROUNDS = 5
@@ -59,7 +63,8 @@
         self.clock = clock
         self.tunables = tunables
         params = settings.params
-        http = Client(keep=max(16, round(KEPT * params.machine_limits.sockets)))
+        http = Client(keep=self._keep)
+        self._servers: list[Server] = []
         self.model = Model(settings, clock)
         self.state = StateClient(
             clock,
@@ -149,6 +154,12 @@
         self._pulse_at: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def _keep(self) -> int:
+        """How many connections may be kept idle now."""
+        sockets = self.settings.params.machine_limits.sockets
+        taken = sum(server.connections for server in self._servers)
+        return max(LEAST_KEPT, min(round(KEPT * sockets), round((1 - SPARE) * sockets) - taken))
+
     def _process_name(self) -> str:
         # The lease's number makes it one that no other process has had.
         return f"{self.settings.node}-{self.member.lease}"
@@ -230,6 +241,7 @@
         api.listen(self.settings.api_addr)
         peers = Server(self.peers.handle)
         peers.listen(self.settings.cluster_listen)
+        self._servers += [api, peers]
         log.info("%s serves on %s", self.settings.node, self.settings.api_addr)
         async with asyncio.TaskGroup() as group:
             group.create_task(self.replica.run())
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -25,7 +25,8 @@
 FAILING = 6
 """A job with so many failures in a row is tried one task at a time."""
 MOST_STARTS = 400
-"""Tasks planned at once; more are planned in the next round."""
+"""Tasks of a job planned at once, so that one of 100,000 does not hold the loop; more are planned
+in the next round, when these are on their way to be durable."""
 
 
 class Planner:
--- a/badgerseam/store/roster.py
+++ b/badgerseam/store/roster.py
@@ -15,7 +15,9 @@
 
 GATHER_S = 0.02
 ROW_BYTES = 128
-"""An upper bound of a machine's row."""
+"""What a machine's row takes at most, as long as its names are short."""
+ADDRESS_BYTES = 32
+"""What a row grows by when its machine's address becomes known."""
 NOT_WRITTEN = (Refused, Unavailable, Dropped, LeaseLost)
 
 Edit = Callable[[wire.StoredMachine], wire.StoredMachine | None]
@@ -47,10 +49,11 @@
         self._pending: dict[str, list[_Change]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    @property
-    def most_rows(self) -> int:
-        """Machines that a value holds."""
-        return max(1, int(self._model.settings.params.state.value_kb * 1024 * 0.9) // ROW_BYTES)
+    def most_rows(self, rows: list[wire.StoredMachine]) -> int:
+        """How many machines like these a value holds."""
+        longest = max((len(wire.encode(row)) + ADDRESS_BYTES for row in rows), default=0)
+        value = int(self._model.settings.params.state.value_kb * 1024 * 0.9)
+        return max(1, value // max(ROW_BYTES, longest))
 
     async def add(
         self,
