--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -42,8 +42,8 @@
 KEPT = 0.2
 """Part of the sockets that connections kept idle may take; the rest is for those that come in."""
 SPARE = 0.1
-"""Part of the sockets that stays free for those that come next: a controller left alone with a fleet
-of most of its sockets keeps fewer connections idle."""
+"""Part of the sockets that stays free for those that come next: a controller left alone with a
+fleet of most of its sockets keeps fewer connections idle."""
 LEAST_KEPT = 16
 PUSH_ROUNDS = 4
 """Ticks in which each machine is looked at once."""
