Who stands in for whom is said by name, and without the state service only in one's own zone

Change: a deputy's record names the owners; without the state service only workers of its own zone are answered, which is what a cut-off zone leaves; an owner counts with what concerns it. A deputy acts on its record no longer than the lease it stands on must last, and what came and went between two looks is known by its stamp.

--- a/badgerseam/cluster/deputies.py
+++ b/badgerseam/cluster/deputies.py
@@ -6,11 +6,13 @@
 the worker has shown, and no command but to halt what was cancelled. That changes nothing but the
 time at which the lease ends, so what has to be kept is the certainty about that end:
 
-- A controller that has lost the state service is a deputy only after its state lease must have
-  ended there, and for as long as an owner that was cut off would answer (`cut_bound_s`). Its own
-  record goes with that lease, and owners count the bound from when they see it go.
-- One that has not lost it says so first, by a record on its lease. As long as the record stands,
-  no machine's lease is known to have ended.
+- A controller that has lost the state service is a deputy only for workers of its own zone, which
+  may be cut off with it, only after its state lease must have ended there, and for as long as an
+  owner that was cut off would answer (`cut_bound_s`). Its own record goes with that lease, and
+  owners count the bound from when they see it go.
+- One that has not lost it says first for which owners it stands in, by a record on its lease, and
+  acts on that no longer than the lease must last. As long as the record names an owner, none of its
+  machines' leases is known to have ended.
 - Before an owner concludes from silence that a lease has ended, it has the state service compare
   these records with what it knows, at a time at which the lease would have ended already.
 """
@@ -57,23 +59,31 @@
         self._ttl_s = ttl_s
         self._unreachable = unreachable
         self._clock = model.clock
-        self._siblings = [sibling.node for sibling in model.settings.siblings]
+        self._zone = model.settings.zone
+        self._siblings = {sibling.node: sibling.zone for sibling in model.settings.siblings}
         self._marks: dict[str, tuple[int, int]] = {}
         """Of each sibling, the stamps of its records as last seen."""
-        self._until: dict[str, float] = {}
-        """Until when each sibling may have renewed leases in another's place."""
+        self._apart: dict[str, float] = {}
+        """Until when each sibling may have renewed leases in its zone, the state service lost."""
+        self._named: dict[str, tuple[int, bool]] = {}
+        """Of each sibling the latest stamp of a record that names us, and whether it still does."""
+        self._named_until = -1e9
+        """Until when one of them may have renewed leases of ours."""
         self._parted = False
         self._verified_at = -1e9
         self._asked_at = -1e9
-        self._announced: int | None = None
-        """The lease on which our record stands, while we may act on it."""
+        self._announced: frozenset[str] = frozenset()
+        """Owners that our record names, while we may act on it."""
+        self._announced_on: int | None = None
+        """The lease that this record stands on."""
+        self._loads = 0
         self._writing = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     # ---- as a deputy ----
 
-    def stands_in(self, share: Share) -> bool:
-        """Whether we answer reports of the share's workers in its owner's place."""
+    def stands_in(self, share: Share, zone: str) -> bool:
+        """Whether we answer reports of the share's workers in a zone in its owner's place."""
         held, member = share.held, self._member
         if held is None or held.claim.node == member.node:
             return False
@@ -82,31 +92,35 @@
         if not member.fresh(self._model.cut_bound_s):
             # Tasks cancelled elsewhere could outlast their time.
             return False
-        announced = self._announced is not None and self._announced == member.lease
-        return announced or not member.fresh(self._ttl_s + SLACK_S)
+        if held.claim.node in self._announced and member.connected:
+            return self._announced_on == member.lease
+        return zone == self._zone and not member.fresh(self._ttl_s + SLACK_S)
 
     def review(self) -> None:
         """Say that we stand in, or that we don't any more; called a few times a second."""
         model, member = self._model, self._member
         if not model.loaded or self._writing or not member.connected:
             return
-        wanted = any(name in model.nodes and self._unreachable(name) for name in self._siblings)
-        if not wanted:
-            # From here on nothing is answered on the record, whatever becomes of the write.
-            self._announced = None
+        wanted = frozenset(
+            name for name in self._siblings if name in model.nodes and self._unreachable(name)
+        )
         known = model.deputies.get(member.node)
-        stands = known is not None and known.claim.lease == member.lease and known.claim.active
-        if wanted and stands and self._announced is None:
-            self._announced = member.lease
-        elif wanted != stands and member.lease is not None:
+        named: frozenset[str] = frozenset()
+        if known is not None and known.claim.lease == member.lease:
+            named = frozenset(known.claim.owners)
+        # From here on nothing is answered for one that is to be named no more, whatever becomes of
+        # the write.
+        self._announced = wanted & named
+        self._announced_on = member.lease
+        if wanted != named and member.lease is not None:
             self._writing = True
             self._spawn(self._say(wanted, member.lease, 0 if known is None else known.version))
 
-    async def _say(self, active: bool, lease: int, version: int) -> None:
+    async def _say(self, owners: frozenset[str], lease: int, version: int) -> None:
         # A record is never taken away, except by the end of its lease: one that came and went
         # between two looks would leave no trace.
         key = deputy_key(self._member.node)
-        record = wire.Deputy(self._member.node, lease, active)
+        record = wire.Deputy(self._member.node, lease, sorted(owners))
         write = wire.Write(put=key, value=wire.raw(record), lease=lease)
         try:
             revision = await self._committer.commit(
@@ -118,7 +132,7 @@
             )
             with self._model.lock:
                 self._model.apply(key, write.value, revision)
-            log.info("standing in for owners out of reach: %s", "yes" if active else "no more")
+            log.info("standing in for %s", " ".join(sorted(owners)) or "nobody any more")
         except (Refused, Unavailable, Dropped, LeaseLost) as error:
             log.debug("%s: not written: %r", key, error)
         finally:
@@ -137,20 +151,27 @@
             # off among them: its record tells nothing before that has ended.
             self._parted = False
             for name in self._siblings:
-                self._until[name] = max(self._until.get(name, now), now + self._ttl_s + SLACK_S)
+                self._apart[name] = max(self._apart.get(name, now), now + self._ttl_s + SLACK_S)
+        # A replica that was read anew does not tell what came and went before.
+        reloaded, self._loads = self._loads != model.loads, model.loads
         for name in self._siblings:
             node, deputy = model.nodes.get(name), model.deputies.get(name)
             mark = (0 if node is None else node.version, 0 if deputy is None else deputy.version)
-            if self._marks.get(name) != mark:
-                self._marks[name] = mark
+            if reloaded or self._marks.get(name, (-1, 0))[0] != mark[0]:
                 # Back with a record of its own, it has the state service again.
-                self._until[name] = now + (0.0 if node is not None else model.cut_bound_s)
-            elif deputy is not None and deputy.claim.active:
-                self._until[name] = max(self._until[name], now)
-
-    def renewed_until(self) -> float:
-        """Until when somebody may have renewed leases in an owner's place."""
-        return max(self._until.values(), default=-1e9)
+                self._apart[name] = now + (0.0 if node is not None else model.cut_bound_s)
+            self._marks[name] = mark
+            named_at = model.stood_in.get((name, member.node), 0)
+            still = deputy is not None and member.node in deputy.claim.owners
+            if reloaded or still or self._named.get(name) != (named_at, still):
+                # It does, or did since the last look.
+                self._named_until = now
+            self._named[name] = named_at, still
+
+    def renewed_until(self, zone: str) -> float:
+        """Until when somebody may have renewed leases of ours in a zone."""
+        apart = (self._apart[name] for name, near in self._siblings.items() if near == zone)
+        return max(self._named_until, max(apart, default=-1e9))
 
     def certain_since(self, at: float) -> bool:
         """Whether what is known of the siblings was true at that time; asks if not."""
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -65,6 +65,7 @@
                 else:
                     record: wire.Deputy = msgspec.json.decode(value, type=wire.Deputy)
                     self.deputies[name] = StandIn(record, version)
+                    self.stood_in.update({(name, owner): version for owner in record.owners})
             elif kind == "h":
                 if value is None:
                     self.hires.pop(name, None)
@@ -124,6 +125,7 @@
         self.revision = revision
         self.loading = False
         self.loaded = True
+        self.loads += 1
         for job in list(self.jobs):
             if job is not None:
                 self.settle(job)
--- a/badgerseam/model/records.py
+++ b/badgerseam/model/records.py
@@ -74,6 +74,10 @@
     nodes: dict[str, Held] = field(default_factory=dict)
     deputies: dict[str, StandIn] = field(default_factory=dict)
     """Controllers that answer, or have answered, in place of owners out of reach."""
+    stood_in: dict[tuple[str, str], int] = field(default_factory=dict)
+    """The latest stamp of a record that says so, by controller and owner."""
+    loads: int = 0
+    """How often all keys were read."""
     leader: Held | None = None
     hires: dict[str, tuple[wire.StoredHire, int]] = field(default_factory=dict)
     pages: list[dict[int, Page]] = field(default_factory=list)
--- a/badgerseam/wire/state.py
+++ b/badgerseam/wire/state.py
@@ -81,11 +81,11 @@
 
 
 class Deputy(Struct, frozen=True, array_like=True):
-    """Whether a controller answers workers in place of owners that it cannot reach."""
+    """In place of which owners, that it cannot reach, a controller answers their workers."""
 
     node: str
     lease: int
-    active: bool
+    owners: list[str]
 
 
 class StoredJob(Struct, frozen=True, array_like=True):
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -85,7 +85,7 @@
             share = model.shares[machine.share]
             if not share.owned:
                 machine.addr = report.addr
-                if self.deputies.stands_in(share):
+                if self.deputies.stands_in(share, machine.zone):
                     return self._stand_in(report)
                 return self._redirect(None if share.held is None else share.held.claim.node)
             if not self._member.entitled(share):
@@ -414,12 +414,15 @@
         lost = []
         now = self._clock.now()
         self.deputies.look()
-        others = self.deputies.renewed_until()
+        others: dict[str, float] = {}
         entitled = [share.owned and self._member.entitled(share) for share in model.shares]
         for machine in model.machines.values():
             if machine.lost or not entitled[machine.share]:
                 continue
-            ends = max(machine.answered_at, others) + self.lease_bound_s
+            other = others.get(machine.zone)
+            if other is None:
+                other = others[machine.zone] = self.deputies.renewed_until(machine.zone)
+            ends = max(machine.answered_at, other) + self.lease_bound_s
             if now <= ends or (machine.session == 0 and not machine.attempts):
                 continue
             if not self.deputies.certain_since(ends):
--- a/tests/test_deputies.py
+++ b/tests/test_deputies.py
@@ -15,12 +15,12 @@
 """A little more than a worker's lease with all its margins."""
 
 
-def apart() -> tuple[Rig, Worker]:
+def apart(zone: str = "a") -> tuple[Rig, Worker]:
     """A share of n-1's with a machine that reports here."""
     rig = Rig()
     rig.claim(node="n-1", lease=9)
-    rig.machine()
-    return rig, Worker(token=77)
+    rig.machine(zone=zone)
+    return rig, Worker(token=77, zone=zone)
 
 
 async def say(rig: Rig) -> None:
@@ -67,20 +67,23 @@
 ):
     rig, worker = apart()
     rig.out_of_reach |= {"n-1", "n-2"}
+    rig.machine("m-2", zone="b")
+    far = Worker("m-2", token=77, zone="b")
     rig.clock.time += rig.tunables.claim_ttl_s + 0.2
     assert answer(rig, worker) == 421, "its own record may still stand"
     rig.clock.time += 0.6
     assert answer(rig, worker) == 200
+    assert answer(rig, far) == 421, "nobody counts with that in other zones"
     rig.clock.time = rig.member.confirmed_at + rig.model.cut_bound_s + 0.1
     assert answer(rig, worker) == 421
 
 
-def owner() -> tuple[Rig, Worker]:
-    """An owner whose machine falls silent with a task on it."""
+def owner(zone: str = "b") -> tuple[Rig, Worker]:
+    """An owner whose machine, in n-1's zone, falls silent with a task on it."""
     rig = Rig()
     rig.own()
-    worker = Worker()
-    machine = rig.machine()
+    worker = Worker(zone=zone)
+    machine = rig.machine(zone=zone)
     rig.report(worker)
     rig.running(rig.job(pieces=1), 0, machine, worker)
     rig.report(worker)
@@ -98,6 +101,17 @@
     assert len(rig.watch()) == 1
 
 
+def test_machines_of_other_zones_are_lost_as_soon_as_without_siblings() -> None:
+    # A crash of one controller kept the whole fleet's lost machines for a lease's time longer.
+    rig, _ = owner(zone="c")
+    rig.state.remove(node_key("n-1"))
+    rig.state.remove(node_key("n-2"))
+    rig.set(deputy_key("n-2"), wire.Deputy("n-2", 101, ["n-1"]))
+    rig.sync()
+    rig.go_on(LEASE_S)
+    assert len(rig.watch()) == 1
+
+
 def test_a_sibling_that_is_back_renews_nothing_any_more() -> None:
     rig, _ = owner()
     rig.state.remove(node_key("n-1"))
@@ -113,20 +127,43 @@
 
 def test_a_machine_is_not_lost_while_a_sibling_says_that_it_stands_in() -> None:
     rig, _ = owner()
-    rig.set(deputy_key("n-2"), wire.Deputy("n-2", 101, True))
+    rig.set(deputy_key("n-2"), wire.Deputy("n-2", 101, ["n-0"]))
     rig.go_on(60.0)
     assert rig.watch() == []
-    rig.set(deputy_key("n-2"), wire.Deputy("n-2", 101, False))
+    rig.set(deputy_key("n-2"), wire.Deputy("n-2", 101, []))
     rig.deputies.look()
     rig.go_on(LEASE_S)
     assert len(rig.watch()) == 1
 
 
+def test_a_record_that_came_and_went_between_two_looks_counts() -> None:
+    rig, _ = owner(zone="c")
+    rig.go_on(12.0)
+    rig.set(deputy_key("n-2"), wire.Deputy("n-2", 101, ["n-0"]))
+    rig.set(deputy_key("n-2"), wire.Deputy("n-2", 101, []))
+    rig.go_on(6.0)
+    assert rig.watch() == []
+    rig.go_on(12.0)
+    assert len(rig.watch()) == 1
+
+
+def test_a_deputy_acts_on_its_record_no_longer_than_its_lease_must_last() -> None:
+    rig, worker = apart(zone="b")
+    rig.out_of_reach.add("n-1")
+    asyncio.run(say(rig))
+    assert answer(rig, worker) == 200
+    rig.clock.time += rig.tunables.claim_ttl_s + 0.1
+    assert answer(rig, worker) == 421, "the record may be gone, and the owner counts with nothing"
+    rig.lease()
+    rig.member.lease = 2
+    assert answer(rig, worker) == 421, "the record stood on the lease before"
+
+
 def test_what_the_replica_has_not_shown_yet_counts() -> None:
     rig, _ = owner()
     rig.go_on(LEASE_S)
     # Written, and not yet followed: the comparison finds it.
-    rig.state.put(deputy_key("n-2"), wire.Deputy("n-2", 101, True))
+    rig.state.put(deputy_key("n-2"), wire.Deputy("n-2", 101, ["n-0"]))
     assert rig.watch() == []
     rig.sync()
     assert rig.watch() == []
@@ -164,4 +201,4 @@
     assert rig.state.transactions == before + 1
     held = rig.state.core.get(deputy_key("n-0"))
     assert held is not None
-    assert msgspec.json.decode(held.value, type=wire.Deputy) == wire.Deputy("n-0", 1, False)
+    assert msgspec.json.decode(held.value, type=wire.Deputy) == wire.Deputy("n-0", 1, [])
