Rounds, signs of life and retries cost a bounded part of the processor

By profile: the leader's rounds, four a second whatever they take; every machine looked for commands each 0.8 s although the answer to its report holds them; siblings asked each 0.7 s. Change: rounds take a twentieth of the time at most, and get rarer beyond it; only machines that have not answered are looked at each 0.8 s, all others each 3.2 s; siblings are asked each second.

--- a/badgerseam/cluster/peers.py
+++ b/badgerseam/cluster/peers.py
@@ -22,7 +22,7 @@
 
 STALE_S = 3.0
 """Without an answer of the state service for so long, something is wrong."""
-HEALTH_S = 0.7
+HEALTH_S = 1.0
 MISSED = 3
 """Requests without an answer after which a sibling counts as out of reach."""
 LEADER_S = 0.5
--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -32,6 +32,10 @@
 log = logging.getLogger("badgerseam.fleet")
 
 ROUND_S = 0.25
+MOST_ROUND_S = 1.0
+ROUND_PART = 0.05
+"""Part of the time that rounds may take: with a fleet or a burst of any size they get rarer, and
+the leader goes on answering its workers."""
 MINIMUM_S = 60.0
 """The least that a machine is charged for."""
 BOOT_SPREAD = 1.5
@@ -180,14 +184,17 @@
 
     async def keep_fleet(self) -> None:
         """Rent, move and release, a few times a second."""
+        took_s = 0.0
         while True:
-            await asyncio.sleep(ROUND_S)
+            await asyncio.sleep(min(max(ROUND_S, took_s / ROUND_PART), MOST_ROUND_S))
             if not self._member.is_leader or not self._model.loaded:
                 continue
+            began = self._clock.now()
             try:
                 self._round()
             except Exception:
                 log.exception("fleet round failed")
+            took_s = self._clock.now() - began
 
     def view(self) -> CloudView:
         """What the leader knows of the cloud, for others to tell users."""
--- a/badgerseam/model/machine.py
+++ b/badgerseam/model/machine.py
@@ -119,6 +119,11 @@
     def token(self) -> int:
         return (self.term << BUMP_BITS) + self.bump
 
+    @property
+    def unanswered(self) -> bool:
+        """It has not answered yet what has to be asked or said again until it does."""
+        return self.session == 0 or self.failures > 0 or self.shown_token < self.token
+
     @property
     def clear(self) -> bool:
         """No earlier direct command can still be executed."""
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -46,7 +46,10 @@
 fleet of most of its sockets keeps fewer connections idle."""
 LEAST_KEPT = 16
 PUSH_ROUNDS = 4
-"""Ticks in which each machine is looked at once."""
+"""Ticks in which each machine is looked at once that has not answered yet."""
+SWEEP_ROUNDS = 16
+"""Ticks in which every machine is: a multiple of PUSH_ROUNDS, and about a report interval, since
+the answer to a report holds all there is to do as well."""
 CLOSE_ROUNDS = 5
 """Ticks between looks at cancelled jobs without a summary."""
 PLAN_DELAY_S = 0.004
@@ -209,11 +212,14 @@
                 self.control.suspect()
                 self.control.drain()
                 # What changes is pushed when it does; this is for what has to be tried again.
-                turn = rounds % PUSH_ROUNDS
                 for own in model.shares:
                     if own.owned:
-                        fleet = model.fleets[own.index]
-                        model.pushes.update(i for i in fleet if i % PUSH_ROUNDS == turn)
+                        model.pushes.update(
+                            index
+                            for index, machine in model.fleets[own.index].items()
+                            if (rounds - index) % PUSH_ROUNDS == 0
+                            and (machine.unanswered or (rounds - index) % SWEEP_ROUNDS == 0)
+                        )
                 for machine, share in self.returns.vacated():
                     self._spawn(self._pass_on(machine, share))
                 if rounds % CLOSE_ROUNDS == 0:
