Only reports are hearing, only silence is out of reach, and what a silent machine answers counts

Need, found by reading the deputies and deafness again against one-way and refused links: - a controller that reaches its workers and is not reached by them counted their answers as hearing, while only answers to reports renew leases; it now listens for reports, from a takeover on for as long as workers take to come; - where connections between controllers are refused, or a process restarts, siblings stood in for an owner that workers reach as before, and kept those that came by chance; a refused connection is told from one without an answer, and counts as reach; - the answer of a silent machine that was asked proved it alive and was thrown away otherwise: what ended on it stayed unknown. It is taken as a report. Tests: tests/test_http.py, tests/test_hearing.py.

--- a/badgerseam/cluster/peers.py
+++ b/badgerseam/cluster/peers.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from badgerseam.fleet.returns import Returns
-from badgerseam.http.client import Client, NoResponse
+from badgerseam.http.client import Client, NoResponse, TurnedAway
 from badgerseam.http.server import Reply, error_reply
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
@@ -167,6 +167,11 @@
         try:
             response = await self._http.request(address, "GET", "/health", None, HEALTH_S)
             health = wire.health_decoder.decode(response.body)
+        except TurnedAway:
+            # Its process is gone for a moment, or a filter lies between the two of us: workers can
+            # reach it as before, or soon again.
+            self._unanswered[node] = max(self._unanswered[node] - 1, 0)
+            return
         except (NoResponse, msgspec.DecodeError):
             self._unanswered[node] = min(self._unanswered[node] + 1, 2 * MISSED)
             return
--- a/badgerseam/http/client.py
+++ b/badgerseam/http/client.py
@@ -30,6 +30,10 @@
     """The connection could not be made, so the request was never sent."""
 
 
+class TurnedAway(NotSent):
+    """The connection was refused: something is there, and nobody takes it."""
+
+
 class Response:
     __slots__ = ("body", "retry_after", "status")
 
@@ -98,7 +102,9 @@
                 await connection.read_response(collector)
         except (TimeoutError, StreamClosedError, HTTPInputError, OSError, ValueError) as error:
             if stream is None:
-                raise NotSent(f"{address}: {error!r}") from error
+                reason = error.real_error if isinstance(error, StreamClosedError) else error
+                refused = isinstance(reason, ConnectionRefusedError)
+                raise (TurnedAway if refused else NotSent)(f"{address}: {error!r}") from error
             stream.close()
             raise NoResponse(f"{address}{path}: {error!r}") from error
         except BaseException:
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -340,7 +340,6 @@
             response = await self._http.request(machine.addr, "GET", "/inspect", None, 1.0)
             if response.status == 200:
                 report = wire.report_decoder.decode(response.body)
-                self.hearing.heard()
         except (NoResponse, msgspec.DecodeError):
             log.debug("%s cannot be inspected yet", machine.name)
         with self._model.lock:
@@ -366,7 +365,6 @@
             unanswered = False
             if response.status in (200, 409):
                 report = wire.report_decoder.decode(response.body)
-                self.hearing.heard()
         except NotSent:
             unanswered = sent = False
         except NoResponse:
@@ -483,19 +481,23 @@
 
     async def _probe(self, machine: Machine) -> None:
         term, heard_at = machine.term, machine.heard_at
-        answered = False
+        report: wire.Report | None = None
         try:
             response = await self._http.request(machine.addr, "GET", "/inspect", None, 1.5)
-            answered = response.status == 200
-        except NoResponse:
+            if response.status == 200:
+                report = wire.report_decoder.decode(response.body)
+        except (NoResponse, msgspec.DecodeError):
             log.debug("%s is silent and does not answer", machine.name)
         with self._model.lock:
             machine.probing = False
             if machine.term != term or machine.heard_at != heard_at:
                 return
-            if answered:
-                # It lives, and finds no way to us by itself.
+            if report is not None and report.machine == machine.name:
+                # It lives, and finds no way to us by itself: what it says counts all the same.
                 machine.heard_at = self._clock.now()
+                self._apply(machine, report, direct=True)
+                self._model.kicks.add(machine.share)
+                self._model.pushes.add(machine.index)
             elif self._member.fresh(2 * self._report_s):
                 log.info(
                     "%s is silent with %d tasks: given up", machine.name, len(machine.attempts)
--- a/badgerseam/workers/hearing.py
+++ b/badgerseam/workers/hearing.py
@@ -24,6 +24,9 @@
 
 SILENCE_REPORTS = 1.5
 """Report intervals without any report. One worker alone would have sent one within 1.25."""
+ARRIVE_S = 5.0
+"""By the protocol a worker gives a controller up after 4 s, and asks the next one 1 s later: so
+long nobody may come after a share was taken over."""
 FEWEST = 4
 """Machines that have to be missed: so many do not fall silent together by themselves."""
 MOST_STEP_S = 0.5
@@ -38,7 +41,7 @@
 
 
 class Hearing:
-    """Counts the time without a word of any worker, and tells the membership."""
+    """Counts the time without a report of any worker, and tells the membership."""
 
     def __init__(self, model: Model, member: Member, http: Client) -> None:
         self._model = model
@@ -48,13 +51,15 @@
         self._limit_s = SILENCE_REPORTS * model.settings.params.workers.report_s
         self._looked_at = self._clock.now()
         self._silent_s = 0.0
+        self._terms: list[int] = []
+        """Under which the shares are owned that we listen for."""
         self._steady_s = STEADY_S
         self._answered_since: float | None = None
         self._asked_at = -1e9
         self._tasks: set[asyncio.Task[None]] = set()
 
     def heard(self) -> None:
-        """A worker's word has come, by a report or as an answer."""
+        """A report has come. Answers to what we send do not count: they renew no lease."""
         self._silent_s = 0.0
 
     def look(self) -> None:
@@ -62,12 +67,17 @@
         now = self._clock.now()
         self._silent_s += min(now - self._looked_at, MOST_STEP_S)
         self._looked_at = now
+        terms = [share.term for share in self._model.shares if share.owned]
+        if terms != self._terms:
+            self._terms = terms
+            self._silent_s = -ARRIVE_S
         if self._member.deaf:
             if now - self._asked_at >= ASK_S:
                 self._asked_at = now
                 self._spawn(self._ask())
         elif (
-            self._silent_s > self._limit_s
+            terms
+            and self._silent_s > self._limit_s
             # Without the state service others take the shares by themselves.
             and self._member.connected
             and self._missed()
--- a/tests/test_hearing.py
+++ b/tests/test_hearing.py
@@ -23,6 +23,7 @@
         rig.machine(f"m-{number}")
         rig.report(Worker(f"m-{number}"))
     rig.control.hearing.look()
+    rig.control.hearing.heard()
     return rig
 
 
@@ -69,6 +70,24 @@
     assert not rig.member.deaf
 
 
+def test_workers_are_left_time_to_come_after_a_takeover() -> None:
+    rig = hearing()
+    rig.claim(0, "n-0", 1)
+    rig.member.review()
+    rig.member.review()
+    for number in range(5):
+        rig.report(Worker(f"m-{number}"))
+
+    async def taken() -> None:
+        rig.control.hearing._silent_s = 60.0
+        await pass_time(rig, 5.0)
+        assert not rig.member.deaf
+        await pass_time(rig, 4.0)
+        assert rig.member.deaf, "but not for ever"
+
+    asyncio.run(taken())
+
+
 def test_a_controller_that_stood_still_has_not_listened() -> None:
     rig = hearing()
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -4,12 +4,21 @@
 
 import asyncio
 
+import pytest
 from tornado.testing import bind_unused_port
 
-from badgerseam.http.client import Client
+from badgerseam.http.client import Client, TurnedAway
 from badgerseam.http.server import Reply, Server
 
 
+def test_a_refused_connection_is_told_from_silence() -> None:
+    # Workers are not kept from an owner that a filter, or a restart, hides from a sibling only.
+    free, port = bind_unused_port()
+    free.close()
+    with pytest.raises(TurnedAway):
+        asyncio.run(Client().request(f"127.0.0.1:{port}", "GET", "/", None, 2.0))
+
+
 def test_fewer_connections_are_kept_idle_when_sockets_get_scarce() -> None:
     # A controller left alone with one and a half times the fleet would have had no socket left.
     most = 3
