A deputy stands in only while it follows the state service, and a moved machine counts with it

Need, found by reading: a deputy whose request to follow hangs could renew the lease of a machine for an owner that has passed it on, while the new owner counts nothing of that kind. Change: a request to follow waits 2 s instead of 10, so that its answer, empty or not, dates what is known; older than 4 s a deputy sends workers to the owner; a machine that was moved counts as answered by others for as long. Tests: tests/test_deputies.py.

--- a/badgerseam/cluster/deputies.py
+++ b/badgerseam/cluster/deputies.py
@@ -11,8 +11,8 @@
   owner that was cut off would answer (`cut_bound_s`). Its own record goes with that lease, and
   owners count the bound from when they see it go.
 - One that has not lost it says first for which owners it stands in, by a record on its lease, and
-  acts on that no longer than the lease must last. As long as the record names an owner, none of its
-  machines' leases is known to have ended.
+  acts on that no longer than the lease must last, and than it follows the state service. As long as
+  the record names an owner, none of its machines' leases is known to have ended.
 - Before an owner concludes from silence that a lease has ended, it has the state service compare
   these records with what it knows, at a time at which the lease would have ended already.
 """
@@ -26,7 +26,7 @@
 from badgerseam.cluster.member import Member
 from badgerseam.model.keys import deputy_key, node_key
 from badgerseam.model.model import Model
-from badgerseam.model.state import Share
+from badgerseam.model.state import STALE_S, Share
 from badgerseam.store.client import LeaseLost, Refused, StateClient, Unavailable
 from badgerseam.store.committer import Committer, Dropped, Urgency
 from badgerseam.wire import state as wire
@@ -93,7 +93,8 @@
             # Tasks cancelled elsewhere could outlast their time.
             return False
         if held.claim.node in self._announced and member.connected:
-            return self._announced_on == member.lease
+            recent = self._clock.now() - self._model.followed_at < STALE_S
+            return recent and self._announced_on == member.lease
         return zone == self._zone and not member.fresh(self._ttl_s + SLACK_S)
 
     def review(self) -> None:
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -18,7 +18,7 @@
 )
 from badgerseam.model.machine import Machine
 from badgerseam.model.records import Records, name_key
-from badgerseam.model.state import Arrival, Held, Page, Share, StandIn
+from badgerseam.model.state import STALE_S, Arrival, Held, Page, Share, StandIn
 from badgerseam.wire import state as wire
 from badgerseam.wire.cloud import MachineType
 
@@ -291,7 +291,7 @@
             self.machines[index] = machine
             self.fleets[machine.share][index] = machine
             machine.dropped = stored.dropped
-            self.adopt(machine, fresh=True)
+            self.adopt(machine, 0.0)
             return
         machine = self.machines[index]
         if machine.group != group:
@@ -309,20 +309,21 @@
             for attempt in list(machine.attempts.values()):
                 if attempt.job.share != machine.share:
                     self.unplace(attempt)
-            self.adopt(machine, fresh=True)
+            # It may be answered for a moment in place of the owner it had before, by a sibling that
+            # has not seen the move.
+            self.adopt(machine, STALE_S)
 
-    def adopt(self, machine: Machine, fresh: bool) -> None:
+    def adopt(self, machine: Machine, others_s: float) -> None:
         """Start to act for a machine if its share is owned; forget what its owner knew if not.
 
-        `fresh`: the share was owned already, so nobody else can have renewed the machine's lease
-        beyond its move, which an owner does only with nothing on the machine.
+        `others_s`: how long others may go on renewing its lease.
         """
         share = self.shares[machine.share]
         # A claim that has gone to another, with this machine moved after that: the share is given
         # up at the next review, and must not use a term as high as the new owner's until then.
         if share.owned and share.held is not None and share.held.version == share.term:
             now = self.clock.now()
-            machine.take_over(share.term, now, now if fresh else now + self.cut_bound_s)
+            machine.take_over(share.term, now, now + others_s)
             machine.idle_since = now
             self.kicks.add(machine.share)
         else:
@@ -355,7 +356,7 @@
         share.owned_since = self.clock.now()
         self._reload(share)
         for machine in self.fleets[share.index].values():
-            self.adopt(machine, fresh=alone)
+            self.adopt(machine, 0.0 if alone else self.cut_bound_s)
 
     def disown(self, share: Share) -> None:
         """Stop acting for a share; what is not durable is forgotten."""
--- a/badgerseam/model/records.py
+++ b/badgerseam/model/records.py
@@ -76,6 +76,8 @@
     """Controllers that answer, or have answered, in place of owners out of reach."""
     stood_in: dict[tuple[str, str], int] = field(default_factory=dict)
     """The latest stamp of a record that says so, by controller and owner."""
+    followed_at: float = -1e9
+    """Sending time of the latest answered request to follow: what is known is at least as new."""
     loads: int = 0
     """How often all keys were read."""
     leader: Held | None = None
--- a/badgerseam/model/state.py
+++ b/badgerseam/model/state.py
@@ -39,6 +39,11 @@
     version: int
 
 
+STALE_S = 4.0
+"""How old a controller's knowledge may be at most for it to answer in another's place: some
+intervals of following."""
+
+
 @dataclass(slots=True)
 class StandIn:
     """A deputy's record as the replica shows it."""
--- a/badgerseam/store/replica.py
+++ b/badgerseam/store/replica.py
@@ -12,7 +12,9 @@
 
 log = logging.getLogger("badgerseam.store")
 
-WAIT_S = 10.0
+WAIT_S = 2.0
+"""How long a request to follow waits for a change: an answer, changes or none, tells that what is
+known is no older than that."""
 
 
 class Replica:
@@ -25,6 +27,7 @@
 
     async def run(self) -> None:
         """Follow for ever."""
+        model = self._model
         failures = 0
         loaded = False
         while True:
@@ -33,6 +36,7 @@
                     await self._load()
                     loaded = True
                     self._changed()
+                asked = model.clock.now()
                 changes = await self._state.follow(PREFIX, self._model.revision, WAIT_S)
                 failures = 0
             except TooOld:
@@ -44,7 +48,6 @@
                 log.debug("following failed: %s", error)
                 await self._state.pause(failures)
                 continue
-            model = self._model
             with model.lock:
                 for event in changes.events:
                     if event.put is not None:
@@ -52,6 +55,7 @@
                     elif event.delete is not None:
                         model.apply(event.delete, None, event.version)
                 model.revision = max(model.revision, changes.revision)
+                model.followed_at = max(model.followed_at, asked)
             self._changed()
 
     async def _load(self) -> None:
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -337,6 +337,7 @@
 
     def lease(self) -> None:
         self.member.lease = 1
+        self.model.followed_at = self.clock.now()
         if not self.state.core.leases:
             self.state.core.grant(600.0)
         self.member.confirmed_at = self.clock.now()
--- a/tests/test_deputies.py
+++ b/tests/test_deputies.py
@@ -8,6 +8,7 @@
 
 from badgerseam.model.job import IDLE, Phase
 from badgerseam.model.keys import deputy_key, node_key
+from badgerseam.model.state import STALE_S
 from badgerseam.wire import state as wire
 from tests.stand_ins import Rig, Worker, verbs
 
@@ -159,6 +160,25 @@
     assert answer(rig, worker) == 421, "the record stood on the lease before"
 
 
+def test_a_deputy_that_does_not_follow_any_more_may_not_know_who_the_owner_is() -> None:
+    rig, worker = apart(zone="b")
+    rig.out_of_reach.add("n-1")
+    asyncio.run(say(rig))
+    assert answer(rig, worker) == 200
+    rig.model.followed_at -= STALE_S
+    assert answer(rig, worker) == 421
+
+
+def test_a_moved_machine_may_be_answered_for_its_former_owner_for_a_moment() -> None:
+    rig = Rig(shares=2)
+    rig.own(0)
+    rig.own(1)
+    machine = rig.machine()
+    rig.set("bs/m/g-m-1", [rig.row(share=1)])
+    assert machine.share == 1
+    assert machine.answered_at == rig.clock.now() + STALE_S
+
+
 def test_what_the_replica_has_not_shown_yet_counts() -> None:
     rig, _ = owner()
     rig.go_on(LEASE_S)
