Levels of the stored state: one table, a followed record, pages fenced by its stamp

Need: no stored record said which program wrote it or may read it; a controller that slept, or whose transaction came late, could write an older form after everyone else had moved on.

The site's level is a record that every replica follows; pages are conditional on its stamp and composed anew after a refusal. A program that does not fit the level reads nothing else, gives up its shares and follows until it fits again. The level's key lies among the claims, where programs from before levels end at it. The first behaviour: rows of pages say when their attempts began, so that a new owner goes on measuring; an attempt it has not seen itself stays unmeasured, since nobody knows when it ended.

--- a/badgerseam/accounting/meter.py
+++ b/badgerseam/accounting/meter.py
@@ -45,8 +45,9 @@
         The seconds that it ran, if that was seen from its start on, and what they cost.
         """
         self.causes[CAUSES.index(cause)] += 1
-        if attempt.started_at <= 0 or attempt.inherited:
-            # Never seen to run, or not from its start on.
+        if attempt.started_at <= 0 or attempt.inherited or attempt.unseen:
+            # Never seen to run, or not from its start on; or it may have ended long ago, while the
+            # share had no owner.
             return None, 0.0
         spent = max(0.0, now - attempt.started_at)
         self.measured += 1
--- a/badgerseam/cluster/member.py
+++ b/badgerseam/cluster/member.py
@@ -5,7 +5,9 @@
 import asyncio
 import logging
 from collections.abc import Callable, Coroutine
+from enum import Enum
 
+from badgerseam import __version__
 from badgerseam.model.keys import LEADER_KEY, claim_key, node_key
 from badgerseam.model.model import Model
 from badgerseam.model.state import Held, Share
@@ -23,6 +25,14 @@
 """How long a returned controller has to be alive before it gets its share back."""
 
 
+class Away(Enum):
+    """Why this controller takes no share, and others are to act for it."""
+
+    DEAF = "hears no worker"
+    LEAVING = "was asked to leave"
+    UNFIT = "does not fit the site's level"
+
+
 class Member:
     """This controller's place among the controllers."""
 
@@ -46,8 +56,7 @@
         self.lease: int | None = None
         self.confirmed_at = -1e9
         """Sending time of the last confirmed renewal."""
-        self.deaf = False
-        """No worker reaches us: others are to act for our shares."""
+        self._away: set[Away] = set()
         self._present = False
         self._claiming: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -56,9 +65,23 @@
 
     # ---- what others ask ----
 
+    @property
+    def deaf(self) -> bool:
+        """No worker reaches us: others are to act for our shares."""
+        return Away.DEAF in self._away
+
+    def away(self, why: Away) -> bool:
+        """Whether that is a reason for which we take no share."""
+        return why in self._away
+
     @property
     def is_leader(self) -> bool:
-        return self._is_mine(self._model.leader) and self.connected
+        return (
+            self._is_mine(self._model.leader)
+            and self.connected
+            # What the model showed when it was left alone may be long past.
+            and Away.UNFIT not in self._away
+        )
 
     def fresh(self, seconds: float) -> bool:
         """Whether the state service confirmed our lease that recently."""
@@ -131,15 +154,15 @@
         self._changed()
 
     async def _announce(self) -> None:
-        lease, deaf = self.lease, self.deaf
+        lease, away = self.lease, bool(self._away)
         if lease is None:
             return
-        write = wire.Write(
-            put=node_key(self.node), value=wire.raw(wire.Claim(self.node, lease, deaf)), lease=lease
-        )
+        program = self._model.program
+        record = wire.Presence(self.node, lease, away, program.least, program.most, __version__)
+        write = wire.Write(put=node_key(self.node), value=wire.raw(record), lease=lease)
         try:
             await self._committer.commit(Urgency.CLAIM, {}, [write], 2.0)
-            self._present = deaf == self.deaf
+            self._present = away == bool(self._away)
         except LeaseLost:
             self._lose_lease()
         except (Refused, Unavailable, Dropped):
@@ -158,7 +181,7 @@
                 if name not in model.nodes:
                     del self._alive_since[name]
             for name, held in model.nodes.items():
-                if held.claim.deaf:
+                if held.claim.away:
                     self._alive_since.pop(name, None)
                 else:
                     self._alive_since.setdefault(name, now)
@@ -185,7 +208,7 @@
 
     def _should_claim(self, share: Share, now: float) -> bool:
         held = share.held
-        if self.deaf:
+        if self._away:
             return False
         if held is not None:
             # Ours from before a restart: the process that held it is certainly gone.
@@ -195,22 +218,29 @@
             return True
         vacant = now - max(share.vacant_since, self._started)
         present = self._model.nodes.get(home)
-        if present is not None and not present.claim.deaf:
+        if present is not None and not present.claim.away:
             return vacant > HOME_GRACE_S + self._turn() * STAGGER_S
         wait = 0.0 if share.ever_held else HOME_GRACE_S
         return vacant >= wait + self._turn() * STAGGER_S
 
     def _turn(self) -> int:
         """Our turn among the living when something is to be claimed: the least busy first."""
-        load = {name: 0 for name, held in self._model.nodes.items() if not held.claim.deaf}
+        load = self._load()
+        ranked = sorted(load, key=lambda name: (load[name], self.order.index(name)))
+        return ranked.index(self.node) if self.node in ranked else len(ranked)
+
+    def _load(self) -> dict[str, int]:
+        """How many shares each controller holds that takes any."""
+        load = {name: 0 for name, held in self._model.nodes.items() if not held.claim.away}
         for share in self._model.shares:
             if share.held is not None and share.held.claim.node in load:
                 load[share.held.claim.node] += 1
-        ranked = sorted(load, key=lambda name: (load[name], self.order.index(name)))
-        return ranked.index(self.node) if self.node in ranked else len(ranked)
+        return load
 
     def _should_lead(self, now: float) -> bool:
         held = self._model.leader
+        if self._away - {Away.DEAF}:
+            return False
         if held is not None:
             return held.claim.node == self.node and held.claim.lease != self.lease
         return now - self._started > self.order.index(self.node) * 0.5
@@ -225,14 +255,21 @@
             and now - since > STEADY_S
         )
 
-    # ---- a controller that no worker reaches ----
+    # ---- a controller that others are to act for ----
+
+    def others(self) -> list[str]:
+        """Controllers that would take a share now, the least busy first."""
+        load = self._load()
+        return sorted(
+            (name for name in load if name != self.node),
+            key=lambda name: (load[name], self.order.index(name)),
+        )
 
     def hand_on(self) -> bool:
         """Have others act for our shares, until `hear_again`; False if there is nobody else."""
-        others = (held for name, held in self._model.nodes.items() if name != self.node)
-        if self.deaf or self.lease is None or all(held.claim.deaf for held in others):
+        if self.deaf or self.lease is None or not self.others():
             return False
-        self.deaf = True
+        self._away.add(Away.DEAF)
         self._spawn(self._withdraw())
         return True
 
@@ -241,12 +278,47 @@
         await self._announce()
         with self._model.lock:
             for share in self._model.shares:
-                if share.owned and self.deaf:
+                if share.owned and self._away:
                     self.resign(share)
 
     def hear_again(self) -> None:
         """Take shares as before."""
-        self.deaf = self._present = False
+        self.come_back(Away.DEAF)
+
+    async def step_aside(self, why: Away) -> bool:
+        """Take no share from now on, and have that known; whether it is known already. What is
+        held is for the caller to pass on."""
+        self._away.add(why)
+        self._present = False
+        await self._announce()
+        return self._present
+
+    def come_back(self, why: Away) -> None:
+        """One reason fewer not to take shares."""
+        self._away.discard(why)
+        self._present = False
+
+    def stand_aside(self) -> None:
+        """Act for nothing from now on: the program does not fit the site's level."""
+        self._away.add(Away.UNFIT)
+        self._present = False
+        with self._model.lock:
+            for share in self._model.shares:
+                if share.owned:
+                    self.resign(share)
+        if self._is_mine(self._model.leader):
+            self.resign_leadership()
+
+    async def take(self, key: str, version: int) -> bool:
+        """Take a claim over from the sibling that holds it, at its own wish and in one step, so
+        that nobody is without an owner in between; whether that is durable."""
+        lease = self.lease
+        model = self._model
+        if lease is None or self._away or not self._present or key in self._claiming:
+            return False
+        if not model.loaded or not model.fits:
+            return False
+        return await self._write_claim(key, version, lease)
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(work)
@@ -257,16 +329,20 @@
         lease = self.lease
         if lease is None or key in self._claiming:
             return
+        await self._write_claim(key, 0 if held is None else held.version, lease)
+
+    async def _write_claim(self, key: str, version: int, lease: int) -> bool:
         self._claiming.add(key)
         write = wire.Write(put=key, value=wire.raw(wire.Claim(self.node, lease)), lease=lease)
         try:
             await self._committer.commit(
                 Urgency.CLAIM,
-                {key: 0 if held is None else held.version},
+                {key: version},
                 [write],
                 2.0,
                 wanted=lambda: self.lease == lease,
             )
+            return True
         except LeaseLost:
             self._lose_lease()
         except Refused:
@@ -277,7 +353,8 @@
         finally:
             # The replica shows the claim before we act for it, with all that was written earlier.
             self._claiming.discard(key)
-        self._changed()
+            self._changed()
+        return False
 
     def resign(self, share: Share) -> None:
         """Stop acting for a share at once and give up its claim."""
@@ -289,15 +366,25 @@
         share.releasing = True
         self._spawn(self._release(share, held))
 
-    async def _release(self, share: Share, held: Held | None) -> None:
-        key = claim_key(share.index)
+    def resign_leadership(self) -> None:
+        """Give up the leadership."""
+        held = self._model.leader
+        if held is not None and self._is_mine(held):
+            log.info("the leadership is given up")
+            self._spawn(self._delete(LEADER_KEY, held.version))
+
+    async def _delete(self, key: str, version: int) -> None:
         try:
-            if held is not None:
-                await self._committer.commit(
-                    Urgency.CLAIM, {key: held.version}, [wire.Write(delete=key)], 5.0
-                )
+            await self._committer.commit(
+                Urgency.CLAIM, {key: version}, [wire.Write(delete=key)], 5.0
+            )
         except (Refused, Unavailable, Dropped, LeaseLost):
             log.debug("%s: not released", key)
+
+    async def _release(self, share: Share, held: Held | None) -> None:
+        try:
+            if held is not None:
+                await self._delete(claim_key(share.index), held.version)
         finally:
             # Even if the deletion failed, acting again takes a claim of a new version.
             await asyncio.sleep(0.5)
--- a/badgerseam/model/job.py
+++ b/badgerseam/model/job.py
@@ -60,7 +60,10 @@
     """Of all that was evicted with it on its machine, if it is being evicted."""
     evicted_for: str | None = None
     inherited: bool = False
-    """Placed by an earlier owner: when it began to run is not known."""
+    """Placed by an earlier owner that did not say when it began to run."""
+    unseen: bool = False
+    """Placed by an earlier owner, and not seen to run by this one: when it ended, if it has, is not
+    known."""
     error: bool = False
     planned_at: float = 0.0
     started_at: float = 0.0
--- a/badgerseam/model/keys.py
+++ b/badgerseam/model/keys.py
@@ -39,3 +39,8 @@
 
 LEADER_KEY = f"{PREFIX}l"
 TYPES_KEY = f"{PREFIX}f"
+TARGET_KEY = f"{PREFIX}r/target"
+LEVEL_KEY = f"{PREFIX}c/level"
+"""Among the claims on purpose: programs from before levels take the last part of such a key for the
+number of a share, and end when they meet it, at their start or while they run. They could neither
+know the level nor be told to stand aside (docs/rollout.md)."""
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -6,19 +6,19 @@
 
 import msgspec
 
+from badgerseam.levels.table import FIRST
 from badgerseam.model.job import (
     FINISHED,
     PHASE_NAMES,
+    Attempt,
     Job,
     Phase,
     Stage,
 )
-from badgerseam.model.keys import (
-    PREFIX,
-)
+from badgerseam.model.keys import LEVEL_KEY, PREFIX, TARGET_KEY
 from badgerseam.model.machine import Machine
 from badgerseam.model.records import Records, name_key
-from badgerseam.model.state import STALE_S, Arrival, Held, Page, Share, StandIn
+from badgerseam.model.state import STALE_S, Arrival, Held, Page, Present, Share, Site, StandIn
 from badgerseam.wire import state as wire
 from badgerseam.wire.cloud import MachineType
 
@@ -49,16 +49,25 @@
             elif kind == "p":
                 share_name, _, page = name.partition("/")
                 self._apply_page(int(share_name), int(page), value, version)
+            elif key == LEVEL_KEY:
+                # A removal leaves no record to be conditional on: stamp 0, as before the first.
+                self.site = Site(FIRST, 0) if value is None else Site(_level(value), version)
+            elif key == TARGET_KEY:
+                self.target = (
+                    None
+                    if value is None
+                    else (msgspec.json.decode(value, type=wire.Target), version)
+                )
             elif kind == "c":
                 self._apply_claim(int(name), value, version)
             elif kind == "l":
                 self.leader = _held(value, version)
             elif kind == "n":
-                held = _held(value, version)
-                if held is None:
+                if value is None:
                     self.nodes.pop(name, None)
                 else:
-                    self.nodes[name] = held
+                    here: wire.Presence = msgspec.json.decode(value, type=wire.Presence)
+                    self.nodes[name] = Present(here, version)
             elif kind == "d":
                 if value is None:
                     self.deputies.pop(name, None)
@@ -220,6 +229,7 @@
                 if job.status[task] != FINISHED:
                     job.status[task] = FINISHED
                     job.finished += 1
+        starts = dict(entry.starts)
         for row in entry.rows:
             task = row.task
             if task >= job.tasks or job.status[task] == FINISHED:
@@ -234,11 +244,20 @@
                 index = None
             if attempt is not None:
                 if index == attempt.machine.index and attempt.number == row.attempt:
+                    self._set_start(attempt, starts.get(task))
                     continue
                 self.unplace(attempt)
             if index is not None:
                 placed = self.place(job, task, row.attempt, self.machines[index], Stage.PLACED)
-                placed.inherited = True
+                placed.inherited = placed.unseen = True
+                self._set_start(placed, starts.get(task))
+
+    def _set_start(self, attempt: Attempt, tenths: int | None) -> None:
+        """Take over from a row when an attempt of another owner began to run, if it says so."""
+        if tenths is not None:
+            ran = self.clock.wall() - (attempt.job.submitted + tenths / 10)
+            attempt.started_at = self.clock.now() - max(0.0, ran)
+            attempt.inherited = False
 
     def _apply_group(self, group: str, value: msgspec.Raw | None, version: int) -> None:
         rows: dict[str, wire.StoredMachine] = {}
@@ -391,5 +410,10 @@
         self.kicks.add(share.index)
 
 
+def _level(value: msgspec.Raw) -> int:
+    record: wire.SiteLevel = msgspec.json.decode(value, type=wire.SiteLevel)
+    return record.level
+
+
 def _held(value: msgspec.Raw | None, version: int) -> Held | None:
     return None if value is None else Held(msgspec.json.decode(value, type=wire.Claim), version)
--- a/badgerseam/model/records.py
+++ b/badgerseam/model/records.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from badgerseam.clock import Clock
+from badgerseam.levels.table import FIRST, Behaviour, Program
 from badgerseam.model.job import (
     FINISHED,
     PLACED,
@@ -18,6 +19,8 @@
 )
 from badgerseam.model.keys import (
     LEADER_KEY,
+    LEVEL_KEY,
+    TARGET_KEY,
     claim_key,
     deputy_key,
     group_key,
@@ -27,7 +30,7 @@
 )
 from badgerseam.model.machine import Machine
 from badgerseam.model.resources import NOTHING, Resources
-from badgerseam.model.state import Arrival, Held, Page, Share, StandIn, TeamState
+from badgerseam.model.state import Arrival, Held, Page, Present, Share, Site, StandIn, TeamState
 from badgerseam.settings import Settings
 from badgerseam.wire import state as wire
 from badgerseam.wire.cloud import MachineType
@@ -50,6 +53,7 @@
 
     settings: Settings
     clock: Clock
+    program: Program = field(default_factory=Program)
     lock: threading.RLock = field(default_factory=threading.RLock)
     types: dict[str, MachineType] = field(default_factory=dict)
     types_version: int = 0
@@ -71,7 +75,7 @@
     teams: list[TeamState] = field(default_factory=list)
     team_index: dict[str, int] = field(default_factory=dict)
     shares: list[Share] = field(default_factory=list)
-    nodes: dict[str, Held] = field(default_factory=dict)
+    nodes: dict[str, Present] = field(default_factory=dict)
     deputies: dict[str, StandIn] = field(default_factory=dict)
     """Controllers that answer, or have answered, in place of owners out of reach."""
     stood_in: dict[tuple[str, str], int] = field(default_factory=dict)
@@ -81,6 +85,9 @@
     loads: int = 0
     """How often all keys were read."""
     leader: Held | None = None
+    site: Site = field(default_factory=lambda: Site(FIRST, 0))
+    target: tuple[wire.Target, int] | None = None
+    """The level that operators want, and the stamp of that record."""
     hires: dict[str, tuple[wire.StoredHire, int]] = field(default_factory=dict)
     pages: list[dict[int, Page]] = field(default_factory=list)
     """The tasks of each share as they are stored."""
@@ -133,6 +140,26 @@
             machine.total = self.capacity(machine.type)
             machine.node = None
 
+    def active(self, behaviour: Behaviour) -> bool:
+        """Whether a behaviour is switched on: by the followed level alone, and so at the same
+        revision on every controller. What is written because of it has to be conditional on
+        `site.version`."""
+        return self.program.active(behaviour, self.site.level)
+
+    @property
+    def fits(self) -> bool:
+        """Whether this program may act at the site's level."""
+        return self.program.fits(self.site.level)
+
+    @property
+    def misfit(self) -> str | None:
+        """Why this program may not act at the site's level, for people; None if it may."""
+        if self.fits:
+            return None
+        least, most = self.program.least, self.program.most
+        reads = f"level {most} only" if least == most else f"levels {least} to {most}"
+        return f"the stored state is at level {self.site.level} and this program reads {reads}"
+
     @property
     def cut_bound_s(self) -> float:
         """How long an owner that cannot reach the state service goes on answering reports.
@@ -253,6 +280,10 @@
         keys += [page_key(share, page) for share, pages in enumerate(self.pages) for page in pages]
         if self.leader is not None:
             keys.append(LEADER_KEY)
+        if self.site.version:
+            keys.append(LEVEL_KEY)
+        if self.target is not None:
+            keys.append(TARGET_KEY)
         return keys
 
     def usage(self, team: int) -> Resources:
--- a/badgerseam/model/state.py
+++ b/badgerseam/model/state.py
@@ -39,6 +39,24 @@
     version: int
 
 
+@dataclass(slots=True)
+class Present:
+    """A controller's own record as the replica shows it."""
+
+    claim: wire.Presence
+    version: int
+
+
+@dataclass(slots=True)
+class Site:
+    """The site's level as the replica shows it."""
+
+    level: int
+    version: int
+    """The stamp of its record, 0 if there is none: what is written in a form that depends on the
+    level is conditional on it."""
+
+
 STALE_S = 4.0
 """How old a controller's knowledge may be at most for it to answer in another's place: some
 intervals of following."""
--- a/badgerseam/store/ledger.py
+++ b/badgerseam/store/ledger.py
@@ -9,12 +9,12 @@
 import msgspec
 
 from badgerseam.model.job import PHASE_NAMES, Job, Phase, Stage
-from badgerseam.model.keys import claim_key, counts_key, job_key, page_key
+from badgerseam.model.keys import LEVEL_KEY, claim_key, counts_key, job_key, page_key
 from badgerseam.model.model import Model
 from badgerseam.model.state import Page, Share
 from badgerseam.store.client import Refused, StateClient, Unavailable
 from badgerseam.store.committer import Committer, Dropped, Urgency
-from badgerseam.store.pages import Draft, compose
+from badgerseam.store.pages import Draft, compose, refresh
 from badgerseam.wire import state as wire
 from badgerseam.wire.users import Submission
 
@@ -170,7 +170,9 @@
                     job.end_sent = True
                     self._spawn(self._end(job))
             for share in model.shares:
-                if share.owned and not share.committing:
+                # At a level that we do not fit nothing is composed any more, known to the
+                # replica or not.
+                if share.owned and not share.committing and model.fits:
                     self._flush_share(share, now)
 
     def _flush_share(self, share: Share, now: float) -> None:
@@ -193,6 +195,15 @@
             share.committing = True
             self._spawn(self._write(share, draft, urgency))
 
+    def refresh(self, share: Share, number: int) -> bool:
+        """Write one page anew in the level's form, behind everything urgent; False if the share
+        is busy with another write."""
+        if share.committing or not share.owned or not self._model.fits:
+            return False
+        share.committing = True
+        self._spawn(self._write(share, refresh(self._model, share, number), Urgency.UPKEEP))
+        return True
+
     def _wake(self) -> None:
         self._timer = None
         self._changed()
@@ -260,6 +271,8 @@
                     # Somebody else acts for the share.
                     self._resign(share)
             return
+        if LEVEL_KEY in refusal.failed:
+            await self._read_level()
         pages = {page_key(share.index, number): number for number in draft.pages}
         failures = 0
         for key in refusal.failed:
@@ -279,8 +292,10 @@
                         # Somebody else wrote for our share: we are not its owner any more.
                         self._resign(share)
                 return
-        log.info("share %d: jobs changed before tasks were placed: %s", share.index, refusal)
-        names = {key.rpartition("/")[2] for key in refusal.failed}
+        failed = [key for key in refusal.failed if key != LEVEL_KEY]
+        if failed:
+            log.info("share %d: jobs changed before tasks were placed: %s", share.index, failed)
+        names = {key.rpartition("/")[2] for key in failed}
         with model.lock:
             if not share.owned or share.term != term:
                 return
@@ -301,6 +316,20 @@
             except Unavailable:
                 log.debug("%s: could not be read", name)
 
+    async def _read_level(self) -> None:
+        """The site's level has changed under a write: it is composed again in the form of now."""
+        try:
+            entry = await self._state.get(LEVEL_KEY)
+        except Unavailable:
+            # The replica will tell.
+            await asyncio.sleep(0.2)
+            return
+        if entry is None:
+            await asyncio.sleep(0.2)
+            return
+        with self._model.lock:
+            self._model.apply(entry.key, entry.value, entry.version)
+
     async def _end(self, job: Job) -> None:
         model = self._model
         share = model.shares[job.share]
--- a/badgerseam/store/pages.py
+++ b/badgerseam/store/pages.py
@@ -9,8 +9,9 @@
 
 from dataclasses import dataclass, field
 
+from badgerseam.levels.table import Behaviour
 from badgerseam.model.job import FINISHED, Attempt, Job, Phase, Stage
-from badgerseam.model.keys import claim_key, job_key, page_key
+from badgerseam.model.keys import LEVEL_KEY, claim_key, job_key, page_key
 from badgerseam.model.model import Model
 from badgerseam.model.state import Page, Share
 from badgerseam.wire import state as wire
@@ -46,11 +47,26 @@
         }
 
 
+def _begin(model: Model, share: Share) -> Draft:
+    # The form of rows depends on the site's level: one that slept over a raise, or is applied
+    # minutes late, fails.
+    return Draft({claim_key(share.index): share.term, LEVEL_KEY: model.site.version}, {}, [], [])
+
+
+def refresh(model: Model, share: Share, number: int) -> Draft:
+    """Take one page as it is, to be written once more with what is now known of its tasks."""
+    draft = _begin(model, share)
+    page = model.pages[share.index][number]
+    draft.pages[number] = _live(model, page, number, draft, {})
+    draft.conditions[page_key(share.index, number)] = page.version
+    return draft
+
+
 def compose(model: Model, share: Share) -> Draft:
     """Take what is to be made durable, as much as one transaction holds."""
     params = model.settings.params.state
-    most_jobs = max(1, 3 * params.txn_ops - 2)
-    draft = Draft({claim_key(share.index): share.term}, {}, [], [])
+    most_jobs = max(1, 3 * params.txn_ops - 3)
+    draft = _begin(model, share)
     fresh: dict[str, tuple[Job, list[tuple[int, str]], list[wire.TaskRow]]] = {}
     left: list[Attempt] = []
     room = min(MOST_FRESH, max(1, params.txn_ops - OLD_PAGES) * int(512 * params.value_kb))
@@ -130,7 +146,9 @@
         size += _size(entry)
         held = content.get(entry.job)
         if held is not None:
-            entry = wire.JobRows(entry.job, held.done + entry.done, held.rows + entry.rows)
+            entry = wire.JobRows(
+                entry.job, held.done + entry.done, held.rows + entry.rows, held.starts
+            )
         content[entry.job] = entry
     draft.pages[number] = content
 
@@ -153,6 +171,8 @@
 ) -> dict[str, wire.JobRows]:
     """What of a page still counts, as it is now."""
     live: dict[str, wire.JobRows] = {}
+    kept = model.active(Behaviour.ATTEMPT_STARTS)
+    offset = model.clock.wall() - model.clock.now()
     planned = set(map(id, draft.planned))
     for entry in page.jobs.values():
         job = model.job(entry.job)
@@ -166,14 +186,19 @@
             if job.bits_page.get(chunk) == number and chunk not in superseded
         ]
         rows = []
+        starts: list[tuple[int, int]] = []
         for row in entry.rows:
             if job.status[row.task] == FINISHED and not _unsaved(job, row.task):
                 continue
             attempt = job.attempts.get(row.task)
             if row.attempt == job.tries.get(row.task):
-                kept = attempt is not None
-                if kept or job.phase == Phase.OPEN:
-                    rows.append(row if kept else wire.TaskRow(row.task, row.attempt, None))
+                if attempt is not None:
+                    rows.append(row)
+                    if kept and attempt.started_at > 0 and not attempt.inherited:
+                        began = attempt.started_at + offset - job.submitted
+                        starts.append((row.task, max(0, round(10 * began))))
+                elif job.phase == Phase.OPEN:
+                    rows.append(wire.TaskRow(row.task, row.attempt, None))
             elif attempt is None:
                 # The attempt after it may have been taken back before it was durable.
                 if job.phase == Phase.OPEN:
@@ -183,10 +208,31 @@
                 # has to be remembered.
                 rows.append(wire.TaskRow(row.task, row.attempt, None))
         if done or rows:
-            live[job.id] = wire.JobRows(job.id, done, rows)
+            live[job.id] = wire.JobRows(job.id, done, rows, starts)
     return live
 
 
+def lacking(model: Model, page: Page, least_s: float) -> int:
+    """How many rows of a page do not say when their attempts began that have run for so long."""
+    since = model.clock.now() - least_s
+    found = 0
+    for entry in page.jobs.values():
+        job = model.job(entry.job)
+        if job is None:
+            continue
+        said = {task for task, _ in entry.starts}
+        for row in entry.rows:
+            attempt = job.attempts.get(row.task)
+            found += (
+                row.task not in said
+                and attempt is not None
+                and attempt.number == row.attempt
+                and not attempt.inherited
+                and 0 < attempt.started_at <= since
+            )
+    return found
+
+
 def _unsaved(job: Job, task: int) -> bool:
     """Whether a task has finished and this is not durable yet."""
     return task // job.chunk_size in job.bits_changed
--- a/badgerseam/store/replica.py
+++ b/badgerseam/store/replica.py
@@ -6,7 +6,9 @@
 import logging
 from collections.abc import Callable
 
-from badgerseam.model.keys import PREFIX
+import msgspec
+
+from badgerseam.model.keys import LEVEL_KEY, PREFIX
 from badgerseam.model.model import Model
 from badgerseam.store.client import StateClient, TooOld, Unavailable
 
@@ -17,13 +19,30 @@
 known is no older than that."""
 
 
+class Undecodable(Exception):
+    """A record is not one of this program's, at a level that it fits; the message names the key."""
+
+
 class Replica:
-    """Loads the model at the start and then applies every change in order."""
+    """Loads the model at the start and then applies every change in order.
 
-    def __init__(self, model: Model, state: StateClient, changed: Callable[[], None]) -> None:
+    At a site whose level the program does not fit, nothing but the level's record is read: other
+    records may have forms that it would misunderstand, and an older program has ended at such a
+    one before. `fitting` is told when that begins and when it is over.
+    """
+
+    def __init__(
+        self,
+        model: Model,
+        state: StateClient,
+        changed: Callable[[], None],
+        fitting: Callable[[bool], None] = lambda fits: None,
+    ) -> None:
         self._model = model
         self._state = state
         self._changed = changed
+        self._fitting = fitting
+        self._aside = False
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -32,12 +51,16 @@
         loaded = False
         while True:
             try:
+                if self._aside:
+                    await self._wait_to_fit()
+                    loaded = False
                 if not loaded:
-                    await self._load()
-                    loaded = True
+                    loaded = await self._load()
                     self._changed()
+                    if not loaded:
+                        continue
                 asked = model.clock.now()
-                changes = await self._state.follow(PREFIX, self._model.revision, WAIT_S)
+                changes = await self._state.follow(PREFIX, model.revision, WAIT_S)
                 failures = 0
             except TooOld:
                 log.info("the changes to follow are no longer kept; reading all keys again")
@@ -54,16 +77,66 @@
                         model.apply(event.put, event.value, event.version)
                     elif event.delete is not None:
                         model.apply(event.delete, None, event.version)
-                model.revision = max(model.revision, changes.revision)
-                model.followed_at = max(model.followed_at, asked)
+                    if not model.fits:
+                        # What comes behind it may have a form that we do not know.
+                        self._stand_aside()
+                        break
+                else:
+                    model.revision = max(model.revision, changes.revision)
+                    model.followed_at = max(model.followed_at, asked)
             self._changed()
 
-    async def _load(self) -> None:
+    def _stand_aside(self) -> None:
+        model = self._model
+        log.error(
+            "%s: it takes no part. Install a program that reads level %d, or have the level "
+            "lowered (badgerseam rollout status)",
+            model.misfit,
+            model.site.level,
+        )
+        self._aside = True
+        # First told, while the model still shows what is held and has to be given up.
+        self._fitting(False)
+        model.loaded = False
+
+    async def _read_level(self) -> int:
+        """Make the model's level what the state service has now; the revision of that."""
+        model = self._model
+        page = await self._state.page(LEVEL_KEY, None)
+        with model.lock:
+            if page.items:
+                entry = page.items[0]
+                model.apply(LEVEL_KEY, entry.value, entry.version)
+            elif model.site.version:
+                # Lowered to the level without a record while we did not look.
+                model.apply(LEVEL_KEY, None, model.versions.get(LEVEL_KEY, 0) + 1)
+        return page.revision
+
+    async def _wait_to_fit(self) -> None:
+        model = self._model
+        revision = await self._read_level()
+        if not model.fits:
+            await self._state.follow(LEVEL_KEY, revision, WAIT_S)
+            return
+        log.info("the site is at level %d: this program takes part again", model.site.level)
+        self._aside = False
+        self._fitting(True)
+
+    async def _load(self) -> bool:
+        """Read all keys; False if the program does not fit the site's level."""
         model = self._model
+        if self._aside:
+            return False
+        # Before all else: what lies at another level must not be looked at.
+        await self._read_level()
         after: str | None = None
         revision: int | None = None
+        strange: str | None = None
         seen: set[str] = set()
         with model.lock:
+            if not model.fits:
+                self._stand_aside()
+                return False
             model.begin_load()
         while True:
             page = await self._state.page(PREFIX, after)
@@ -74,11 +147,27 @@
             with model.lock:
                 for entry in page.items:
                     seen.add(entry.key)
-                    model.apply(entry.key, entry.value, entry.version)
+                    try:
+                        model.apply(entry.key, entry.value, entry.version)
+                    except msgspec.ValidationError as error:
+                        strange = f"{entry.key}: {error}"
+                        break
+            if strange is not None:
+                # Raised past us while we read, or else nothing that we can go on from.
+                await self._read_level()
+                with model.lock:
+                    if model.fits:
+                        raise Undecodable(strange)
+                    self._stand_aside()
+                return False
             if not page.more or not page.items:
                 break
             after = page.items[-1].key
             await asyncio.sleep(0)
         with model.lock:
             model.end_load(revision, seen)
+            if not model.fits:
+                self._stand_aside()
+                return False
         log.info("replica loaded at revision %d: %d keys", revision, len(seen))
+        return True
--- a/badgerseam/wire/state.py
+++ b/badgerseam/wire/state.py
@@ -76,8 +76,18 @@
 
     node: str
     lease: int
-    deaf: bool = False
-    """Of a controller's own record: it hears no worker, and takes no share."""
+    away: bool = False
+    """Of a controller's own record: it takes no share, since it hears no worker, is asked to
+    leave, or does not fit the site's level."""
+
+
+class Presence(Claim, frozen=True, array_like=True):
+    """A controller's own record, on its lease: that it is there, and which levels of the stored
+    state its program can act at. A program from before levels says nothing of them."""
+
+    least: int = 1
+    most: int = 1
+    program: str = ""
 
 
 class Deputy(Struct, frozen=True, array_like=True):
@@ -114,6 +124,9 @@
     job: str
     done: list[tuple[int, str]]
     rows: list[TaskRow]
+    starts: list[tuple[int, int]] = field(default_factory=list)
+    """When attempts of these rows began to run, where the site's level has it: the task, and
+    tenths of a second after the job's acceptance. Programs of the level before leave it out."""
 
 
 class StoredMachine(Struct, frozen=True, array_like=True):
@@ -140,6 +153,24 @@
     at: float
 
 
+class SiteLevel(Struct, frozen=True, array_like=True):
+    """The level of the stored state that a site is at."""
+
+    level: int
+    by: str
+    """The leader that wrote it."""
+    at: float
+
+
+class Target(Struct, frozen=True, array_like=True):
+    """What operators want of the level; without such a record it rises when it can."""
+
+    level: int
+    """To be raised or lowered to, one step at a time, and to stay at."""
+    by: str
+    at: float
+
+
 class StoredCounts(Struct, frozen=True, array_like=True):
     """G and F of a share."""
 
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -188,6 +188,7 @@
             if attempt.stage >= Stage.FETCHING:
                 # It was there and is gone without a word: its session has ended.
                 attempt.stage = Stage.PLACED
+                attempt.started_at = 0.0
                 machine.node = None
             if attempt.stopping or machine.draining:
                 model.unplace(attempt)
@@ -202,8 +203,13 @@
             return
         if item.state != "exited":
             stage = _STAGES.get(item.state, Stage.RUNNING)
+            if stage == Stage.FETCHING:
+                # Given once more after its session had ended: what was known of its start is past.
+                attempt.started_at = 0.0
             if stage == Stage.RUNNING and attempt.stage < Stage.RUNNING:
-                attempt.started_at = now
+                # An owner before us may have seen it begin, and kept that with its row.
+                attempt.started_at = attempt.started_at or now
+                attempt.unseen = False
                 log.debug(
                     "%s (%s) runs on %s: seen %.2f s ago, planned %.2f s ago",
                     attempt.name,
