Rollouts: the level rises when all controllers have it, controllers leave without a gap

Need: new behaviour is to be switched on only when every controller has it, and a controller that is replaced should leave no share without an actor.

Change: the leader raises or lowers the level one step at a time, in one transaction on the stamps of its claim, of what operators want, of the level, and of every configured controller's own record, which lie on leases. A controller that is asked to leave passes each claim on in one step (/take on the stamp of its own). `badgerseam rollout status | plan | hold | raise | lower | leave | return | run`; run replaces one controller after the other and stops by itself when something got worse. The lab runs controllers from other trees (`replace`, `rollout`) and measures how long nobody acts for a share.

--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -13,7 +13,8 @@
 from badgerseam.api.accounting import ACCOUNTING, AccountingApi
 from badgerseam.api.batch import MACHINES, NUMBERS, BatchApi
 from badgerseam.api.questions import Questions
-from badgerseam.cluster.member import Member
+from badgerseam.api.rollout import ROLLOUT, RolloutApi
+from badgerseam.cluster.member import Away, Member
 from badgerseam.http.server import Reply, error_reply
 from badgerseam.model.job import Job, Phase
 from badgerseam.model.keys import job_key
@@ -37,6 +38,8 @@
 TAKEN = "another job has this id"
 GATHER_S = 0.004
 RETRY_S = 1
+ASIDE_S = 2
+"""Told to users of a controller that takes no part: another one answers them."""
 
 
 class Confirmations:
@@ -103,8 +106,10 @@
         questions: Questions | None = None,
         batch: BatchApi | None = None,
         accounting: AccountingApi | None = None,
+        rollout: RolloutApi | None = None,
     ) -> None:
         self._model = model
+        self._rollout = rollout
         self._questions = questions
         self._batch = batch
         self._accounting = accounting
@@ -116,7 +121,13 @@
 
     async def handle(self, method: str, path: str, body: bytes) -> Reply:
         """One request of a user or a health check."""
+        misfit = self._model.misfit
+        if misfit is not None:
+            # What it knows is as old as its standing aside, and in a form that may be past.
+            return error_reply(503, misfit, ASIDE_S)
         try:
+            if self._rollout is not None and path.startswith(ROLLOUT + "/"):
+                return await self._rollout.handle(method, path, body)
             return await self._route(method, path, body)
         except Unavailable:
             return error_reply(503, "the state service cannot be asked", RETRY_S)
@@ -129,11 +140,19 @@
             return self._control.checkin(body)
         if path.partition("?")[0] == "/ready":
             return self._ready()
+        if path == ROLLOUT and method == "GET" and self._rollout is not None:
+            # Answered at once: it must not count among the requests that a leaver waits for.
+            return self._rollout.view()
         return self.handle(method, path, body)
 
     def _ready(self) -> Reply:
         # In an outage that all share, no node is better than this one, and a removal from the
         # load balancer would outlast it.
+        misfit = self._model.misfit
+        if misfit is not None:
+            return error_reply(503, misfit, ASIDE_S)
+        if self._member.away(Away.LEAVING):
+            return error_reply(503, "leaving", ASIDE_S)
         if self._model.loaded and self._model.types and self._alone() is None:
             return Reply(200, b'{"ready":true}')
         return error_reply(503, "not ready", RETRY_S)
--- a/badgerseam/cli/lab.py
+++ b/badgerseam/cli/lab.py
@@ -139,7 +139,7 @@
 def _options_file(directory: Path) -> Path:
     """The service's own options, all that a lab shows switched on."""
     path = directory / "options.json"
-    path.write_text('{"explain": {}, "batch": {}, "accounting": {}}\n')
+    path.write_text('{"explain": {}, "batch": {}, "accounting": {}, "rollout": {}}\n')
     return path
 
 
@@ -249,7 +249,16 @@
     seed = experiment.seed if options.seed is None else options.seed
     out = Path(options.out or Path(options.experiment).with_suffix("").as_posix() + "-report")
     out.mkdir(parents=True, exist_ok=True)
-    lab = Lab(experiment.site or Site(), out, Clock(), Random(seed), 0, _options_file(out))
+    lab = Lab(
+        experiment.site or Site(),
+        out.resolve(),
+        Clock(),
+        Random(seed),
+        0,
+        _options_file(out.resolve()),
+        experiment.sources,
+        experiment.first,
+    )
     console = Console()
     await lab.start()
     try:
@@ -300,6 +309,14 @@
             f"questions by status {report.questions}; answered within "
             f"{' / '.join(f'{v:.3f}' for v in report.answer_s)} s; reasons {report.reasons}"
         )
+    gaps = sorted(report.vacant_s)
+    console.print(
+        f"level {report.level}; shares or leadership without an actor {len(gaps)} times, for "
+        f"{gaps[len(gaps) // 2] if gaps else 0:.2f} s (median), {gaps[-1] if gaps else 0:.2f} s "
+        "(most)"
+    )
+    for outcome in report.rollouts:
+        console.print(f"rollout: {outcome or 'all controllers replaced'}")
     accounts = report.accounts
     if accounts is not None:
         console.print(
--- /dev/null
+++ b/badgerseam/cli/rollout.py
@@ -0,0 +1,211 @@
+"""`badgerseam rollout`: how far the controllers are, which level they are to be at, who leaves."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import shlex
+from typing import TYPE_CHECKING
+
+from badgerseam.cli.client import DEFAULT_NODE, NODES_VARIABLE, Front, Unreachable, refusal
+from badgerseam.cli.exits import EXIT_FAILED, EXIT_OK, EXIT_UNREACHABLE, EXIT_USAGE, fail
+from badgerseam.wire import rollout as wire
+
+if TYPE_CHECKING:
+    from badgerseam.rollout.choreography import Limits
+
+Commands = argparse._SubParsersAction
+PATH = "/rollout"
+
+
+def add_commands(commands: Commands[argparse.ArgumentParser]) -> None:
+    """Declare `rollout` and its own commands."""
+    rollout = commands.add_parser("rollout", help="replace the controllers, raise the level")
+    orders = rollout.add_subparsers(dest="order", required=True)
+    orders.add_parser("status", help="the level, each controller, and what blocks a raise")
+    orders.add_parser("plan", help="what a rollout would do now, and what speaks against it")
+    orders.add_parser("hold", help="stay at the present level, so that any one can be put back")
+    raised = orders.add_parser("raise", help="let the level rise as soon as all can act at it")
+    raised.add_argument("--to", type=int, help="no further than this level, and stay there")
+    lowered = orders.add_parser("lower", help="go back to an earlier level, if that can be done")
+    lowered.add_argument("--to", type=int, help="the level (default: the one below)")
+    for name, text in (
+        ("leave", "have the controller at --node pass on its shares, so that it can be ended"),
+        ("return", "have it take shares again"),
+    ):
+        orders.add_parser(name, help=text)
+    run = orders.add_parser("run", help="replace all controllers, one after the other")
+    run.add_argument(
+        "--replace",
+        required=True,
+        help="a command that ends a controller's process and starts the new program; "
+        "{node} and {address} in it are filled in",
+    )
+    run.add_argument("--leave-s", type=float, default=60.0, help="limit (default %(default)s)")
+    run.add_argument("--back-s", type=float, default=60.0, help="limit (default %(default)s)")
+    run.add_argument("--steady-s", type=float, default=5.0, help="between two (%(default)s)")
+    for order in orders.choices.values():
+        order.add_argument(
+            "--node",
+            default=os.environ.get(NODES_VARIABLE, DEFAULT_NODE),
+            help=f"address of a node, or several with commas ({NODES_VARIABLE} if not given; "
+            f"default {DEFAULT_NODE})",
+        )
+        order.add_argument("--patience", type=float, default=3.0, help="seconds (%(default)s)")
+        order.add_argument("--json", action="store_true", help="print the response as it came")
+
+
+async def run(options: argparse.Namespace) -> int:
+    """Carry out one of the commands; the exit code."""
+    if options.patience < 0:
+        return fail("--patience: a number of seconds, 0 to ask once", EXIT_USAGE)
+    if options.order in ("leave", "return") and "," in options.node:
+        return fail("--node: the one controller that is meant", EXIT_USAGE)
+    front = Front(options.node, options.patience)
+    try:
+        if options.order in ("run", "plan"):
+            return await _roll(options)
+        if options.order == "status":
+            return await _tell(front, options, "GET", PATH, None)
+        if options.order in ("leave", "return"):
+            return await _tell(front, options, "POST", f"{PATH}/{options.order}", b"{}")
+        return await _aim(front, options)
+    except Unreachable as error:
+        return fail(str(error), EXIT_UNREACHABLE)
+
+
+async def _aim(front: Front, options: argparse.Namespace) -> int:
+    """Say which level is wanted."""
+    level: int | None = getattr(options, "to", None)
+    if level is not None and level < 1:
+        return fail("--to: a level, 1 or more", EXIT_USAGE)
+    response = await front.ask("GET", PATH)
+    if response.status != 200:
+        return fail(refusal(response), EXIT_FAILED)
+    now = wire.view_decoder.decode(response.body).level
+    if options.order == "hold":
+        level = now
+    elif options.order == "lower":
+        level = now - 1 if level is None else level
+        if not 1 <= level < now:
+            return fail(f"--to: the site is at level {now}: a level below it", EXIT_USAGE)
+    elif level is not None and level <= now:
+        return fail(f"--to: the site is at level {now}: a level above it", EXIT_USAGE)
+    body = wire.encode(wire.Wish(level))
+    return await _tell(front, options, "POST", f"{PATH}/target", body)
+
+
+async def _tell(
+    front: Front, options: argparse.Namespace, method: str, path: str, body: bytes | None
+) -> int:
+    response = await front.ask(method, path, body)
+    if response.status == 404:
+        return fail("rollouts are switched off there (section rollout of the options)", EXIT_FAILED)
+    if response.status != 200:
+        return fail(refusal(response), EXIT_FAILED)
+    if options.json:
+        print(response.body.decode())
+    else:
+        print(describe(wire.view_decoder.decode(response.body)))
+    return EXIT_OK
+
+
+def describe(view: wire.View) -> str:
+    """The state of a rollout for people."""
+    lines = [f"level {view.level} ({view.name}); active: {', '.join(view.active) or 'nothing'}"]
+    if view.target is not None:
+        lines.append(f"operators want level {view.target}")
+    if view.next is not None:
+        lines.append(f"next: level {view.next}" + (", blocked" if view.blocked_by else ""))
+    lines += [f"  {entry.node or 'this site'}: {entry.reason}" for entry in view.blocked_by]
+    for entry in view.controllers:
+        reads = "" if entry.least is None else f"reads levels {entry.least} to {entry.most}"
+        shares = " ".join(map(str, entry.shares)) or "none"
+        leads = ", leads" if entry.leader else ""
+        program = f" ({entry.program})" if entry.program else ""
+        lines.append(f"{entry.node:<12} {entry.state:<8} shares {shares}{leads} {reads}{program}")
+    if view.shares_without_actor:
+        lines.append(f"without an actor: shares {view.shares_without_actor}")
+    own = view.own
+    lines.append(
+        f"{own.node} itself: {own.state}{', may be ended' if own.may_end else ''}, "
+        f"{'caught up' if own.caught_up else 'behind'}, hears {own.heard} of {own.machines} "
+        f"machines, up for {own.uptime_s:.0f} s"
+    )
+    done = own.refreshing
+    lines.append(
+        f"rows in the older form: {done.lacking} of {done.rows}; {done.pages_written} pages "
+        "written for that"
+    )
+    return "\n".join(lines)
+
+
+class Platform:
+    """A site whose processes are replaced by a command of the operators."""
+
+    def __init__(self, addresses: dict[str, str], command: str, patience_s: float) -> None:
+        self._addresses = addresses
+        self._command = command
+        self._patience_s = patience_s
+
+    async def view(self, node: str) -> wire.View | None:
+        """How a controller sees the site; None if it does not answer."""
+        return await ask_view(self._addresses[node])
+
+    async def leave(self, node: str) -> str | None:
+        """Ask a controller to leave; why it refused, or None."""
+        front = Front(self._addresses[node], self._patience_s)
+        response = await front.ask("POST", f"{PATH}/leave", b"{}")
+        return None if response.status == 200 else refusal(response)
+
+    async def replace(self, node: str) -> None:
+        """Run the operators' command; its failure is seen in that the controller stays away."""
+        words = [
+            word.format(node=node, address=self._addresses[node])
+            for word in shlex.split(self._command)
+        ]
+        process = await asyncio.create_subprocess_exec(*words)
+        if await process.wait():
+            print(f"{node}: the command ended with code {process.returncode}")
+
+
+async def ask_view(address: str) -> wire.View | None:
+    """A controller's view of a rollout; None if it does not answer, or knows of none."""
+    import msgspec
+
+    try:
+        response = await Front(address, 0.0).ask("GET", PATH, None, 2.0)
+        return wire.view_decoder.decode(response.body) if response.status == 200 else None
+    except (Unreachable, msgspec.DecodeError):
+        return None
+
+
+async def _roll(options: argparse.Namespace) -> int:
+    from badgerseam.clock import Clock
+    from badgerseam.rollout.choreography import Choreography, Limits, Stopped, order
+
+    addresses: dict[str, str] = {}
+    for address in options.node.split(","):
+        view = await ask_view(address.strip())
+        if view is None:
+            text = "does not answer, or rollouts are switched off there"
+            return fail(f"--node: {address.strip()} {text}", EXIT_UNREACHABLE)
+        addresses[view.own.node] = address.strip()
+    command = getattr(options, "replace", "")
+    platform = Platform(addresses, command, options.patience)
+    try:
+        if options.order == "plan":
+            for step, node in enumerate(await order(platform, list(addresses)), 1):
+                print(f"{step}. {node} ({addresses[node]}) leaves, is replaced, acts again")
+            found = await platform.view(next(iter(addresses)))
+            if found is not None:
+                print(describe(found))
+            return EXIT_OK
+        limits: Limits = Limits(options.leave_s, options.back_s, options.steady_s)
+        await Choreography(platform, Clock(), print, limits).run(list(addresses))
+    except Stopped as stopped:
+        return fail(f"stopped: {stopped}", EXIT_FAILED)
+    except (KeyError, IndexError, ValueError) as error:
+        return fail(f"--replace: {error}: only {{node}} and {{address}} are filled in", EXIT_USAGE)
+    return EXIT_OK
--- a/badgerseam/cluster/peers.py
+++ b/badgerseam/cluster/peers.py
@@ -11,10 +11,11 @@
 from badgerseam.fleet.returns import Returns
 from badgerseam.http.client import Client, NoResponse, TurnedAway
 from badgerseam.http.server import Reply, error_reply
+from badgerseam.model.keys import LEADER_KEY, claim_key
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
 from badgerseam.store.client import StateClient
-from badgerseam.wire import explain
+from badgerseam.wire import explain, rollout
 from badgerseam.wire import peers as wire
 from badgerseam.wire.explain import CloudView
 
@@ -25,6 +26,8 @@
 HEALTH_S = 1.0
 MISSED = 3
 """Requests without an answer after which a sibling counts as out of reach."""
+TAKE_S = 1.5
+"""What a sibling gets to take a claim over: a write or two."""
 LEADER_S = 0.5
 """What the leader gets to say what it knows of the cloud: a user waits for the answer."""
 
@@ -40,6 +43,7 @@
         self._state = state
         self._local: LocalAnswers | None = None
         self._view: Callable[[], CloudView | None] = lambda: None
+        self._take: Callable[[str, int], Awaitable[bool]] | None = None
         self._served: str | None = None
         self._served_at = -1e9
         self._model = model
@@ -63,6 +67,8 @@
             )
         if path == "/why" and method == "POST":
             return await self._why(body)
+        if path == "/take" and method == "POST":
+            return await self._take_over(body)
         if path != "/give" or method != "POST":
             return error_reply(404, "no such path")
         try:
@@ -82,6 +88,30 @@
             done |= await self._returns.give(machines, give.share, give.vacate)
         return Reply(200, wire.encode(wire.Given(sorted(done))))
 
+    # ---- a sibling that leaves ----
+
+    def take_with(self, take: Callable[[str, int], Awaitable[bool]]) -> None:
+        """Take claims over that siblings want to pass on, from now on."""
+        self._take = take
+
+    async def _take_over(self, body: bytes) -> Reply:
+        try:
+            asked = rollout.take_decoder.decode(body)
+        except msgspec.DecodeError:
+            return error_reply(400, "not a request to take")
+        known = {LEADER_KEY, *(claim_key(share.index) for share in self._model.shares)}
+        if asked.key not in known or asked.version < 1:
+            return error_reply(400, "no such claim")
+        if self._take is None or not await self._take(asked.key, asked.version):
+            return error_reply(409, "not taken")
+        return Reply(200)
+
+    async def ask_to_take(self, node: str, key: str, version: int) -> bool:
+        """Have a sibling take a claim of ours over; whether it says that it has. No answer is no
+        proof of the contrary: the replica tells."""
+        body = rollout.encode(rollout.Take(key, version))
+        return await self._ask(node, "POST", "/take", body, TAKE_S) is not None
+
     # ---- why a job waits ----
 
     def answer_with(self, local: LocalAnswers, view: Callable[[], CloudView | None]) -> None:
--- a/badgerseam/http/server.py
+++ b/badgerseam/http/server.py
@@ -79,6 +79,11 @@
         """How many are open."""
         return self._server.open
 
+    @property
+    def busy(self) -> int:
+        """How many requests are waiting for their answer."""
+        return len(self._tasks)
+
     def stop(self) -> None:
         self._server.stop()
 
--- a/badgerseam/lab/experiment.py
+++ b/badgerseam/lab/experiment.py
@@ -42,6 +42,13 @@
         float, Meta(ge=0, description="how often users ask why a job waits")
     ] = 0.0
     site: Site | None = None
+    sources: Annotated[
+        dict[str, str],
+        Meta(description="other programs for `replace`: a folder, or a revision of this project"),
+    ] = field(default_factory=dict)
+    first: Annotated[
+        str, Meta(description="what the controllers are started from; empty: these sources")
+    ] = ""
     steps: list[Step] = field(default_factory=list)
 
 
--- a/badgerseam/lab/lab.py
+++ b/badgerseam/lab/lab.py
@@ -27,6 +27,8 @@
 from badgerseam.lab.services import CloudService, StateService, serve_for
 from badgerseam.lab.site import Ports, Site, controller_settings, write_settings
 from badgerseam.lab.state import StateCore
+from badgerseam.lab.trees import OWN, Tree, TreeError, lay, own_tree
+from badgerseam.lab.vacancy import Vacancy
 from badgerseam.lab.worker import Identity, Results, WorkerCore
 from badgerseam.model.resources import Resources
 
@@ -54,12 +56,18 @@
         random: Random,
         port: int = 0,
         options: Path | None = None,
+        sources: dict[str, str] | None = None,
+        first: str = OWN,
     ) -> None:
+        """`sources`: other trees that controllers can run from, by name; `first`: the one that
+        they are started from."""
         self.site = site
         self.directory = directory
         self.clock = clock
         self.random = random
-        self._options = options
+        self._sources = sources or {}
+        self._first = first
+        self.trees: dict[str, Tree] = {OWN: own_tree(options)}
         self._port = port
         self.links = Links(random)
         self.state_core = StateCore(clock, site.state)
@@ -81,6 +89,9 @@
         self.controllers: dict[str, Controller] = {}
         self.addresses: dict[str, str] = {}
         self.notes: list[str] = []
+        self.rollouts: list[str] = []
+        """How each rollout ended: empty, or why it stopped."""
+        self.vacancy = Vacancy(self.state_core, clock, site.shares, self._process)
         self.load: Load | None = None
         self._servers: list[Server] = []
         self._relays: list[Relay] = []
@@ -123,6 +134,13 @@
         self.started = True
 
     async def _start_parts(self) -> None:
+        try:
+            for name, where in self._sources.items():
+                self.trees[name] = lay(name, where, self.directory)
+        except TreeError as error:
+            raise LabError(str(error)) from error
+        if self._first not in self.trees:
+            raise LabError(f"first: {self._first!r}: one of {', '.join(self._sources)}")
         ports = self._ports()
         self.addresses = {node: f"127.0.0.1:{ports[node].api}" for node in self.nodes}
         self.front = Front(self.addresses, self.history)
@@ -150,13 +168,14 @@
             self.controllers[node] = Controller(
                 node,
                 path,
-                self._options,
+                self.trees[self._first],
                 self.directory / f"{node}.log",
                 self.clock,
                 self._note,
             )
             self.controllers[node].start()
         self._drive = asyncio.ensure_future(self._pass())
+        self.vacancy.start()
         card = {"pid": os.getpid(), "front": f"127.0.0.1:{self.front_port}"}
         (self.directory / "lab.json").write_text(json.dumps(card | {"nodes": self.addresses}))
 
@@ -214,6 +233,7 @@
             self.load.stop()
         if self._drive is not None:
             self._drive.cancel()
+        self.vacancy.stop()
         await asyncio.gather(*(c.stop() for c in self.controllers.values()))
         for machine in self.machines.values():
             machine.stop()
@@ -232,6 +252,11 @@
             self._lock.close()
             self._lock = None
 
+    def _process(self, node: str) -> int:
+        """The number of a controller's process; 0 while it has none."""
+        controller = self.controllers.get(node)
+        return 0 if controller is None or controller.pid is None else controller.starts
+
     def _note(self, text: str) -> None:
         log.warning("%s", text)
         self.notes.append(text)
--- a/badgerseam/lab/report.py
+++ b/badgerseam/lab/report.py
@@ -57,6 +57,12 @@
     reasons: dict[str, int] = field(default_factory=dict)
     accounts: Reconciled | None = None
     """The accounts beside the history."""
+    vacant_s: list[float] = field(default_factory=list)
+    """How long nobody acted for a share or the leadership, each time, once somebody had."""
+    rollouts: list[str] = field(default_factory=list)
+    """How each rollout ended: empty, or why it stopped."""
+    level: int = 1
+    """Of the stored state at the end."""
     samples: list[Any] = field(default_factory=list)
 
 
@@ -106,6 +112,9 @@
         else [],
         dict(asker.codes.most_common()),
         accounts,
+        [round(gap, 3) for gap in lab.vacancy.gaps],
+        lab.rollouts,
+        lab.vacancy.level(),
         [msgspec.to_builtins(sample) for sample in samples],
     )
 
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -13,11 +13,12 @@
 from badgerseam.api.accounting import AccountingApi
 from badgerseam.api.batch import BatchApi
 from badgerseam.api.questions import Questions
+from badgerseam.api.rollout import RolloutApi
 from badgerseam.api.users import Api
 from badgerseam.batch.numbers import Numbers
 from badgerseam.clock import Clock
 from badgerseam.cluster.deputies import Deputies
-from badgerseam.cluster.member import Member
+from badgerseam.cluster.member import Away, Member
 from badgerseam.cluster.peers import Peers
 from badgerseam.explain.explainer import Explainer
 from badgerseam.fleet.cloud import Cloud
@@ -27,6 +28,9 @@
 from badgerseam.http.server import Handler, Server
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
+from badgerseam.rollout.handover import Handover
+from badgerseam.rollout.raising import Raising
+from badgerseam.rollout.refresh import Refresh
 from badgerseam.sched.planner import Planner
 from badgerseam.settings import Settings, Tunables
 from badgerseam.store.client import StateClient
@@ -113,7 +117,7 @@
             self.peers.give,
             self.pulse,
         )
-        self.replica = Replica(self.model, self.state, self.pulse)
+        self.replica = Replica(self.model, self.state, self.pulse, self._fitting)
         self.explainer: Explainer | None = None
         questions: Questions | None = None
         if tunables.explain is not None:
@@ -143,6 +147,20 @@
                     self.model, self.state, self.committer, tunables.accounting, self._process_name
                 )
             accounting = AccountingApi(self.model, accounts.book, accounts.log)
+        self.peers.take_with(self.member.take)
+        self.raising: Raising | None = None
+        self.refresh: Refresh | None = None
+        rollout: RolloutApi | None = None
+        if tunables.rollout is not None:
+            self.raising = Raising(self.model, self.member, self.committer, tunables.rollout)
+            self.refresh = Refresh(self.model, self.ledger, self.committer)
+            handover = Handover(
+                self.model,
+                self.member,
+                self.peers.ask_to_take,
+                lambda: sum(server.busy for server in self._servers),
+            )
+            rollout = RolloutApi(self.model, self.member, self.raising, handover, self.refresh)
         self.api = Api(
             self.model,
             self.state,
@@ -153,6 +171,7 @@
             questions,
             batch,
             accounting,
+            rollout,
         )
         self._pulse_at: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -163,6 +182,13 @@
         taken = sum(server.connections for server in self._servers)
         return max(LEAST_KEPT, min(round(KEPT * sockets), round((1 - SPARE) * sockets) - taken))
 
+    def _fitting(self, fits: bool) -> None:
+        """The program has begun, or ceased, to fit the site's level."""
+        if fits:
+            self.member.come_back(Away.UNFIT)
+        else:
+            self.member.stand_aside()
+
     def _process_name(self) -> str:
         # The lease's number makes it one that no other process has had.
         return f"{self.settings.node}-{self.member.lease}"
@@ -222,8 +248,12 @@
                         )
                 for machine, share in self.returns.vacated():
                     self._spawn(self._pass_on(machine, share))
+                if self.raising is not None:
+                    self.raising.review()
                 if rounds % CLOSE_ROUNDS == 0:
                     self.ledger.close()
+                    if self.refresh is not None:
+                        self.refresh.review()
                 if rounds % 2 == 0 and self.returns.finished():
                     self._spawn(self.returns.drop())
                 if rounds % max(1, round(self.tunables.counts_s / TICK_S)) == 0:
--- /dev/null
+++ b/badgerseam/rollout/handover.py
@@ -0,0 +1,154 @@
+"""A controller that leaves: its shares and the leadership go to siblings one by one, and only then
+may its process be ended.
+
+A claim passes in one transaction that the heir makes on the stamp of the leaver's claim, so that at
+no revision nobody holds it. The leaver acts until its replica shows the new holder, which is the
+same moment at which a cut owner would learn of it; everything of its that arrives later is fenced
+as that owner's is (docs/design.md, points 3, 5 and 6).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Coroutine
+
+from badgerseam.cluster.member import Away, Member
+from badgerseam.model.keys import LEADER_KEY, claim_key
+from badgerseam.model.model import Model
+
+log = logging.getLogger("badgerseam.rollout")
+
+SHOWN_S = 1.0
+"""How long a claim that a sibling says to have taken may stay unseen until it is asked anew."""
+STEP_S = 0.005
+ANNOUNCE_S = 0.1
+DRAIN_S = 6.0
+"""A load balancer that probes once a second needs two failures to lead users elsewhere, and resets
+what is open to a node that has been unhealthy for some seconds: until then users are served."""
+
+Ask = Callable[[str, str, int], Awaitable[bool]]
+"""Asks a sibling to take a claim under a stamp; whether it says that it has."""
+
+
+class Handover:
+    """Leaves, and comes back, at an operator's word."""
+
+    def __init__(
+        self,
+        model: Model,
+        member: Member,
+        ask: Ask,
+        open_requests: Callable[[], int],
+    ) -> None:
+        self._model = model
+        self._member = member
+        self._ask = ask
+        self._open_requests = open_requests
+        self._clock = model.clock
+        self._left_at: float | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def leaving(self) -> bool:
+        return self._member.away(Away.LEAVING)
+
+    @property
+    def left(self) -> bool:
+        """Nothing is held any more."""
+        return self._left_at is not None and not self._held()
+
+    @property
+    def may_end(self) -> bool:
+        """Nothing is held, and nobody waits for an answer or would come for one."""
+        since = self._left_at
+        return (
+            since is not None
+            and self.left
+            and self._clock.now() - since >= DRAIN_S
+            and self._open_requests() == 0
+        )
+
+    def leave(self) -> str | None:
+        """Begin to leave, if that was not asked before; why that cannot be, or None."""
+        if self.leaving:
+            return None
+        if not self._member.others():
+            return "no other controller would take its shares"
+        log.info("asked to leave")
+        self._left_at = None
+        self._task = self._spawn(self._leave())
+        return None
+
+    def come_back(self) -> None:
+        """Take shares as before."""
+        if self._task is not None:
+            self._task.cancel()
+        self._left_at = None
+        self._member.come_back(Away.LEAVING)
+        log.info("asked to come back")
+
+    def _held(self) -> list[tuple[str, int]]:
+        """Our claims and their stamps, the leadership last: whoever leads deals in shares."""
+        model, member = self._model, self._member
+        found = [
+            (claim_key(share.index), share.held.version)
+            for share in model.shares
+            if share.held is not None and share.held.claim.node == member.node
+        ]
+        leader = model.leader
+        if leader is not None and leader.claim.node == member.node:
+            found.append((LEADER_KEY, leader.version))
+        return found
+
+    async def _leave(self) -> None:
+        # Known to the siblings first: they would bring shares home to us, or leave them to us.
+        while not await self._member.step_aside(Away.LEAVING):
+            await asyncio.sleep(ANNOUNCE_S)
+        while True:
+            with self._model.lock:
+                held = self._held()
+            if not held:
+                break
+            for key, version in held:
+                await self._pass_on(key, version)
+        self._left_at = self._clock.now()
+        log.info("has left: no share is held, nor the leadership")
+
+    async def _pass_on(self, key: str, version: int) -> None:
+        for name in self._member.others():
+            if await self._ask(name, key, version):
+                if await self._gone(key, version):
+                    log.info("%s: passed on to %s", key, name)
+                    return
+                break
+        else:
+            # Nobody was to be asked, or all are older programs: as from one that hears no worker.
+            self._give_up(key)
+        await self._gone(key, version)
+
+    def _give_up(self, key: str) -> None:
+        with self._model.lock:
+            if key == LEADER_KEY:
+                self._member.resign_leadership()
+                return
+            share = next(s for s in self._model.shares if claim_key(s.index) == key)
+            if share.owned:
+                self._member.resign(share)
+
+    async def _gone(self, key: str, version: int) -> bool:
+        """Whether the replica shows within a while that the claim is not ours as it was."""
+        until = self._clock.now() + SHOWN_S
+        while self._clock.now() < until:
+            with self._model.lock:
+                if (key, version) not in self._held():
+                    return True
+            await asyncio.sleep(STEP_S)
+        return False
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
--- /dev/null
+++ b/badgerseam/rollout/refresh.py
@@ -0,0 +1,66 @@
+"""Carrying pages over to the form of the site's level, behind everything else.
+
+Pages are written again and again as tasks come and go, and take on the form of the level then. One
+that nobody writes (long tasks, replicas) would stay in the older one. The owner of a share looks at
+one page of it at a time, and writes it anew if that is worth it and there are changes a second to
+spare. A step is one transaction on the stamps of the page, the claim and the level: done twice it
+changes nothing, applied late it fails, and whoever owns the share next goes on from what the pages
+say.
+"""
+
+from __future__ import annotations
+
+from badgerseam.levels.table import Behaviour
+from badgerseam.model.model import Model
+from badgerseam.model.state import Share
+from badgerseam.store.committer import Committer, Urgency
+from badgerseam.store.ledger import Ledger
+from badgerseam.store.pages import lacking
+from badgerseam.wire.rollout import Refreshing
+
+RAN_S = 20.0
+"""Tasks that have run for less may soon be over, and cost no write."""
+
+
+class Refresh:
+    """Of the shares that this controller owns."""
+
+    def __init__(self, model: Model, ledger: Ledger, committer: Committer) -> None:
+        self._model = model
+        self._ledger = ledger
+        self._committer = committer
+        self._turn: dict[int, int] = {}
+        self.written = 0
+
+    def review(self) -> None:
+        """Look at one page of each owned share; called about once a second, with the lock held."""
+        model = self._model
+        if not model.active(Behaviour.ATTEMPT_STARTS):
+            return
+        for share in model.shares:
+            if share.owned and not share.committing and not share.planned:
+                self._look(share)
+
+    def _look(self, share: Share) -> None:
+        if self._committer.wait_s(Urgency.UPKEEP) > 0:
+            return
+        pages = self._model.pages[share.index]
+        turn = self._turn.get(share.index, -1)
+        number = min((n for n in pages if n > turn), default=min(pages, default=None))
+        if number is None:
+            return
+        self._turn[share.index] = number
+        if lacking(self._model, pages[number], RAN_S) and self._ledger.refresh(share, number):
+            self.written += 1
+
+    def view(self) -> Refreshing:
+        """How far it has come; looks at all pages, and is for operators' questions only."""
+        model = self._model
+        rows = behind = 0
+        for share in model.shares:
+            if not share.owned:
+                continue
+            for page in model.pages[share.index].values():
+                rows += sum(len(entry.rows) for entry in page.jobs.values())
+                behind += lacking(model, page, RAN_S)
+        return Refreshing(rows, behind, self.written)
--- a/badgerseam/settings.py
+++ b/badgerseam/settings.py
@@ -142,6 +142,17 @@
     log_days: Annotated[float, Meta(gt=0, description="how long the log is kept")] = 90.0
 
 
+class RolloutOptions(Struct, frozen=True, forbid_unknown_fields=True):
+    """The level of the stored state rises by itself when every controller can act at the next one,
+    and operators can have controllers leave, if this section is there. Without it a site stays at
+    its level, whichever that is, and is kept by its fences all the same."""
+
+    steady_s: Annotated[
+        float,
+        Meta(ge=0, description="how long every controller must have been there before a raise"),
+    ] = 10.0
+
+
 class Tunables(Struct, frozen=True, forbid_unknown_fields=True):
     """Operators' own settings. Times are in seconds unless the name says otherwise."""
 
@@ -199,6 +210,19 @@
         AccountingOptions | None, Meta(description="what jobs used, lists and totals")
     ] = None
 
+    rollout: Annotated[
+        RolloutOptions | None,
+        Meta(description="raising the level of the stored state; controllers that leave"),
+    ] = None
+
+    may_ignore: Annotated[
+        list[Name],
+        Meta(
+            description="sections of this file that a program which does not know them may leave "
+            "out, so that an older one can be put back with it"
+        ),
+    ] = field(default_factory=list)
+
 
 def load_settings(path: str) -> Settings:
     """Read and check the settings file."""
@@ -224,7 +248,13 @@
     if path is None:
         return Tunables()
     try:
-        return msgspec.json.decode(Path(path).read_bytes(), type=Tunables)
+        given = msgspec.json.decode(Path(path).read_bytes())
+        if isinstance(given, dict) and isinstance(given.get("may_ignore"), list):
+            known = {entry.name for entry in msgspec.structs.fields(Tunables)}
+            for name in given["may_ignore"]:
+                if isinstance(name, str) and name not in known:
+                    given.pop(name, None)
+        return msgspec.convert(given, Tunables)
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
     except msgspec.DecodeError as error:
--- /dev/null
+++ b/badgerseam/wire/rollout.py
@@ -0,0 +1,91 @@
+"""What is said about a rollout: to operators, and by a controller that leaves to its heirs."""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Struct
+
+
+class Take(Struct, frozen=True):
+    """A controller that is leaving asks a sibling to take one of its claims over."""
+
+    key: str
+    version: int
+    """The stamp under which the claim is held: it falls only to one that replaces just that."""
+
+
+class Obstacle(Struct, frozen=True):
+    """What keeps the level from being changed: at which controller, and why."""
+
+    node: str
+    reason: str
+
+
+class ControllerView(Struct, frozen=True):
+    """A configured controller as the one that was asked sees it."""
+
+    node: str
+    state: str
+    """`acting`, `aside` (takes no share) or `missing` (no record on a live lease)."""
+    least: int | None
+    most: int | None
+    program: str
+    shares: list[int]
+    leader: bool
+
+
+class Refreshing(Struct, frozen=True):
+    """How far the state has been carried over to the level's form, in the shares of the controller
+    that was asked."""
+
+    rows: int
+    """Of tasks, in its pages."""
+    lacking: int
+    """Of these, such as have run for a while and are still in the older form."""
+    pages_written: int
+    """Since it started, for this alone."""
+
+
+class OwnView(Struct, frozen=True):
+    """The controller that was asked, about itself."""
+
+    node: str
+    state: str
+    """`acting`, `leaving`, `left` (holds nothing), `unfit` or `starting`."""
+    may_end: bool
+    """It has left, and users have been led elsewhere: its process may be ended."""
+    caught_up: bool
+    """Its replica follows the state service."""
+    machines: int
+    heard: int
+    """Of its shares' machines, those that reported lately."""
+    uptime_s: float
+    refreshing: Refreshing
+
+
+class View(Struct, frozen=True):
+    """The answer of `GET /rollout`."""
+
+    level: int
+    name: str
+    active: list[str]
+    target: int | None
+    next: int | None
+    """The level that the leader would go to now; None if there is nothing to do."""
+    blocked_by: list[Obstacle]
+    shares_without_actor: list[int]
+    leader: str | None
+    controllers: list[ControllerView]
+    own: OwnView
+
+
+class Wish(Struct, frozen=True, forbid_unknown_fields=True):
+    """The level that operators want; null: the newest that all controllers can act at."""
+
+    level: int | None
+
+
+take_decoder: msgspec.json.Decoder[Take] = msgspec.json.Decoder(Take)
+view_decoder: msgspec.json.Decoder[View] = msgspec.json.Decoder(View)
+wish_decoder: msgspec.json.Decoder[Wish] = msgspec.json.Decoder(Wish)
+encode = msgspec.json.Encoder().encode
