--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -98,3 +98,16 @@
             if isinstance(node, ast.With) and "lock" in ast.unparse(node.items[0]):
                 waits = [n for n in ast.walk(node) if isinstance(n, ast.Await)]
                 assert not waits, f"{path}:{node.lineno}"
+
+
+def test_sections_that_a_program_may_ignore_do_not_end_it(tmp_path: Path) -> None:
+    """An older program that is put back gets the options file of the newer one."""
+    path = tmp_path / "options.json"
+    path.write_text('{"explain": {}, "of-tomorrow": {"x": 1}, "may_ignore": ["of-tomorrow"]}')
+    assert load_tunables(str(path)).explain is not None
+    path.write_text('{"explain": {}, "of-tomorrow": {"x": 1}, "may_ignore": ["another"]}')
+    with pytest.raises(SettingsError, match="of-tomorrow"):
+        load_tunables(str(path))
+    path.write_text('{"explain": {"questions_per_s": 0}, "may_ignore": ["explain"]}')
+    with pytest.raises(SettingsError, match="questions_per_s"):
+        load_tunables(str(path))
