A page without room for starts is not refreshed; one malformed proposal holds up no other; carrying over

A page filled without starts was refreshed beyond what a value may have; the state service answered 400, which was taken for an outage and sent again for ever, and everything else of that controller waited behind it.

Change: a page is refreshed only within a value's limit and given up if it has to wait; the committer sends what was called malformed alone and fails just that. Old records of a form can be carried over in the background (rollout/carrying.py): on the stamps of record and level, resumable by whoever leads, declared in the level's record after a pass that met none; a program that dropped the reader fits only then. This program has nothing to carry over.

--- a/badgerseam/api/rollout.py
+++ b/badgerseam/api/rollout.py
@@ -8,6 +8,7 @@
 from badgerseam.http.server import Reply, error_reply
 from badgerseam.model.model import Model
 from badgerseam.model.state import STALE_S
+from badgerseam.rollout.carrying import Carrying
 from badgerseam.rollout.handover import Handover
 from badgerseam.rollout.raising import Raising
 from badgerseam.rollout.refresh import Refresh
@@ -30,12 +31,14 @@
         raising: Raising,
         handover: Handover,
         refresh: Refresh,
+        carrying: Carrying,
     ) -> None:
         self._model = model
         self._member = member
         self._raising = raising
         self._handover = handover
         self._refresh = refresh
+        self._carrying = carrying
         self._started = model.clock.now()
 
     async def handle(self, method: str, path: str, body: bytes) -> Reply:
@@ -136,4 +139,5 @@
             heard,
             round(now - self._started, 1),
             self._refresh.view(),
+            self._carrying.view(),
         )
--- a/badgerseam/cli/rollout.py
+++ b/badgerseam/cli/rollout.py
@@ -133,6 +133,13 @@
         f"{'caught up' if own.caught_up else 'behind'}, hears {own.heard} of {own.machines} "
         f"machines, up for {own.uptime_s:.0f} s"
     )
+    carrying = own.carrying
+    if carrying.pending:
+        lines.append(
+            f"carrying records over to level {carrying.pending[0]}: {carrying.rewritten} written "
+            f"anew by this controller, {carrying.per_s:g} a second; this pass: {carrying.scanned} "
+            f"looked at, {carrying.old} in the older form"
+        )
     done = own.refreshing
     lines.append(
         f"rows in the older form: {done.lacking} of {done.rows}; {done.pages_written} pages "
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -51,7 +51,7 @@
                 self._apply_page(int(share_name), int(page), value, version)
             elif key == LEVEL_KEY:
                 # A removal leaves no record to be conditional on: stamp 0, as before the first.
-                self.site = Site(FIRST, 0) if value is None else Site(_level(value), version)
+                self.site = Site(FIRST, 0) if value is None else _site(value, version)
             elif key == TARGET_KEY:
                 self.target = (
                     None
@@ -410,9 +410,9 @@
         self.kicks.add(share.index)
 
 
-def _level(value: msgspec.Raw) -> int:
+def _site(value: msgspec.Raw, version: int) -> Site:
     record: wire.SiteLevel = msgspec.json.decode(value, type=wire.SiteLevel)
-    return record.level
+    return Site(record.level, version, record.carried)
 
 
 def _held(value: msgspec.Raw | None, version: int) -> Held | None:
--- a/badgerseam/model/records.py
+++ b/badgerseam/model/records.py
@@ -149,7 +149,7 @@
     @property
     def fits(self) -> bool:
         """Whether this program may act at the site's level."""
-        return self.program.fits(self.site.level)
+        return self.program.fits(self.site.level) and self.program.least <= self.site.carried
 
     @property
     def misfit(self) -> str | None:
@@ -157,6 +157,11 @@
         if self.fits:
             return None
         least, most = self.program.least, self.program.most
+        if self.program.fits(self.site.level):
+            return (
+                f"the stored state is carried over to level {self.site.carried} only, and this "
+                f"program reads nothing older than level {least}"
+            )
         reads = f"level {most} only" if least == most else f"levels {least} to {most}"
         return f"the stored state is at level {self.site.level} and this program reads {reads}"
 
--- a/badgerseam/model/state.py
+++ b/badgerseam/model/state.py
@@ -55,6 +55,8 @@
     version: int
     """The stamp of its record, 0 if there is none: what is written in a form that depends on the
     level is conditional on it."""
+    carried: int = 1
+    """Up to which level all records have been carried over."""
 
 
 STALE_S = 4.0
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -28,6 +28,7 @@
 from badgerseam.http.server import Handler, Server
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
+from badgerseam.rollout.carrying import FORMS, Carrying
 from badgerseam.rollout.handover import Handover
 from badgerseam.rollout.raising import Raising
 from badgerseam.rollout.refresh import Refresh
@@ -151,17 +152,21 @@
         self.member.ask_to_take = self.peers.ask_to_take
         self.raising: Raising | None = None
         self.refresh: Refresh | None = None
+        self.carrying: Carrying | None = None
         rollout: RolloutApi | None = None
         if tunables.rollout is not None:
             self.raising = Raising(self.model, self.member, self.committer, tunables.rollout)
             self.refresh = Refresh(self.model, self.ledger, self.committer)
+            self.carrying = Carrying(self.model, self.member, self.state, self.committer, FORMS)
             handover = Handover(
                 self.model,
                 self.member,
                 self.peers.ask_to_take,
                 lambda: sum(server.busy for server in self._servers),
             )
-            rollout = RolloutApi(self.model, self.member, self.raising, handover, self.refresh)
+            rollout = RolloutApi(
+                self.model, self.member, self.raising, handover, self.refresh, self.carrying
+            )
         self.api = Api(
             self.model,
             self.state,
@@ -289,6 +294,8 @@
             group.create_task(self.peers.keep_health())
             if self.explainer is not None and self.explainer.samples:
                 group.create_task(self.explainer.keep_samples())
+            if self.carrying is not None:
+                group.create_task(self.carrying.keep())
             accounts = self.model.accounts
             if accounts is not None and accounts.log is not None:
                 group.create_task(accounts.log.keep())
--- a/badgerseam/rollout/raising.py
+++ b/badgerseam/rollout/raising.py
@@ -129,7 +129,8 @@
             if leader is not None:
                 conditions[LEADER_KEY] = leader.version
             conditions |= {node_key(name): model.nodes[name].version for name in member.order}
-            record = wire.SiteLevel(level, member.node, round(self._clock.wall(), 3))
+            carried = min(model.site.carried, level)
+            record = wire.SiteLevel(level, member.node, round(self._clock.wall(), 3), carried)
             write = (
                 wire.Write(delete=LEVEL_KEY)
                 if level == FIRST
--- a/badgerseam/store/client.py
+++ b/badgerseam/store/client.py
@@ -28,6 +28,11 @@
     """No response: the request may have been executed, or may be later."""
 
 
+class Malformed(Unavailable):
+    """The state service says that the request breaks its protocol: sent again it would be refused
+    again."""
+
+
 class Refused(Exception):
     """A condition failed; `failed` names the keys."""
 
@@ -113,6 +118,8 @@
             raise Refused(_decode(wire.committed_decoder, 200, reply).failed)
         if status == 400 and any(write.lease is not None for write in then):
             raise LeaseLost("transaction")
+        if status == 400:
+            raise Malformed(f"400: {reply[:200]!r}")
         return _decode(wire.committed_decoder, status, reply).revision
 
     async def grant(self, ttl_s: float) -> int:
--- a/badgerseam/store/committer.py
+++ b/badgerseam/store/committer.py
@@ -11,7 +11,7 @@
 from enum import IntEnum
 
 from badgerseam.clock import Clock
-from badgerseam.store.client import LeaseLost, Refused, StateClient, Unavailable, Unknown
+from badgerseam.store.client import LeaseLost, Malformed, Refused, StateClient, Unavailable, Unknown
 from badgerseam.wire.state import Condition, Transaction, Write, encode
 
 log = logging.getLogger("badgerseam.store")
@@ -28,6 +28,7 @@
     PLACE = 2
     DONE = 3
     UPKEEP = 4
+    CARRY = 5
 
 
 RESERVE = {
@@ -36,10 +37,15 @@
     Urgency.PLACE: 0.0,
     Urgency.DONE: 0.15,
     Urgency.UPKEEP: 0.4,
+    Urgency.CARRY: 0.5,
 }
 """Part of the burst that an urgency leaves alone."""
 
 
+class Rejected(Unavailable):
+    """The state service calls the proposal malformed: it was not executed, and never will be."""
+
+
 class Dropped(Exception):
     """The proposal was no longer wanted before it was known to be committed."""
 
@@ -54,6 +60,8 @@
     future: asyncio.Future[int]
     deadline: float | None = None
     wanted: Callable[[], bool] | None = None
+    alone: bool = False
+    """Among others it was called malformed: to be sent by itself, to tell which of them it is."""
     uncertain: bool = False
     """Sent once without a response: a refusal may mean that it was applied."""
     since: float = 0.0
@@ -201,6 +209,7 @@
                 and all(conditions.get(k, v) == v for k, v in proposal.conditions.items())
                 # A lease that has ended fails the whole transaction, so it is asked alone.
                 and not (batch and any(write.lease for write in proposal.writes))
+                and not (batch and (proposal.alone or batch[0].alone))
             )
             if not fits or not self._state.writes.take(
                 len(proposal.writes), self._reserve(proposal.urgency)
@@ -243,6 +252,8 @@
             for proposal in batch:
                 if not proposal.future.done():
                     proposal.future.set_exception(error)
+        except Malformed as error:
+            self._malformed(batch, error)
         except Unavailable as error:
             for proposal in batch:
                 proposal.uncertain = proposal.uncertain or isinstance(error, Unknown)
@@ -261,3 +272,14 @@
         finally:
             self._in_flight -= 1
             self._pump()
+
+    def _malformed(self, batch: list[Proposal], error: Malformed) -> None:
+        """One proposal that can never be written must not hold up the others for ever."""
+        for proposal in batch:
+            if len(batch) > 1:
+                proposal.alone = True
+                self._push(proposal)
+            elif not proposal.future.done():
+                keys = ", ".join(sorted(proposal.keys))
+                log.error("not written, since the state service takes it for malformed: %s", keys)
+                proposal.future.set_exception(Rejected(str(error)))
--- a/badgerseam/store/ledger.py
+++ b/badgerseam/store/ledger.py
@@ -13,7 +13,7 @@
 from badgerseam.model.model import Model
 from badgerseam.model.state import Page, Share
 from badgerseam.store.client import Refused, StateClient, Unavailable
-from badgerseam.store.committer import Committer, Dropped, Urgency
+from badgerseam.store.committer import Committer, Dropped, Rejected, Urgency
 from badgerseam.store.pages import Draft, compose, refresh
 from badgerseam.wire import state as wire
 from badgerseam.wire.users import Submission
@@ -24,6 +24,8 @@
 """A user who can't be served is told so soon, not when the patience is nearly over."""
 READ_DEADLINE_S = 1.0
 CLOSE_DEADLINE_S = 5.0
+REFRESH_S = 1.0
+"""A refreshed page keeps the share from writing anything else: it is given up if it has to wait."""
 
 
 Change = Callable[[Job], tuple[Submission, dict[str, int]]]
@@ -200,8 +202,11 @@
         is busy with another write."""
         if share.committing or not share.owned or not self._model.fits:
             return False
+        draft = refresh(self._model, share, number)
+        if draft is None:
+            return False
         share.committing = True
-        self._spawn(self._write(share, refresh(self._model, share, number), Urgency.UPKEEP))
+        self._spawn(self._write(share, draft, Urgency.UPKEEP, REFRESH_S))
         return True
 
     def _wake(self) -> None:
@@ -213,7 +218,9 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _write(self, share: Share, draft: Draft, urgency: Urgency) -> None:
+    async def _write(
+        self, share: Share, draft: Draft, urgency: Urgency, deadline_s: float | None = None
+    ) -> None:
         term = share.term
         values = {key: wire.raw(value) for key, value in draft.values(share).items()}
         writes = [wire.Write(put=key, value=value) for key, value in values.items()]
@@ -222,10 +229,15 @@
                 urgency,
                 draft.conditions,
                 writes,
+                deadline_s,
                 wanted=lambda: share.owned and share.term == term,
             )
         except Dropped:
             pass
+        except Rejected:
+            self._take_back(share, draft, {attempt.job.id for attempt in draft.planned}, term)
+        except Unavailable:
+            log.debug("share %d: a page was not refreshed in time", share.index)
         except Refused as refusal:
             await self._refused(share, draft, refusal, term)
         else:
@@ -296,6 +308,17 @@
         if failed:
             log.info("share %d: jobs changed before tasks were placed: %s", share.index, failed)
         names = {key.rpartition("/")[2] for key in failed}
+        self._take_back(share, draft, names, term)
+        for name in names:
+            try:
+                await self.read(name)
+            except Unavailable:
+                log.debug("%s: could not be read", name)
+
+    def _take_back(self, share: Share, draft: Draft, names: set[str], term: int) -> None:
+        """Nothing of a draft was written: what it planned of the jobs named is given up, and the
+        rest is composed again."""
+        model = self._model
         with model.lock:
             if not share.owned or share.term != term:
                 return
@@ -310,11 +333,6 @@
                 if model.jobs[job.index] is job:
                     job.bits_changed.add(chunk)
                     share.bits_due[job.index] = model.clock.now()
-        for name in names:
-            try:
-                await self.read(name)
-            except Unavailable:
-                log.debug("%s: could not be read", name)
 
     async def _read_level(self) -> None:
         """The site's level has changed under a write: it is composed again in the form of now."""
--- a/badgerseam/store/pages.py
+++ b/badgerseam/store/pages.py
@@ -53,11 +53,16 @@
     return Draft({claim_key(share.index): share.term, LEVEL_KEY: model.site.version}, {}, [], [])
 
 
-def refresh(model: Model, share: Share, number: int) -> Draft:
-    """Take one page as it is, to be written once more with what is now known of its tasks."""
+def refresh(model: Model, share: Share, number: int) -> Draft | None:
+    """Take one page as it is, to be written once more with what is now known of its tasks; None if
+    that has no room there, since its rows have grown."""
     draft = _begin(model, share)
     page = model.pages[share.index][number]
     draft.pages[number] = _live(model, page, number, draft, {})
+    # Filled without starts, a page may go beyond what a value may have with them: the state
+    # service refused such a transaction for ever, and all that waited behind it.
+    if sum(map(_size, draft.pages[number].values())) > _limit(model):
+        return None
     draft.conditions[page_key(share.index, number)] = page.version
     return draft
 
@@ -109,7 +114,7 @@
 
 def _pack(model: Model, share: Share, draft: Draft, entries: list[wire.JobRows]) -> None:
     """Put the entries into as few pages as will do."""
-    limit = int(model.settings.params.state.value_kb * 1024 * FILL)
+    limit = _limit(model)
     queue = [part for entry in entries for part in _parts(entry)]
     pages = model.pages[share.index]
     old = sorted(pages, key=lambda number: pages[number].version)
@@ -133,6 +138,10 @@
         draft.conditions[page_key(share.index, number)] = 0 if page is None else page.version
 
 
+def _limit(model: Model) -> int:
+    return int(model.settings.params.state.value_kb * 1024 * FILL)
+
+
 def _fill(
     draft: Draft,
     number: int,
--- a/badgerseam/store/replica.py
+++ b/badgerseam/store/replica.py
@@ -88,12 +88,12 @@
 
     def _stand_aside(self) -> None:
         model = self._model
-        log.error(
-            "%s: it takes no part. Install a program that reads level %d, or have the level "
-            "lowered (badgerseam rollout status)",
-            model.misfit,
-            model.site.level,
+        remedy = (
+            "put the one before back until the rest is carried over"
+            if model.program.fits(model.site.level)
+            else f"install one that reads level {model.site.level}, or have the level lowered"
         )
+        log.error("%s: it takes no part; %s (badgerseam rollout status)", model.misfit, remedy)
         self._aside = True
         # First told, while the model still shows what is held and has to be given up.
         self._fitting(False)
--- a/badgerseam/wire/rollout.py
+++ b/badgerseam/wire/rollout.py
@@ -46,6 +46,25 @@
     """Since it started, for this alone."""
 
 
+class Carrying(Struct, frozen=True):
+    """How far old records have been carried over, as the asked controller knows. Its counts are of
+    what it did itself while it led."""
+
+    carried: int
+    """Up to this level no record is left in an older form."""
+    pending: list[int]
+    """Levels whose older form is still to be carried over."""
+    scanned: int
+    """Records looked at in the pass that goes on."""
+    old: int
+    """Of these, in the older form."""
+    rewritten: int
+    overtaken: int
+    """Left to the next pass, since they had changed meanwhile."""
+    per_s: float
+    """Records written anew a second, since it started."""
+
+
 class OwnView(Struct, frozen=True):
     """The controller that was asked, about itself."""
 
@@ -61,6 +80,7 @@
     """Of its shares' machines, those that reported lately."""
     uptime_s: float
     refreshing: Refreshing
+    carrying: Carrying
 
 
 class View(Struct, frozen=True):
--- a/badgerseam/wire/state.py
+++ b/badgerseam/wire/state.py
@@ -160,6 +160,8 @@
     by: str
     """The leader that wrote it."""
     at: float
+    carried: int = 1
+    """No record is left in a form that a later level up to this one has replaced."""
 
 
 class Target(Struct, frozen=True, array_like=True):
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -15,6 +15,7 @@
 from badgerseam.fleet.returns import Returns
 from badgerseam.http.budget import Budget
 from badgerseam.http.client import NoResponse, NotSent, Response
+from badgerseam.lab import state as lab_state
 from badgerseam.lab.state import StateCore
 from badgerseam.lab.worker import Description, Held, Identity, Results, WorkerCore
 from badgerseam.levels.table import Program
@@ -35,7 +36,7 @@
     Tunables,
     WorkerParams,
 )
-from badgerseam.store.client import Refused, Unavailable, Unknown
+from badgerseam.store.client import Malformed, Refused, Unavailable, Unknown
 from badgerseam.store.committer import Committer
 from badgerseam.store.ledger import Ledger
 from badgerseam.store.roster import Roster
@@ -180,6 +181,10 @@
         if fate == "late":
             self.late.append((conditions, then))
             raise Unknown("late")
+        try:
+            self.core._check(conditions, then)
+        except lab_state.Malformed as error:
+            raise Malformed(str(error)) from error
         revision = self.execute(conditions, then)
         if fate == "silent":
             raise Unknown("silent")
--- a/tests/test_choreography.py
+++ b/tests/test_choreography.py
@@ -10,7 +10,7 @@
 
 from badgerseam.rollout import choreography
 from badgerseam.rollout.choreography import Choreography, Limits, Stopped
-from badgerseam.wire.rollout import ControllerView, OwnView, Refreshing, View
+from badgerseam.wire.rollout import Carrying, ControllerView, OwnView, Refreshing, View
 from tests.stand_ins import FakeClock
 
 NODES = ["n-0", "n-1", "n-2"]
@@ -76,6 +76,7 @@
                 heard,
                 now - self.started[node],
                 Refreshing(0, 0, 0),
+                Carrying(1, [], 0, 0, 0, 0, 0.0),
             ),
         )
 
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -12,10 +12,12 @@
 
 from badgerseam.api.users import Api
 from badgerseam.cluster.member import Away
+from badgerseam.lab import state as lab_state
 from badgerseam.levels.table import LEVELS, Program
 from badgerseam.model.job import Stage
 from badgerseam.model.keys import LEADER_KEY, LEVEL_KEY, claim_key, job_key, node_key, page_key
 from badgerseam.store.client import Refused
+from badgerseam.store.committer import Rejected, Urgency
 from badgerseam.wire import state as wire
 from tests.stand_ins import Rig, submission
 from tests.trio import BOTH, FIRST_ONLY, STARTS, STEADY_S, THREE, Trio, level_of
@@ -385,6 +387,62 @@
     assert rig.model.pages[0][0].jobs["job-000001"].starts == []
 
 
+def test_a_page_that_has_no_room_for_starts_is_left_as_it_is() -> None:
+    """Found on a Quito day of the bench: a page filled without starts was refreshed beyond what a
+    value may have, the state service refused it for ever, and with it all that the controller had
+    to write: it led, and rented and released nothing for 80 s."""
+    rig = Rig()
+    rig.set(LEVEL_KEY, wire.SiteLevel(2, "n-1", 0.0))
+    rig.own()
+    machine = rig.machine("m-" + "0" * 20)
+    job = rig.job(pieces=400)
+    for task in range(400):
+        rig.model.place(job, task, 1, machine, Stage.PLANNED)
+    asyncio.run(rig.settle(40))
+    for attempt in job.attempts.values():
+        attempt.stage, attempt.started_at = Stage.RUNNING, rig.clock.now()
+    rig.clock.time += 25_000.0
+    rig.lease()
+    sizes = {n: len(bytes(rig.state.data[page_key(0, n)][0])) for n in rig.model.pages[0]}
+    fullest = max(sizes, key=lambda number: sizes[number])
+    assert sizes[fullest] > 6500
+    assert not rig.ledger.refresh(rig.model.shares[0], fullest)
+    assert not rig.model.shares[0].committing, "the share goes on"
+
+
+def test_one_proposal_that_can_never_be_written_holds_up_no_other() -> None:
+    rig = Rig()
+    huge = wire.Write(put="bs/x/1", value=wire.raw("x" * 9000))
+    good = wire.Write(put="bs/x/2", value=wire.raw("y"))
+
+    async def story() -> list[object]:
+        return await asyncio.gather(
+            *(rig.committer.commit(Urgency.PLACE, {}, [write]) for write in (huge, good)),
+            return_exceptions=True,
+        )
+
+    outcomes = rig.run(story())
+    assert isinstance(outcomes[0], Rejected)
+    assert outcomes[1] == rig.state.version("bs/x/2") > 0
+
+
+def test_a_page_called_malformed_gives_its_plan_back() -> None:
+    rig = Rig()
+    placed(rig)
+    check = rig.state.core._check
+
+    def refuse(conditions: list[wire.Condition], then: list[wire.Write]) -> None:
+        if any((write.put or "").startswith("bs/p/") for write in then):
+            raise lab_state.Malformed("for a test")
+        check(conditions, then)
+
+    rig.state.core._check = refuse  # type: ignore[method-assign]
+    asyncio.run(rig.settle(30))
+    job = rig.model.job("job-000001")
+    assert job is not None and not job.attempts and job.waiting() == job.tasks
+    assert not rig.model.shares[0].committing
+
+
 # ---- leaving ----
 
 
--- a/tests/trio.py
+++ b/tests/trio.py
@@ -15,6 +15,8 @@
 from badgerseam.lab.state import StateCore
 from badgerseam.levels.table import LEVELS, Behaviour, Level, Program
 from badgerseam.model.keys import LEADER_KEY, LEVEL_KEY, claim_key
+from badgerseam.rollout.carrying import PAUSE_S as CARRY_S
+from badgerseam.rollout.carrying import Carrying, Form
 from badgerseam.rollout.handover import Handover
 from badgerseam.rollout.raising import Raising
 from badgerseam.rollout.refresh import Refresh
@@ -24,6 +26,7 @@
 from badgerseam.wire import state as wire
 from tests.stand_ins import TYPES, ZONES, FakeClock, FakeState, Rig, settings
 
+PAGE = 10
 STEP_S = 0.05
 TTL_S = 4.0
 STEADY_S = 2.0
@@ -56,7 +59,8 @@
 
     async def page(self, prefix: str, after: str | None) -> wire.KeyPage:
         await self._open()
-        return await super().page(prefix, after)
+        # Small pages, so that whoever reads many keys does so in many steps.
+        return self.core.page(prefix, after or "", PAGE)
 
     async def transact(
         self, conditions: list[wire.Condition], then: list[wire.Write], deadline_s: float = 2.0
@@ -91,6 +95,14 @@
         self.handover = Handover(self.model, self.member, trio.ask, lambda: 0)
         self.member.ask_to_take = trio.ask
         self.refresh = Refresh(self.model, self.ledger, self.committer)
+        self.carrying = Carrying(
+            self.model,
+            self.member,
+            way,  # type: ignore[arg-type]
+            self.committer,
+            trio.forms,
+        )
+        self.carried_at = 0.0
         self.replica = Replica(
             self.model,
             way,  # type: ignore[arg-type]
@@ -120,18 +132,29 @@
         except LeaseLost:
             member._lose_lease()
 
-    async def step(self) -> None:
+    def step(self) -> None:
+        """What the loops of a node would do now; nothing here waits, since time stands still."""
         if self.way.frozen:
             return
         self.keep_lease()
-        if self.member.lease is not None and not self.member._present and not self.way.down:
-            await self.member._announce()
+        idle = self._announcing is None or self._announcing.done()
+        if self.member.lease is not None and not self.member._present and idle:
+            self._announcing = asyncio.ensure_future(self.member._announce())
         self.member.review()
         with self.model.lock:
             self.deputies.look()
             self.raising.review()
             self.refresh.review()
         self.ledger.flush()
+        if self.clock.now() >= self.carried_at and not self.carrying_now():
+            self.carried_at = self.clock.now() + CARRY_S
+            self._step = asyncio.ensure_future(self.carrying.step())
+
+    _step: asyncio.Future[bool] | None = None
+    _announcing: asyncio.Future[None] | None = None
+
+    def carrying_now(self) -> bool:
+        return self._step is not None and not self._step.done()
 
 
 class Trio:
@@ -143,6 +166,7 @@
         self.core = StateCore(self.clock, self.params)
         self.alive: dict[str, Controller] = {}
         self.ways: list[Way] = []
+        self.forms: tuple[Form, ...] = ()
 
     def start(self, node: str, program: Program) -> Controller:
         """A fresh process."""
@@ -178,7 +202,7 @@
             self.clock.time += STEP_S
             self.core.expire()
             for controller in list(self.alive.values()):
-                await controller.step()
+                controller.step()
             await asyncio.sleep(0.003)
 
     async def stop(self) -> None:
