--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -40,6 +40,8 @@
 from badgerseam.store.replica import Replica
 from badgerseam.store.roster import Roster
 from badgerseam.workers.control import Control
+from badgerseam.workers.draining import drain
+from badgerseam.workers.inspection import lacks_addresses
 
 log = logging.getLogger("badgerseam")
 
@@ -236,13 +238,13 @@
                 for own in model.shares:
                     if own.owned:
                         model.kicks.add(own.index)
-                if self.control.lacks_addresses():
+                if lacks_addresses(model):
                     self.fleet.learn_addresses()
                 self.control.hearing.look()
                 self.deputies.review()
                 self.control.watch()
                 self.control.suspect()
-                self.control.drain()
+                drain(model)
                 # What changes is pushed when it does; this is for what has to be tried again.
                 for own in model.shares:
                     if own.owned:
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -19,10 +19,13 @@
 from badgerseam.settings import Tunables
 from badgerseam.wire import workers as wire
 from badgerseam.workers.hearing import Hearing
+from badgerseam.workers.inspection import inspect
 
 log = logging.getLogger("badgerseam.workers")
 
 DIRECT_S = 2.0
+INSPECT_S = 1.0
+PROBE_S = 1.5
 RETRY_S = 1.0
 MOST_COMMANDS = 300
 """Commands in one response; some 90 bytes each, well within a line of 64 KiB."""
@@ -342,13 +345,7 @@
 
     async def _inspect(self, machine: Machine) -> None:
         term = machine.term
-        report: wire.Report | None = None
-        try:
-            response = await self._http.request(machine.addr, "GET", "/inspect", None, 1.0)
-            if response.status == 200:
-                report = wire.report_decoder.decode(response.body)
-        except (NoResponse, msgspec.DecodeError):
-            log.debug("%s cannot be inspected yet", machine.name)
+        report = await inspect(self._http, machine.addr, INSPECT_S)
         with self._model.lock:
             if machine.term != term or not self._model.shares[machine.share].owned:
                 return
@@ -440,17 +437,6 @@
                     model.unplace(attempt)
         return lost
 
-    def lacks_addresses(self) -> bool:
-        """Whether machines were taken over with work on them, and without their addresses."""
-        model = self._model
-        return any(
-            machine.attempts
-            and not machine.addr
-            and machine.session == 0
-            and model.shares[machine.share].owned
-            for machine in model.machines.values()
-        )
-
     def suspect(self) -> None:
         """Ask machines that fell silent, and give those up that do not answer.
 
@@ -488,13 +474,7 @@
 
     async def _probe(self, machine: Machine) -> None:
         term, heard_at = machine.term, machine.heard_at
-        report: wire.Report | None = None
-        try:
-            response = await self._http.request(machine.addr, "GET", "/inspect", None, 1.5)
-            if response.status == 200:
-                report = wire.report_decoder.decode(response.body)
-        except (NoResponse, msgspec.DecodeError):
-            log.debug("%s is silent and does not answer", machine.name)
+        report = await inspect(self._http, machine.addr, PROBE_S)
         with self._model.lock:
             machine.probing = False
             if machine.term != term or machine.heard_at != heard_at:
@@ -512,25 +492,3 @@
                 machine.given_up = True
                 machine.draining = True
         self._changed()
-
-    def drain(self) -> None:
-        """Stop what cannot end by itself on machines that are to be given up."""
-        model = self._model
-        now = self._clock.now()
-        for machine in model.machines.values():
-            if not machine.draining or not model.shares[machine.share].owned:
-                continue
-            for attempt in machine.attempts.values():
-                if attempt.stopping or attempt.finishing or attempt.stage == Stage.PLANNED:
-                    continue
-                spec = attempt.job.spec
-                if attempt.stage == Stage.RUNNING and machine.recall_at is not None:
-                    left = attempt.started_at + spec.estimate_s - now
-                    stays = not attempt.job.service and spec.checkpoint_s == 0
-                    if stays and now + max(left, 0.0) < machine.recall_at:
-                        continue
-                attempt.stopping = True
-                machine.node = None
-                attempt.stop_sent = False
-                attempt.grace_s = spec.save_s + 1.0 if spec.checkpoint_s > 0 else 0.0
-                model.pushes.add(machine.index)
--- a/badgerseam/workers/hearing.py
+++ b/badgerseam/workers/hearing.py
@@ -13,12 +13,10 @@
 from collections.abc import Coroutine
 from itertools import islice
 
-import msgspec
-
 from badgerseam.cluster.member import Member
-from badgerseam.http.client import Client, NoResponse
+from badgerseam.http.client import Client
 from badgerseam.model.model import Model
-from badgerseam.wire import workers as wire
+from badgerseam.workers.inspection import inspect
 
 log = logging.getLogger("badgerseam.workers")
 
@@ -108,7 +106,7 @@
         # Other ones each time: some may be gone or hang.
         first = round(self._clock.now() / ASK_S) * ASKED % len(known) if known else 0
         asked = (known + known)[first : first + min(ASKED, len(known))]
-        answers = await asyncio.gather(*map(self._answers, asked))
+        answers = await asyncio.gather(*(inspect(self._http, at, ASK_S) for at in asked))
         now = self._clock.now()
         if known and not any(answers):
             self._answered_since = None
@@ -120,10 +118,3 @@
             self._steady_s = min(2 * self._steady_s, MOST_S)
             self._silent_s = 0.0
             self._member.hear_again()
-
-    async def _answers(self, address: str) -> bool:
-        try:
-            response = await self._http.request(address, "GET", "/inspect", None, ASK_S)
-            return response.status == 200 and bool(wire.report_decoder.decode(response.body))
-        except (NoResponse, msgspec.DecodeError):
-            return False
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -21,6 +21,7 @@
 from badgerseam.sched import pts
 from badgerseam.wire import cloud as cloud_wire
 from badgerseam.wire import state as wire
+from badgerseam.workers.draining import drain
 from tests.stand_ins import FakeHttp, Rig, Worker, seeded
 
 ROOM = Resources(math.inf, math.inf, math.inf)
@@ -173,7 +174,7 @@
     rig.report(worker)
     assert rig.run(returns.give([machine], 1, vacate=True))
     assert returns.vacated() == []
-    rig.control.drain()
+    drain(rig.model)
     rig.report(worker)
     rig.report(worker)
     [(empty, share_index)] = returns.vacated()
