--- a/badgerseam/cluster/member.py
+++ b/badgerseam/cluster/member.py
@@ -316,11 +316,13 @@
         """Take shares as before."""
         self.come_back(Away.DEAF)
 
-    async def step_aside(self, why: Away) -> bool:
-        """Take no share from now on, and have that known; whether it is known already. What is
-        held is for the caller to pass on."""
+    def go_away(self, why: Away) -> None:
+        """Take no share from now on. What is held is for the caller to pass on."""
         self._away.add(why)
         self._present = False
+
+    async def told_away(self) -> bool:
+        """Have that known to the others; whether it is."""
         await self._announce()
         return self._present
 
@@ -331,8 +333,7 @@
 
     def stand_aside(self) -> None:
         """Act for nothing from now on: the program does not fit the site's level."""
-        self._away.add(Away.UNFIT)
-        self._present = False
+        self.go_away(Away.UNFIT)
         with self._model.lock:
             for share in self._model.shares:
                 if share.owned:
--- a/badgerseam/rollout/choreography.py
+++ b/badgerseam/rollout/choreography.py
@@ -107,6 +107,8 @@
             view = await self._site.view(node)
             if view is not None and view.own.may_end:
                 return
+            if view is not None and view.own.state == "acting":
+                raise Stopped(f"{node} acts again: it has ended meanwhile, or was asked to return")
             await asyncio.sleep(LOOK_S)
         raise Stopped(f"{node} still holds something after {self._limits.leave_s:g} s")
 
--- a/badgerseam/rollout/handover.py
+++ b/badgerseam/rollout/handover.py
@@ -75,6 +75,7 @@
             return "no other controller would take its shares"
         log.info("asked to leave")
         self._left_at = None
+        self._member.go_away(Away.LEAVING)
         self._task = self._spawn(self._leave())
         return None
 
@@ -101,7 +102,7 @@
 
     async def _leave(self) -> None:
         # Known to the siblings first: they would bring shares home to us, or leave them to us.
-        while not await self._member.step_aside(Away.LEAVING):
+        while not await self._member.told_away():
             await asyncio.sleep(ANNOUNCE_S)
         while True:
             with self._model.lock:
--- a/tests/test_choreography.py
+++ b/tests/test_choreography.py
@@ -31,6 +31,7 @@
     unheard: str | None = None
     refusal: str | None = None
     ends_meanwhile: str | None = None
+    ends_leaving: bool = False
 
     def down(self, node: str) -> bool:
         return self.clock.now() < self.down_until.get(node, -1.0)
@@ -42,6 +43,8 @@
         here = [name for name in NODES if not self.down(name) and name not in self.leaving]
         state = "acting"
         may_end = False
+        if self.ends_leaving and now - self.leaving.get(node, now) > 2.0:
+            del self.leaving[node]
         if node in self.leaving:
             may_end = now - self.leaving[node] >= self.leave_s
             state = "left" if may_end else "leaving"
@@ -125,9 +128,10 @@
         ({"unheard": "n-2"}, "n-2 hears 0 of its 100 machines", []),
         ({"refusal": "no other controller"}, "n-1 cannot leave: no other controller", []),
         ({"leave_s": 1e9}, "n-1 still holds something", []),
+        ({"ends_leaving": True}, "n-1 acts again: it has ended meanwhile", []),
         ({"ends_meanwhile": "n-2"}, "n-2 has ended and started anew by itself", ["n-1"]),
     ],
-    ids=["crash loop", "workers unheard", "refused", "never left", "another ends"],
+    ids=["crash loop", "unheard", "refused", "never left", "ends while leaving", "another ends"],
 )
 def test_it_stops_and_says_why(
     site: Scripted,
