A raise whose controller is gone meanwhile is left to the next look; an end called malformed is tried again

Read in the code: a record that vanished between the look and the raise ended the task that raises, and no later one would have been tried by that leader.

--- a/badgerseam/rollout/raising.py
+++ b/badgerseam/rollout/raising.py
@@ -122,6 +122,10 @@
         model, member = self._model, self._member
         with model.lock:
             leader, target = model.leader, model.target
+            if any(name not in model.nodes for name in member.order):
+                # Gone since the review that found nothing in the way.
+                self._moving = False
+                return
             conditions = {
                 LEVEL_KEY: model.site.version,
                 TARGET_KEY: 0 if target is None else target[1],
--- a/badgerseam/store/ledger.py
+++ b/badgerseam/store/ledger.py
@@ -364,6 +364,10 @@
             )
         except Dropped:
             job.end_sent = False
+        except Unavailable:
+            # Without a deadline only one that was called malformed comes to that.
+            await asyncio.sleep(1.0)
+            job.end_sent = False
         except Refused as refusal:
             job.end_sent = False
             if claim_key(share.index) in refusal.failed:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -182,6 +182,26 @@
     play(story)
 
 
+def test_a_controller_that_goes_between_review_and_raise_stops_the_raise_and_no_later_one() -> None:
+    async def story(trio: Trio) -> None:
+        trio.start_all(BOTH)
+        job(trio)
+        await trio.go_on(0.2)
+        await trio.alive["n-0"].raising.want(1, "n-0")
+        await settled(trio)
+        raising = trio.alive[trio.holder(LEADER_KEY) or ""].raising
+        gone = raising._model.nodes.pop("n-1")
+        raising._moving = True
+        await raising._move(2)
+        assert trio.level() == 1
+        raising._model.nodes["n-1"] = gone
+        await trio.alive["n-0"].raising.want(None, "n-0")
+        await trio.go_on(3.0)
+        assert trio.level() == 2
+
+    play(story)
+
+
 # ---- a program that does not fit ----
 
 
