The change read again: controllers ranked by load in one place, one name for a recent report

Behaviour stays as it is. Taking turns and passing shares on sorted the controllers by load each for themselves; the status had its own copy of how recent a report has to be; a program that stands aside goes straight back to waiting, so that loading need not ask whether it does. 362 tests pass.

--- a/badgerseam/api/rollout.py
+++ b/badgerseam/api/rollout.py
@@ -14,10 +14,9 @@
 from badgerseam.rollout.refresh import Refresh
 from badgerseam.store.client import Refused
 from badgerseam.wire import rollout as wire
+from badgerseam.workers.control import RECENT_REPORTS
 
 ROLLOUT = "/rollout"
-HEARD_REPORTS = 1.5
-"""Report intervals within which any machine that can reach us has reported."""
 RETRY_S = 1
 
 
@@ -124,7 +123,7 @@
             state = "left"
         else:
             state = "leaving" if self._handover.leaving else "acting"
-        recent = now - HEARD_REPORTS * model.settings.params.workers.report_s
+        recent = now - RECENT_REPORTS * model.settings.params.workers.report_s
         machines = heard = 0
         for share in model.shares:
             if share.owned:
--- a/badgerseam/cluster/member.py
+++ b/badgerseam/cluster/member.py
@@ -233,8 +233,7 @@
 
     def _turn(self) -> int:
         """Our turn among the living when something is to be claimed: the least busy first."""
-        load = self._load()
-        ranked = sorted(load, key=lambda name: (load[name], self.order.index(name)))
+        ranked = self._by_load()
         return ranked.index(self.node) if self.node in ranked else len(ranked)
 
     def _return(self, share: Share) -> None:
@@ -260,13 +259,13 @@
         finally:
             self._returning.discard(share.index)
 
-    def _load(self) -> dict[str, int]:
-        """How many shares each controller holds that takes any."""
+    def _by_load(self) -> list[str]:
+        """The controllers that take shares, the least busy first."""
         load = {name: 0 for name, held in self._model.nodes.items() if not held.claim.away}
         for share in self._model.shares:
             if share.held is not None and share.held.claim.node in load:
                 load[share.held.claim.node] += 1
-        return load
+        return sorted(load, key=lambda name: (load[name], self.order.index(name)))
 
     def _should_lead(self, now: float) -> bool:
         held = self._model.leader
@@ -290,11 +289,7 @@
 
     def others(self) -> list[str]:
         """Controllers that would take a share now, the least busy first."""
-        load = self._load()
-        return sorted(
-            (name for name in load if name != self.node),
-            key=lambda name: (load[name], self.order.index(name)),
-        )
+        return [name for name in self._by_load() if name != self.node]
 
     def hand_on(self) -> bool:
         """Have others act for our shares, until `hear_again`; False if there is nobody else."""
--- a/badgerseam/lab/trees.py
+++ b/badgerseam/lab/trees.py
@@ -13,6 +13,7 @@
 import msgspec
 from msgspec import Struct
 
+ROOT = Path(__file__).resolve().parents[2]
 OWN = ""
 """The name of the sources that the lab itself runs from."""
 
@@ -43,7 +44,7 @@
     """The sources that this process runs from."""
     given = () if options is None else ("--options", str(options))
     return Tree(
-        Path(__file__).resolve().parents[2],
+        ROOT,
         (sys.executable, "-m", "badgerseam", "serve", *given, "--config"),
     )
 
@@ -67,10 +68,9 @@
 
 
 def _extract(name: str, revision: str, folder: Path) -> Path:
-    root = Path(__file__).resolve().parents[2]
     try:
         packed = subprocess.run(
-            ["git", "-C", str(root), "archive", revision, "--", "badgerseam", "deploy", "run.py"],
+            ["git", "-C", str(ROOT), "archive", revision, "--", "badgerseam", "deploy", "run.py"],
             check=True,
             capture_output=True,
         ).stdout
--- a/badgerseam/store/replica.py
+++ b/badgerseam/store/replica.py
@@ -54,6 +54,7 @@
                 if self._aside:
                     await self._wait_to_fit()
                     loaded = False
+                    continue
                 if not loaded:
                     loaded = await self._load()
                     self._changed()
@@ -125,8 +126,6 @@
     async def _load(self) -> bool:
         """Read all keys; False if the program does not fit the site's level."""
         model = self._model
-        if self._aside:
-            return False
         # Before all else: what lies at another level must not be looked at.
         await self._read_level()
         after: str | None = None
