--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -257,6 +257,7 @@
             # A retry of a job that was accepted gets its state, whatever we think of it now.
             if await self._ledger.read(spec.id) is not None:
                 return await self._show(spec.id)
+            log.info("refused %s of %s: %s", spec.id, spec.team, reason)
             return Reply(422, wire.status_encoder.encode({"error": reason}))
         phase = await self._ledger.accept(spec)
         if phase == Phase.OPEN and spec.id not in self._model.ended:
--- a/badgerseam/model/records.py
+++ b/badgerseam/model/records.py
@@ -125,7 +125,7 @@
                     team.name,
                     index * count // len(order) if len(order) >= count else index,
                     Resources(team.cpus, team.gpus, float("inf")),
-                    Resources(team.cpus_max, team.gpus_max, float("inf")),
+                    Resources(*team.limits, float("inf")),
                 )
             )
 
--- a/badgerseam/settings.py
+++ b/badgerseam/settings.py
@@ -37,6 +37,17 @@
     gpus: Amount = 0.0
     gpus_max: Amount = 0.0
 
+    @property
+    def limits(self) -> tuple[float, float]:
+        """Processors and accelerators that its tasks may use at most.
+
+        0 stands for none. Where both are 0, that is no limit: read as "nothing", it told a guest
+        team without a guarantee, in its first request, that its jobs could never run.
+        """
+        if self.cpus_max or self.gpus_max:
+            return self.cpus_max, self.gpus_max
+        return float("inf"), float("inf")
+
 
 class Objective(Struct, frozen=True):
     kind: str
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -11,9 +11,10 @@
 from badgerseam.api.questions import Questions
 from badgerseam.api.users import Api
 from badgerseam.http.server import Reply
+from badgerseam.settings import Team
 from badgerseam.wire import state as wire
 from badgerseam.wire.users import Submission
-from tests.stand_ins import Rig, submission
+from tests.stand_ins import Rig, Worker, submission
 
 
 def api(rig: Rig, questions: Questions | None = None, batch: BatchApi | None = None) -> Api:
@@ -136,3 +137,19 @@
     body = encoded(submission(cpus=9.0))
     rig.state.put("bs/j/job-000001", wire.StoredJob("open", 4, 0.0, submission(cpus=9.0)))
     assert ask(rig, "POST", "/submissions", body)[0] == 200
+
+
+@pytest.mark.parametrize(("most", "pieces", "status"), [(0.0, 50, 201), (8, 4, 201), (8, 5, 422)])
+def test_a_team_whose_limits_are_all_0_has_none(most: float, pieces: int, status: int) -> None:
+    # Guests come with 0 guaranteed and 0 at most: each of their jobs was refused as one that can
+    # never run.
+    rig = Rig([Team("red", 0.0, most)])
+    rig.own()
+    rig.machine()
+    for _ in range(2):
+        rig.report(Worker())
+    rig.model.machines[0].shown_token = rig.model.machines[0].token
+    body = encoded(submission(shape="standing", pieces=pieces))
+    assert ask(rig, "POST", "/submissions", body)[0] == status
+    rig.plan()
+    assert len(rig.model.shares[0].planned) == (4 if status == 201 else 0), "a machine's worth"
