A row of what was finished under an owner before does not stop a share's writing

Cause: a chunk with unsaved ends had its rows kept, whatever they were; a task that was finished before this owner read the pages has no attempt that it knows of, and looking for its number ended each try to write anything for the share. Change: such rows are dropped, since their end is durable. Test: fails with the KeyError without it.

--- a/badgerseam/store/pages.py
+++ b/badgerseam/store/pages.py
@@ -197,7 +197,11 @@
         rows = []
         starts: list[tuple[int, int]] = []
         for row in entry.rows:
-            if job.status[row.task] == FINISHED and not _unsaved(job, row.task):
+            if job.status[row.task] == FINISHED and (
+                # Finished before this owner read it, so that no attempt is known: others of its
+                # chunk may be unsaved, and a number was looked for that nobody has.
+                row.task not in job.tries or not _unsaved(job, row.task)
+            ):
                 continue
             attempt = job.attempts.get(row.task)
             if row.attempt == job.tries.get(row.task):
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -344,3 +344,23 @@
     assert isinstance(outcomes[4], Refused)
     assert all(isinstance(outcome, int) for i, outcome in enumerate(outcomes) if i != 4)
     assert state.transactions < 7
+
+
+def test_a_row_of_what_was_finished_before_we_came_does_not_stop_all_writing() -> None:
+    # More was planned than one write holds, so that an end had to wait; the row of another task
+    # of that job, finished under an owner before, was looked up among attempts that nobody knows.
+    # Each try to write anything for the share ended there.
+    rig = Rig()
+    machine = rig.machine()
+    job = rig.job(pieces=4)
+    rig.page(0, rig.rows(job.id, done=1))
+    rig.page(1, rig.rows(job.id, (0, 1, "m-1"), (1, 1, "m-1")))
+    rig.own()
+    large = rig.job(id="job-000002", pieces=1000)
+    for task in range(1000):
+        rig.model.place(large, task, 1, machine, Stage.PLANNED)
+    rig.model.finish(job.attempts[1], rig.clock.now())
+    asyncio.run(rig.settle(40))
+    assert all(attempt.stage == Stage.PLACED for attempt in large.attempts.values())
+    copy = replica_of(rig).model.job(job.id)
+    assert copy is not None and copy.finished == 2
