A claim says until when an owner before may answer; a record overwritten late is written again

Cause: a process that takes its own predecessor's claim over took itself for alone with the workers. The predecessor may have held the share for a moment only, with the owner before it cut off and answering still: tasks of machines that nobody here had heard would have been placed anew while they ran. And a predecessor's own record, applied late, took the new process's with it when its lease ended. Change: the time is in the claim and is carried over by later processes of the holder; a claim applied late is given up; a controller that its replica does not show announces itself again. Older programs ignore the new field, and a claim without it counts as one just taken.

--- a/badgerseam/cluster/member.py
+++ b/badgerseam/cluster/member.py
@@ -22,6 +22,8 @@
 """How long after the start a share that was never held is left to its home controller."""
 STAGGER_S = 0.25
 RETURN_S = 0.5
+LATE_S = 4.0
+"""From composing a claim to seeing it: one that took longer was applied late."""
 STEADY_S = 1.5
 """How long a returned controller has to be alive before it gets its share back."""
 
@@ -65,6 +67,7 @@
         self._away: set[Away] = set()
         self.ask_to_take: AskToTake | None = None
         self._present = False
+        self._announced_at = -1e9
         self._claiming: set[str] = set()
         self._returning: set[int] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -170,6 +173,7 @@
         write = wire.Write(put=node_key(self.node), value=wire.raw(record), lease=lease)
         try:
             await self._committer.commit(Urgency.CLAIM, {}, [write], 2.0)
+            self._announced_at = self._clock.now()
             self._present = away == bool(self._away)
         except LeaseLost:
             self._lose_lease()
@@ -202,9 +206,23 @@
                     model.disown(share)
                 if not share.owned and mine and share.held is not None and not share.releasing:
                     log.info("share %d: acting under term %d", share.index, share.held.version)
-                    model.own(share, share.held.version, share.last_holder == self.node)
+                    others_s = self._others_s(share, share.held)
+                    if others_s is None:
+                        log.info("share %d: a claim that came late", share.index)
+                        self.resign(share)
+                        continue
+                    model.own(share, share.held.version, others_s)
             if self.lease is None or not self._present:
                 return
+            present = model.nodes.get(self.node)
+            if (
+                (present is None or present.claim.lease != self.lease)
+                and now - self._announced_at > LATE_S
+                and now - model.followed_at < LATE_S
+            ):
+                # An earlier process has overwritten it late, and it goes, or is gone, with that
+                # one's lease: siblings would miss us for as long as we live.
+                self._present = False
             for share in model.shares:
                 key = claim_key(share.index)
                 if key not in self._claiming and self._should_claim(share, now):
@@ -214,6 +232,30 @@
             if LEADER_KEY not in self._claiming and self._should_lead(now):
                 self._spawn(self._claim(LEADER_KEY, model.leader))
 
+    def _others_s(self, share: Share, held: Held) -> float | None:
+        """How long owners before us may go on answering the share's workers; None if the claim has
+        been applied so late that it tells nothing of them."""
+        bound = self._model.cut_bound_s
+        until = held.claim.until
+        left = None if until is None else until - self._clock.wall()
+        if share.last_holder != self.node:
+            if left is not None and left < bound - LATE_S:
+                # An owner may have come and gone since it was written, which a later process of
+                # ours, that relies on the time in it, would not know.
+                return None
+            return bound
+        # Ours from an earlier process. It may have held the share for a moment only, with the one
+        # before it cut off: taken for alone then, tasks were placed anew that still ran.
+        return bound if left is None else max(0.0, min(left, bound))
+
+    def _until(self, held: Held | None) -> float:
+        """What a claim of ours that replaces another, or none, says of the owners before."""
+        if held is not None and held.claim.node == self.node and held.claim.until is not None:
+            return held.claim.until
+        params = self._model.settings.params
+        # The time of day is read by another process later, and wanders.
+        return self._clock.wall() + self._model.cut_bound_s + 2e-3 * params.time_bound_ms
+
     def _should_claim(self, share: Share, now: float) -> bool:
         held = share.held
         if self._away:
@@ -345,7 +387,7 @@
             return False
         if not model.loaded or not model.fits:
             return False
-        return await self._write_claim(key, version, lease)
+        return await self._write_claim(key, version, lease, self._until(None))
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(work)
@@ -356,11 +398,13 @@
         lease = self.lease
         if lease is None or key in self._claiming:
             return
-        await self._write_claim(key, 0 if held is None else held.version, lease)
+        version = 0 if held is None else held.version
+        await self._write_claim(key, version, lease, self._until(held))
 
-    async def _write_claim(self, key: str, version: int, lease: int) -> bool:
+    async def _write_claim(self, key: str, version: int, lease: int, until: float) -> bool:
         self._claiming.add(key)
-        write = wire.Write(put=key, value=wire.raw(wire.Claim(self.node, lease)), lease=lease)
+        record = wire.Holding(self.node, lease, False, round(until, 3))
+        write = wire.Write(put=key, value=wire.raw(record), lease=lease)
         try:
             await self._committer.commit(
                 Urgency.CLAIM,
@@ -417,5 +461,5 @@
             await asyncio.sleep(0.5)
             share.releasing = False
             if held is not None and share.held is held:
-                share.held = Held(wire.Claim(self.node, -1), held.version)
+                share.held = Held(wire.Holding(self.node, -1), held.version)
         self._changed()
--- a/badgerseam/lab/measures.py
+++ b/badgerseam/lab/measures.py
@@ -60,7 +60,7 @@
     version = 1
     model.apply("bs/f", wire.raw(site.types), version)
     model.apply(claim_key(0), wire.raw(wire.Claim("node-0", 1)), 2)
-    model.own(model.shares[0], 2, True)
+    model.own(model.shares[0], 2, 0.0)
     for number in range(machines):
         row = wire.StoredMachine(
             f"m-{number:06d}", 0, "c8", random.choice("ab"), number % 3 == 0, "", clock.wall()
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -362,11 +362,10 @@
         else:
             share.ever_held = True
 
-    def own(self, share: Share, term: int, alone: bool) -> None:
+    def own(self, share: Share, term: int, others_s: float) -> None:
         """Start to act for a share whose claim the replica has just shown as ours.
 
-        `alone`: the holder before was an earlier process of this controller, so that nobody else
-        can still answer reports.
+        `others_s`: how long owners before us may go on answering reports.
         """
         share.term = term
         share.releasing = False
@@ -375,7 +374,7 @@
         share.owned_since = self.clock.now()
         self._reload(share)
         for machine in self.fleets[share.index].values():
-            self.adopt(machine, 0.0 if alone else self.cut_bound_s)
+            self.adopt(machine, others_s)
 
     def disown(self, share: Share) -> None:
         """Stop acting for a share; what is not durable is forgotten."""
@@ -416,4 +415,4 @@
 
 
 def _held(value: msgspec.Raw | None, version: int) -> Held | None:
-    return None if value is None else Held(msgspec.json.decode(value, type=wire.Claim), version)
+    return None if value is None else Held(msgspec.json.decode(value, type=wire.Holding), version)
--- a/badgerseam/model/state.py
+++ b/badgerseam/model/state.py
@@ -35,7 +35,7 @@
 class Held:
     """A claim as the replica shows it."""
 
-    claim: wire.Claim
+    claim: wire.Holding
     version: int
 
 
--- a/badgerseam/wire/state.py
+++ b/badgerseam/wire/state.py
@@ -90,6 +90,15 @@
     program: str = ""
 
 
+class Holding(Claim, frozen=True, array_like=True):
+    """A claim on a share or on the leadership."""
+
+    until: float | None = None
+    """Time of day up to which an owner from before the holder, cut off from the state service, may
+    go on answering the share's workers; None from a program that does not say. Later processes of
+    the holder carry it over, since none of them can know it by itself."""
+
+
 class Deputy(Struct, frozen=True, array_like=True):
     """In place of which owners, that it cannot reach, a controller answers their workers."""
 
--- a/tests/trio.py
+++ b/tests/trio.py
@@ -160,7 +160,9 @@
 class Trio:
     """The site."""
 
-    def __init__(self) -> None:
+    def __init__(self, way: type[Way] = Way) -> None:
+        """`way`: how controllers reach the state service."""
+        self._way = way
         self.clock = FakeClock()
         self.params = settings(shares=3).params.state
         self.core = StateCore(self.clock, self.params)
@@ -170,7 +172,7 @@
 
     def start(self, node: str, program: Program) -> Controller:
         """A fresh process."""
-        way = Way(self.clock, self.params, self.core)
+        way = self._way(self.clock, self.params, self.core)
         self.ways.append(way)
         controller = Controller(node, way, program, self)
         self.alive[node] = controller
