Jobs with a mistake are told from faulty machines by evidence over jobs and machines

Change: workers/blame.py: a job that has failed on three machines and of which nothing was ever done is at fault itself, and counts against no machine; it is tried one task at a time, with pauses that double up to 30 s, without end, where there is room; a faulty machine among such jobs is found all the same.

--- a/badgerseam/explain/reasons.py
+++ b/badgerseam/explain/reasons.py
@@ -147,6 +147,16 @@
     return found
 
 
+def _everywhere(job: Job) -> str:
+    """What tells a job with a mistake in it from one that met a faulty machine."""
+    if not job.at_fault:
+        return ""
+    return (
+        f", on {len(job.failed_on)} machines, and nothing of it was ever done: the job itself is "
+        "most likely wrong, not the machines"
+    )
+
+
 def _held_back(context: Context, why: str) -> Reason:
     job = context.job
     if why in TERMS:
@@ -155,8 +165,8 @@
         machines = [context.model.machines.get(index) for index in sorted(job.shunned)]
         return Reason(
             "backoff",
-            f"Its tasks have failed {job.errors} times in a row; they are tried again after a "
-            "pause that doubles.",
+            f"Its tasks have failed {job.errors} times in a row"
+            f"{_everywhere(job)}; they are tried again after a pause that doubles.",
             binding=True,
             expected_s=round(max(0.0, job.retry_at - context.now), 1),
             change="The pause ends. If the job fails on every machine, look at its output and "
@@ -166,8 +176,8 @@
     if why == "failing":
         return Reason(
             "failing",
-            f"Its tasks have failed {job.errors} times in a row: one at a time is tried, and the "
-            "others wait for that one.",
+            f"Its tasks have failed {job.errors} times in a row{_everywhere(job)}: one at a time "
+            "is tried, and the others wait for that one.",
             binding=True,
             change="The task that is being tried runs, or the job is corrected and submitted anew.",
         )
--- a/badgerseam/model/job.py
+++ b/badgerseam/model/job.py
@@ -27,6 +27,13 @@
 
 IDLE, PLACED, FINISHED = 0, 1, 2
 
+SEVERAL = 3
+"""Machines on which a job has failed, nothing of it working meanwhile, before that is its own
+fault: as many faulty ones in a row are rarer than a job submitted with a mistake."""
+FIRST_PAUSE_S = 0.25
+MOST_PAUSE_S = 30.0
+MOST_DOUBLED = 8
+
 
 class Stage(IntEnum):
     """How far an attempt has come."""
@@ -109,6 +116,13 @@
     ending: bool = False
     """All tasks are done, but this is not durable yet."""
     errors: int = 0
+    """Failures since a task of it was last seen to work."""
+    failed_on: set[int] = field(default_factory=set)
+    """The machines on which they were."""
+    tries_failed: int = 0
+    """Rounds of them: tasks that were started together fail together."""
+    failed_after_s: float = 0.0
+    """How long one of them ran at most."""
     retry_at: float = 0.0
     eligible_at: float | None = None
     """Time of day at which its terms were first seen to let it start."""
@@ -155,10 +169,41 @@
         self.idle = list(range(self.spec.tasks - 1, -1, -1))
         self.finished = 0
         self.ending = False
-        self.errors = 0
+        self.worked()
         self.retry_at = 0.0
         self.shunned.clear()
 
+    @property
+    def failing(self) -> bool:
+        """It has failed on several machines since anything of it worked, so that one more start
+        tells as much as all of them."""
+        return len(self.failed_on) >= SEVERAL
+
+    @property
+    def at_fault(self) -> bool:
+        """Its failures say nothing of the machines: it has failed on several, and nothing of it
+        was ever done anywhere."""
+        return self.failing and self.finished == 0
+
+    def failed(self, now: float, machine: int | None, after_s: float = 0.0) -> None:
+        """A task of it has failed, and others are put off; `machine`: where that may tell whose
+        fault it is, `after_s`: how long it ran."""
+        self.errors += 1
+        if machine is not None:
+            self.failed_on.add(machine)
+            self.shunned.add(machine)
+        self.failed_after_s = max(self.failed_after_s, after_s)
+        if now >= self.retry_at:
+            self.tries_failed += 1
+        pause_s = FIRST_PAUSE_S * 2 ** min(self.tries_failed, MOST_DOUBLED)
+        self.retry_at = now + min(pause_s, MOST_PAUSE_S)
+
+    def worked(self) -> None:
+        """A task of it has completed, or runs on where others had failed by then."""
+        self.errors = self.tries_failed = 0
+        self.failed_after_s = 0.0
+        self.failed_on.clear()
+
     def waiting(self) -> int:
         """How many tasks are not placed and not done."""
         return self.spec.tasks - self.finished - self.live
--- a/badgerseam/model/machine.py
+++ b/badgerseam/model/machine.py
@@ -5,7 +5,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from badgerseam.model.job import Attempt, Stage
+from badgerseam.model.job import Attempt, Job, Stage
 from badgerseam.model.resources import NOTHING, Resources
 from badgerseam.sched.snapshot import Node
 from badgerseam.wire.workers import TaskReport
@@ -63,7 +63,8 @@
     """The token was sent directly since the share or the machine changed hands."""
     push_after: float = 0.0
     failures: int = 0
-    failed_jobs: set[int] = field(default_factory=set)
+    failed_jobs: set[Job] = field(default_factory=set)
+    """Jobs that failed here and have not completed anything here since."""
     draining: bool = False
     idle_since: float = 0.0
     returning: bool = False
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -22,8 +22,6 @@
 HOPEFUL = 0.5
 """The part of its estimate in which a task may well be done, estimates being as wrong as that."""
 LATE_S = 1e7
-FAILING = 6
-"""A job with so many failures in a row is tried one task at a time."""
 MOST_STARTS = 400
 """Tasks of a job planned at once, so that one of 100,000 does not hold the loop; more are planned
 in the next round, when these are on their way to be durable."""
@@ -170,7 +168,7 @@
         if job.waiting() <= 0 or self.held_back(job, now) is not None:
             return None
         # One that fails wherever it runs: one task at a time tells when that changes.
-        count = 1 if job.errors >= FAILING and not job.gang else job.waiting()
+        count = 1 if job.failing and not job.gang else job.waiting()
         if job.spec.terms is not None:
             most = self.terms.most(job)
             count = count if most is None else min(count, most)
@@ -186,7 +184,7 @@
                 return held
         if now < job.retry_at:
             return "backoff"
-        if job.errors >= FAILING and job.attempts:
+        if job.failing and job.attempts:
             return "failing"
         if job.next_idle() is None:
             return "unsettled"
@@ -205,7 +203,8 @@
             count if job.gang else min(count, MOST_STARTS),
             job.need,
             job.rank,
-            job.rank >= HIGH_RANK,
+            # One that fails everywhere is tried where there is room: nobody is stopped for that.
+            job.rank >= HIGH_RANK and not job.failing,
             job.team,
             job.types,
             spec.zone,
@@ -214,7 +213,7 @@
             spec.spot,
             spec.image,
             job.zones,
-            job.shunned if len(job.shunned) < 4 else set(),
+            set() if job.failing else job.shunned,
             order,
             job.gang,
             self.wait_s(job),
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -18,6 +18,7 @@
 from badgerseam.model.resources import NOTHING
 from badgerseam.settings import Tunables
 from badgerseam.wire import workers as wire
+from badgerseam.workers import blame
 from badgerseam.workers.hearing import Hearing
 from badgerseam.workers.inspection import inspect
 
@@ -33,9 +34,6 @@
 """Report intervals without a report after which a machine is asked."""
 RECENT_REPORTS = 1.5
 """Report intervals within which any machine that can reach us has reported."""
-FAULTY_JOBS = 3
-"""A machine on which tasks of so many jobs failed is drained."""
-
 _STAGES = {"fetching": Stage.FETCHING, "running": Stage.RUNNING, "saving": Stage.SAVING}
 
 
@@ -223,7 +221,8 @@
                     now - attempt.planned_at,
                 )
                 machine.images.add(job.spec.image)
-                job.errors = 0
+            elif stage == Stage.RUNNING:
+                blame.runs_on(attempt, now)
             if attempt.stage != stage:
                 attempt.stage = stage
                 machine.node = None
@@ -238,18 +237,16 @@
             if job.rank < 2 and not attempt.finishing:
                 share.finished += 1
             machine.images.add(job.spec.image)
-            machine.failed_jobs.discard(job.index)
+            blame.completed(machine, job)
             model.finish(attempt, now + self._tunables.done_delay_s)
             return
         if item.why in ("error", "no_such", "full", "in_use"):
-            job.errors += 1
-            job.retry_at = now + min(0.25 * 2 ** min(job.errors, 7), 30.0)
             log.debug("%s failed on %s: %s", attempt.name, machine.name, item.why)
-            if item.why == "error":
+            if item.why != "error":
+                job.failed(now, None)
+            else:
                 attempt.error = True
-                job.shunned.add(machine.index)
-                machine.failed_jobs.add(job.index)
-                if len(machine.failed_jobs) >= FAULTY_JOBS and not machine.draining:
+                if blame.failed(machine, attempt, now) and not machine.draining:
                     log.info("%s fails the tasks of many jobs: drained", machine.name)
                     machine.draining = True
         model.unplace(attempt)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -183,12 +183,11 @@
 
 def _failing(rig: Site) -> Job:
     job = _backoff(rig)
-    job.errors, job.retry_at = 6, 0.0
     job = rig.job(job_id="job-000002", pieces=3)
     rig.plan()
     for attempt in list(job.attempts.values())[1:]:
         job.release(attempt)
-    job.errors = 6
+    job.failed_on = {7, 8, 9}
     return job
 
 
