Late machines are told from those that never come by what has come up since

Need: at times new machines come up late, all of them or one by one, or never. By the stated time alone each order was made anew after a boot and a half, and a machine was released after 30 s and three boots, which may be just before it comes. Change: fleet/boots.py: one is overdue when nearly all that came up since it was rented took less, and is given up when it is an exception twice over; while nothing has come up since, it may be that all are slow: it is waited for four times the stated time. No order is kept beyond ten times.

--- a/badgerseam/explain/supply.py
+++ b/badgerseam/explain/supply.py
@@ -8,8 +8,8 @@
 
 from badgerseam.clock import Clock
 from badgerseam.explain.words import counted
+from badgerseam.fleet.boots import SPREAD
 from badgerseam.fleet.demand import Offer, options, virtual_node
-from badgerseam.fleet.manager import BOOT_SPREAD
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
 from badgerseam.model.state import Share
@@ -83,7 +83,7 @@
             continue
         entry = model.types.get(machine.type)
         if why == "not_heard" and not machine.attempts and entry is not None:
-            left = machine.rented + BOOT_SPREAD * entry.boot_s - wall
+            left = machine.rented + SPREAD * entry.boot_s - wall
             if left > 0:
                 offer = Offer(machine.type, machine.zone, machine.spot)
                 node = virtual_node(model.types, offer, machine.index)
--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -10,6 +10,7 @@
 
 from badgerseam.cluster.member import Member
 from badgerseam.fleet import policy
+from badgerseam.fleet.boots import SPREAD, Boots
 from badgerseam.fleet.cloud import Cloud, CloudTrouble
 from badgerseam.fleet.demand import Offer, options, virtual_node
 from badgerseam.fleet.hiring import Hiring
@@ -38,8 +39,6 @@
 the leader goes on answering its workers."""
 MINIMUM_S = 60.0
 """The least that a machine is charged for."""
-BOOT_SPREAD = 1.5
-"""How much longer than stated a boot usually takes at most."""
 TYPES_S = 20.0
 TELL_S = 10.0
 DEPARTURES = 0.8
@@ -86,6 +85,7 @@
         self._changed = changed
         self._clock = model.clock
         self.hiring = Hiring(model, member, committer, roster, cloud, self._spawn, changed)
+        self.boots = Boots(model)
         self.releases = Releases(model, member, roster, cloud, self._spawn, changed)
         self._moving: set[str] = set()
         self._missing: dict[str, int] = {}
@@ -188,6 +188,7 @@
         while True:
             await asyncio.sleep(min(max(ROUND_S, took_s / ROUND_PART), MOST_ROUND_S))
             if not self._member.is_leader or not self._model.loaded:
+                self.boots.forget()
                 continue
             began = self._clock.now()
             try:
@@ -251,14 +252,16 @@
                     )
                     continue
                 machine.addr = machine.addr or entry.addr
-                machine.listed_up = machine.listed_up or entry.state == "running"
+                if entry.state == "running" and not machine.listed_up:
+                    machine.listed_up = True
+                    self.boots.listed_up(machine, entry.age_s, self._list_pause_s)
                 if entry.state == "failed":
                     log.info("%s has failed", entry.id)
                     release.append(entry.id)
                 elif entry.state == "booting" and machine.session == 0:
-                    boot = model.types.get(entry.type)
-                    limit = 30.0 + 3.0 * (boot.boot_s if boot else 60.0)
-                    if entry.age_s > limit and not machine.attempts:
+                    # Its first minute is paid for in any case.
+                    late = entry.age_s > MINIMUM_S and self.boots.hopeless(machine, entry.age_s)
+                    if late and not machine.attempts:
                         log.info("%s never came up", entry.id)
                         release.append(entry.id)
             for machine in model.machines.values():
@@ -290,6 +293,7 @@
             model.unknown.clear()
             self.hiring.adopt(unknown)
             self.hiring.resume()
+            self.boots.look()
             self.releases.release([m.name for m in model.machines.values() if m.dropped])
             self._decide(now)
 
@@ -308,7 +312,7 @@
             if old and now - machine.idle_since >= tunables.idle_s:
                 idle.add(machine.index)
         nominal_s = max((entry.boot_s for entry in model.types.values()), default=30.0)
-        boot_s = BOOT_SPREAD * nominal_s
+        boot_s = SPREAD * nominal_s
         policy.forget(model.arrivals, now, tunables.arrivals_s)
         kept = policy.reserves(
             model.arrivals,
@@ -365,7 +369,7 @@
                 if machine.dropped or machine.lost or machine.draining:
                     continue
                 # Ours, and not usable now; or not to be waited for any more.
-                if (share.owned and machine.session > 0) or self._overdue(machine):
+                if (share.owned and machine.session > 0) or self.boots.overdue(machine):
                     continue
             if machine.name not in self._moving:
                 nodes.append(planner.node(machine, now))
@@ -401,15 +405,6 @@
         job = self._model.jobs[index]
         return None if job is None else self._planner.request(job, 1)
 
-    def _overdue(self, machine: Machine) -> bool:
-        """Whether a machine should have come up by now: nobody should go on waiting for it."""
-        if machine.session > 0 or machine.listed_up or machine.attempts:
-            return False
-        entry = self._model.types.get(machine.type)
-        boot_s = entry.boot_s if entry is not None else 30.0
-        lag_s = 1.5 * self._model.settings.params.cloud.list_lag_s
-        return self._clock.wall() - machine.rented > BOOT_SPREAD * boot_s + lag_s
-
     def _vacancies(
         self, snapshots: list[pts.Snapshot], decisions: policy.Decisions, now: float
     ) -> list[tuple[int, int]]:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -122,7 +122,11 @@
     # A late report of the released machine brings nothing back.
     rig.model.unknown.clear()
     assert rig.control.checkin(Worker("m-1").body()).status == 421
-    rented._round()
+
+    async def once() -> None:
+        rented._round()
+
+    asyncio.run(once())
     assert rig.model.machine("m-1") is None
 
 
