Polls leave a part of the requests to the state service alone

Need: users may ask eight times as often for a minute. Comparisons for polls, one after the other, may take all requests a second that a controller has, and renewals of leases and submissions queue with them. Change: they leave 0.3 of a second's requests to others; who asks meanwhile shares the next comparison.

--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -37,6 +37,10 @@
 QUEUE = "/queue"
 TAKEN = "another job has this id"
 GATHER_S = 0.004
+SPARED = 0.3
+"""Part of a second's requests to the state service that polls leave alone: users that ask many
+times as often wait for the next comparison, which serves all who came meanwhile, and renewals of
+leases, submissions and what follows the state service do not wait for them."""
 RETRY_S = 1
 ASIDE_S = 2
 """Told to users of a controller that takes no part: another one answers them."""
@@ -76,7 +80,7 @@
             error: Unavailable | None = None
             try:
                 conditions = [Condition(key, version) for key, (version, _) in batch.items()]
-                await self._state.transact(conditions, [], 1.2)
+                await self._state.transact(conditions, [], 1.2, SPARED)
             except Refused as refusal:
                 failed = set(refusal.failed)
             except Unavailable as unavailable:
--- a/badgerseam/store/client.py
+++ b/badgerseam/store/client.py
@@ -73,10 +73,12 @@
         """Sending time of the latest request that was answered."""
 
     async def _call(
-        self, method: str, path: str, body: bytes | None, deadline_s: float
+        self, method: str, path: str, body: bytes | None, deadline_s: float, spared: float = 0.0
     ) -> tuple[int, bytes]:
-        while not self.requests.take():
-            await asyncio.sleep(self.requests.wait_s() + 0.002)
+        """`spared`: the part of a second's requests that is left to others."""
+        spared *= self.requests.per_s
+        while not self.requests.take(1.0, spared):
+            await asyncio.sleep(self.requests.wait_s(1.0, spared) + 0.002)
         sent = self._clock.now()
         try:
             response = await self._http.request(self._address, method, path, body, deadline_s)
@@ -106,14 +108,18 @@
         return _decode(wire.key_page_decoder, status, body)
 
     async def transact(
-        self, conditions: list[wire.Condition], then: list[wire.Write], deadline_s: float = 2.0
+        self,
+        conditions: list[wire.Condition],
+        then: list[wire.Write],
+        deadline_s: float = 2.0,
+        spared: float = 0.0,
     ) -> int:
         """Commit, and give the revision; Refused, Unavailable, Unknown or LeaseLost otherwise.
 
-        The caller has taken the writes from the budget.
+        The caller has taken the writes from the budget. `spared`: see `_call`.
         """
         body = wire.encode(wire.Transaction(conditions, then))
-        status, reply = await self._call("POST", "/txn", body, deadline_s)
+        status, reply = await self._call("POST", "/txn", body, deadline_s, spared)
         if status == 409:
             raise Refused(_decode(wire.committed_decoder, 200, reply).failed)
         if status == 400 and any(write.lease is not None for write in then):
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -167,7 +167,11 @@
         await asyncio.sleep(0)
 
     async def transact(
-        self, conditions: list[wire.Condition], then: list[wire.Write], deadline_s: float = 2.0
+        self,
+        conditions: list[wire.Condition],
+        then: list[wire.Write],
+        deadline_s: float = 2.0,
+        spared: float = 0.0,
     ) -> int:
         self.transactions += 1
         await asyncio.sleep(0)
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 import msgspec
@@ -9,12 +10,14 @@
 
 from badgerseam.api.batch import BatchApi
 from badgerseam.api.questions import Questions
-from badgerseam.api.users import Api
+from badgerseam.api.users import Api, Confirmations
+from badgerseam.http.client import Response
 from badgerseam.http.server import Reply
-from badgerseam.settings import Team
+from badgerseam.settings import StateParams, Team
+from badgerseam.store.client import StateClient
 from badgerseam.wire import state as wire
 from badgerseam.wire.users import Submission
-from tests.stand_ins import Rig, Worker, submission
+from tests.stand_ins import FakeHttp, Rig, Worker, seeded, submission
 
 
 def api(rig: Rig, questions: Questions | None = None, batch: BatchApi | None = None) -> Api:
@@ -153,3 +156,26 @@
     assert ask(rig, "POST", "/submissions", body)[0] == status
     rig.plan()
     assert len(rig.model.shares[0].planned) == (4 if status == 201 else 0), "a machine's worth"
+
+
+def test_renewals_do_not_wait_for_users_that_ask_many_times_as_often() -> None:
+    rig, http = Rig(), FakeHttp()
+    params = StateParams(100.0, 50.0, 8.0, 12)
+    state = StateClient(rig.clock, http, "state:1", params, 1, seeded())  # type: ignore[arg-type]
+    rig.state.put("bs/j/job-000001", 1)
+    http.script = [lambda _: Response(200, b'{"epoch":1}')] * 60
+
+    async def storm() -> None:
+        confirm = Confirmations(state)
+        for number in range(30):
+            # As many as a second allows have been asked just before.
+            state.requests.charge(state.requests.available() - 0.2 * state.requests.per_s)
+            poll = asyncio.ensure_future(confirm.unchanged(f"bs/j/job-{number:06}", 1))
+            await asyncio.sleep(0.006)
+            await state.extend(1, 1.0)
+            assert http.sent[-1][1] == "/leases/1/extend" and not poll.done()
+            rig.clock.time += 1.0
+            assert await poll, "it gets its turn"
+
+    asyncio.run(storm())
+    assert [path for _, path, _ in http.sent].count("/txn") == 30
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -141,7 +141,11 @@
     luck = random.Random(0)
 
     async def transact(
-        self, conditions: list[wire.Condition], then: list[wire.Write], deadline_s: float = 2.0
+        self,
+        conditions: list[wire.Condition],
+        then: list[wire.Write],
+        deadline_s: float = 2.0,
+        spared: float = 0.0,
     ) -> int:
         if not self.script and self.luck.random() < 0.15:
             self.script.append(self.luck.choice(["late", "silent", "lost"]))
--- a/tests/trio.py
+++ b/tests/trio.py
@@ -63,7 +63,11 @@
         return self.core.page(prefix, after or "", PAGE)
 
     async def transact(
-        self, conditions: list[wire.Condition], then: list[wire.Write], deadline_s: float = 2.0
+        self,
+        conditions: list[wire.Condition],
+        then: list[wire.Write],
+        deadline_s: float = 2.0,
+        spared: float = 0.0,
     ) -> int:
         await self._open()
         return await super().transact(conditions, then, deadline_s)
