Changes a second are shared by need among the controllers

Change: store/allotment.py: each controller tells with its health what it needs; parts that are not needed, and those of controllers without a record of their own, are divided among those that need more. What may be saved up stays an even part, so that rates and bursts add up to the limit as before.

--- a/badgerseam/cluster/peers.py
+++ b/badgerseam/cluster/peers.py
@@ -14,6 +14,7 @@
 from badgerseam.model.keys import LEADER_KEY, claim_key
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
+from badgerseam.store.allotment import Allotment
 from badgerseam.store.client import StateClient
 from badgerseam.wire import explain, rollout
 from badgerseam.wire import peers as wire
@@ -38,9 +39,17 @@
 class Peers:
     """Both ends of what controllers ask of each other."""
 
-    def __init__(self, model: Model, http: Client, returns: Returns, state: StateClient) -> None:
+    def __init__(
+        self,
+        model: Model,
+        http: Client,
+        returns: Returns,
+        state: StateClient,
+        allotment: Allotment,
+    ) -> None:
         settings = model.settings
         self._state = state
+        self._allotment = allotment
         self._local: LocalAnswers | None = None
         self._view: Callable[[], CloudView | None] = lambda: None
         self._take: Callable[[str, int], Awaitable[bool]] | None = None
@@ -57,7 +66,8 @@
     async def handle(self, method: str, path: str, body: bytes) -> Reply:
         """A sibling's request."""
         if path == "/health" and method == "GET":
-            return Reply(200, wire.encode(wire.Health(self._state_age_s())))
+            need = min(self._allotment.need, 1.0 + len(self._addresses))
+            return Reply(200, wire.encode(wire.Health(self._state_age_s(), round(need, 3))))
         if path == "/cloud" and method == "GET":
             view = self._view()
             return (
@@ -215,6 +225,7 @@
             self._unanswered[node] = min(self._unanswered[node] + 1, 2 * MISSED)
             return
         self._unanswered[node] = max(self._unanswered[node] - 1, 0)
+        self._allotment.told(node, health.need)
         if response.status == 200 and health.state_age_s < STALE_S / 2:
             self._served, self._served_at = node, self._model.clock.now()
 
--- a/badgerseam/http/budget.py
+++ b/badgerseam/http/budget.py
@@ -12,28 +12,42 @@
         self, clock: Clock, per_s: float, burst_s: float = 1.0, least_burst: float = 1.0
     ) -> None:
         self._clock = clock
-        self.per_s = per_s
-        self._burst = max(least_burst, per_s * burst_s)
-        self._level = self._burst
+        self._per_s = per_s
+        self.burst = max(least_burst, per_s * burst_s)
+        """What may be used at once."""
+        self.taken = 0.0
+        """What has been used since the beginning."""
+        self._level = self.burst
         self._at = clock.now()
 
+    @property
+    def per_s(self) -> float:
+        return self._per_s
+
+    @per_s.setter
+    def per_s(self, per_s: float) -> None:
+        """Change the rate from now on; the burst stays."""
+        self.available()
+        self._per_s = per_s
+
     def available(self) -> float:
         """What may be used now."""
         now = self._clock.now()
-        self._level = min(self._burst, self._level + (now - self._at) * self.per_s)
+        self._level = min(self.burst, self._level + (now - self._at) * self.per_s)
         self._at = now
         return self._level
 
     def take(self, amount: float = 1.0, reserve: float = 0.0) -> bool:
         """Use amount if that leaves the reserve; may overdraw never."""
-        if self.available() < min(amount, self._burst) + reserve:
+        if self.available() < min(amount, self.burst) + reserve:
             return False
         self._level -= amount
+        self.taken += amount
         return True
 
     def wait_s(self, amount: float = 1.0, reserve: float = 0.0) -> float:
         """How long until take would succeed."""
-        missing = min(amount, self._burst) + reserve - self.available()
+        missing = min(amount, self.burst) + reserve - self.available()
         return max(0.0, missing / self.per_s)
 
     def charge(self, amount: float) -> None:
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -34,6 +34,7 @@
 from badgerseam.rollout.refresh import Refresh
 from badgerseam.sched.planner import Planner
 from badgerseam.settings import Settings, Tunables
+from badgerseam.store.allotment import Allotment
 from badgerseam.store.client import StateClient
 from badgerseam.store.committer import Committer
 from badgerseam.store.ledger import Ledger
@@ -107,7 +108,8 @@
         )
         self.roster = Roster(self.model, self.state, self.committer)
         self.returns = Returns(self.model, self.roster, self.planner)
-        self.peers = Peers(self.model, http, self.returns, self.state)
+        self.allotment = Allotment(self.model, self.state.writes)
+        self.peers = Peers(self.model, http, self.returns, self.state, self.allotment)
         self.fleet = Fleet(
             self.model,
             self.member,
@@ -234,6 +236,7 @@
             await asyncio.sleep(TICK_S)
             rounds += 1
             model = self.model
+            self.allotment.review()
             with model.lock:
                 for own in model.shares:
                     if own.owned:
--- a/badgerseam/wire/peers.py
+++ b/badgerseam/wire/peers.py
@@ -25,6 +25,9 @@
     """How a controller stands with the state service."""
 
     state_age_s: float
+    need: float | None = None
+    """What it needs of the state service's changes a second, as parts of an even part, at most the
+    number of controllers; None from a program that does not say."""
 
 
 health_decoder: msgspec.json.Decoder[Health] = msgspec.json.Decoder(Health)
--- /dev/null
+++ b/tests/test_allotment.py
@@ -0,0 +1,90 @@
+"""Changes a second, shared by need."""
+
+from __future__ import annotations
+
+import math
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from badgerseam.http.budget import Budget
+from badgerseam.model.keys import node_key
+from badgerseam.store.allotment import ABSENT, FLOOR, Allotment, part
+from tests.stand_ins import Rig
+
+needs = st.lists(
+    st.one_of(st.floats(FLOOR, 3.0), st.just(math.inf), st.just(ABSENT)), min_size=1, max_size=5
+)
+
+
+@given(needs)
+def test_parts_of_what_everybody_knows_add_up_to_all_there_is_at_most(asked: list[float]) -> None:
+    given_out = [part(own, asked[:n] + asked[n + 1 :]) for n, own in enumerate(asked)]
+    if any(need > 1.0 for need in asked):
+        assert sum(given_out) <= len(asked) + 1e-9
+    for need, got in zip(asked, given_out, strict=True):
+        assert got >= min(need, 1.0) - 1e-9, "nobody gets less than an even part that is needed"
+
+
+def spent(budget: Budget, rig: Rig, allotment: Allotment, seconds: float, a_second: float) -> float:
+    """Use so much a second, or what there is; what was used."""
+    before = budget.taken
+    for _ in range(round(seconds / 0.05)):
+        rig.clock.time += 0.05
+        owed = a_second * 0.05
+        while owed > 1e-9 and budget.take(min(owed, 1.0)):
+            owed -= min(owed, 1.0)
+        if rig.clock.time % 0.2 < 0.05:
+            allotment.review()
+    return budget.taken - before
+
+
+def site() -> tuple[Rig, Budget, Allotment]:
+    rig = Rig()
+    budget = Budget(rig.clock, 5.0)
+    return rig, budget, Allotment(rig.model, budget)
+
+
+def test_a_burst_gets_what_idle_siblings_leave() -> None:
+    rig, budget, allotment = site()
+    for _ in range(4):
+        allotment.told("n-1", 0.3)
+        allotment.told("n-2", 0.4)
+        used = spent(budget, rig, allotment, 1.0, 100.0)
+    assert 10.0 < used <= 5.0 * (1 + 0.7 + 0.6) + 1.0
+    assert allotment.need > 1.0
+
+
+def test_without_their_word_siblings_keep_their_even_part() -> None:
+    # Cut off from us, they may have as much to write as we have.
+    rig, budget, allotment = site()
+    allotment.told("n-1", 0.3)
+    allotment.told("n-2", None)
+    rig.clock.time += 3.0
+    spent(budget, rig, allotment, 2.0, 100.0)
+    assert spent(budget, rig, allotment, 4.0, 100.0) <= 4.0 * 5.0 + 1.0
+
+
+def test_the_part_of_a_controller_that_has_ended_is_used() -> None:
+    rig, budget, allotment = site()
+    allotment.told("n-1", 1.0)
+    rig.state.remove(node_key("n-2"))
+    rig.sync()
+    rig.model.nodes.pop("n-2", None)
+    for _ in range(4):
+        allotment.told("n-1", 1.0)
+        used = spent(budget, rig, allotment, 1.0, 100.0)
+    assert 8.5 < used <= 5.0 * (2 - ABSENT) + 1.0
+
+
+def test_what_is_not_needed_is_left_only_while_somebody_asks_for_it() -> None:
+    rig, budget, allotment = site()
+    allotment.told("n-1", 0.3)
+    allotment.told("n-2", 0.3)
+    spent(budget, rig, allotment, 2.0, 0.5)
+    assert budget.per_s == 5.0
+    allotment.told("n-1", 3.0)
+    spent(budget, rig, allotment, 1.0, 0.5)
+    assert budget.per_s < 2.0
+    spent(budget, rig, allotment, 1.0, 100.0)
+    assert budget.per_s >= 5.0, "needed again, it is there within a look"
