Ends of jobs and the rows of empty machines give way to placements

Cause: with single-task jobs 3.75 times a second, ends were as urgent as placements and went before them in their order; a machine's life cost two changes of its group for being given up and removed, at once. Change: a job's end goes behind placements for 1.5 s (10 s for the lowest priority), as users ask 3 s after it at the earliest; rows of empty machines are changed with the next write of their group, or when there are changes to spare, or after 3 and 10 s. Machines with tasks are seen to at once as before.

--- a/badgerseam/fleet/releases.py
+++ b/badgerseam/fleet/releases.py
@@ -9,11 +9,14 @@
 from badgerseam.cluster.member import Member
 from badgerseam.fleet.cloud import Cloud, CloudTrouble
 from badgerseam.model.keys import LEADER_KEY
+from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
 from badgerseam.store.roster import Roster
 
 log = logging.getLogger("badgerseam.fleet")
 
+EMPTY_S = 10.0
+"""How long the row of an empty machine may outlast it, while changes are scarce."""
 MOST_RELEASED = 100
 """The protocol's limit of names in one call."""
 
@@ -63,23 +66,33 @@
             self._runs = False
 
     async def _return(self, names: list[str]) -> None:
-        model = self._model
         try:
             await self._cloud.release(names)
-            log.info("released %s", " ".join(names))
-            held = model.leader
-            with model.lock:
-                machines = [m for m in map(model.machine, names) if m is not None]
-            if held is not None:
+        except CloudTrouble as error:
+            log.debug("release: %s", error)
+            await asyncio.sleep(0.5)
+            self.under_way.difference_update(names)
+            return
+        log.info("released %s", " ".join(names))
+        with self._model.lock:
+            machines = [m for m in map(self._model.machine, names) if m is not None]
+        # Tasks that were on a machine go elsewhere when its row is gone. An empty one's row is only
+        # in the way.
+        self._spawn(self._forget([m for m in machines if m.attempts], 0.0))
+        self._spawn(self._forget([m for m in machines if not m.attempts], EMPTY_S))
+        self.under_way.difference_update(set(names) - {m.name for m in machines})
+
+    async def _forget(self, machines: list[Machine], patience_s: float) -> None:
+        held = self._model.leader
+        try:
+            if held is not None and machines:
                 await self._roster.change(
                     machines,
                     lambda row: None,
                     (LEADER_KEY, held.version),
                     lambda: self._member.is_leader,
+                    patience_s,
                 )
-            self._changed()
-        except CloudTrouble as error:
-            log.debug("release: %s", error)
-            await asyncio.sleep(0.5)
+                self._changed()
         finally:
-            self.under_way.difference_update(names)
+            self.under_way.difference_update(m.name for m in machines)
--- a/badgerseam/fleet/returns.py
+++ b/badgerseam/fleet/returns.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 
 import msgspec
@@ -18,6 +19,8 @@
 
 log = logging.getLogger("badgerseam.fleet")
 
+EMPTY_S = 3.0
+"""How long a drained and empty machine may wait to be given up, while changes are scarce."""
 DROP = -1
 """Where a machine is moved that is to be released."""
 
@@ -30,7 +33,9 @@
         self._roster = roster
         self._planner = planner
 
-    async def rewrite(self, machines: list[Machine], share: int) -> set[str]:
+    async def rewrite(
+        self, machines: list[Machine], share: int, patience_s: float = 0.0
+    ) -> set[str]:
         """Write machines of one share anew, on condition that we still own it; those written."""
         if not machines:
             return set()
@@ -51,22 +56,28 @@
             edit,
             (claim_key(owner.index), term),
             lambda: owner.owned and owner.term == term,
+            patience_s,
         )
 
     async def drop(self) -> None:
         """Have machines released that are lost, or drained and empty."""
-        by_share: dict[int, list[Machine]] = {}
+        parts: dict[tuple[int, float], list[Machine]] = {}
         with self._model.lock:
             for machine in self.finished():
                 machine.returning = True
-                by_share.setdefault(machine.share, []).append(machine)
-        for machines in by_share.values():
+                # Tasks of one that is lost, or does not answer, wait for it to be gone.
+                patience_s = 0.0 if machine.lost or machine.given_up else EMPTY_S
+                parts.setdefault((machine.share, patience_s), []).append(machine)
+
+        async def give_up(machines: list[Machine], patience_s: float) -> None:
             try:
-                await self.rewrite(machines, DROP)
+                await self.rewrite(machines, DROP, patience_s)
             finally:
                 for machine in machines:
                     machine.returning = False
 
+        await asyncio.gather(*(give_up(part, key[1]) for key, part in parts.items()))
+
     async def give(self, machines: list[Machine], share: int, vacate: bool = False) -> set[str]:
         """Pass empty machines of a share on to another, or, to vacate them, have their work
         stopped; the names for which that is done."""
--- a/badgerseam/store/committer.py
+++ b/badgerseam/store/committer.py
@@ -62,6 +62,10 @@
     wanted: Callable[[], bool] | None = None
     alone: bool = False
     """Among others it was called malformed: to be sent by itself, to tell which of them it is."""
+    sent: bool = False
+    """On its way, or answered."""
+    patient_until: float | None = None
+    """When it becomes as urgent as a placement."""
     uncertain: bool = False
     """Sent once without a response: a refusal may mean that it was applied."""
     since: float = 0.0
@@ -118,9 +122,12 @@
         writes: list[Write],
         deadline_s: float | None = None,
         wanted: Callable[[], bool] | None = None,
+        patience_s: float | None = None,
     ) -> int:
         """The revision at which the writes were applied.
 
+        `patience_s`: for how long more urgent proposals may go before it; None: always.
+
         Refused if a condition failed (its `uncertain` attribute tells that an earlier sending got
         no response), Unavailable after the deadline, Dropped when no longer wanted.
         """
@@ -138,13 +145,29 @@
             encode(Transaction([Condition(k, v) for k, v in conditions.items()], writes))
         )
         proposal.keys = frozenset(write.put or write.delete or "" for write in writes)
+        if patience_s is not None:
+            proposal.patient_until = proposal.since + patience_s
+            loop.call_later(patience_s, self._hurry, proposal)
         self._push(proposal)
         self._pump()
         return await proposal.future
 
+    def _hurry(self, proposal: Proposal) -> None:
+        """A proposal has waited behind more urgent ones for as long as it may."""
+        if not proposal.future.done() and not proposal.sent:
+            self._push(proposal)
+            self._pump()
+
     def _push(self, proposal: Proposal) -> None:
+        until = proposal.patient_until
+        if until is not None and self._clock.now() >= until:
+            proposal.urgency = min(proposal.urgency, Urgency.PLACE)
         heapq.heappush(self._queue, (int(proposal.urgency), next(self._order), proposal))
 
+    def _again(self, proposal: Proposal) -> None:
+        proposal.sent = False
+        self._push(proposal)
+
     def _pump(self) -> None:
         while self._queue and self._in_flight < IN_FLIGHT:
             now = self._clock.now()
@@ -176,7 +199,7 @@
         self._pump()
 
     def _reserve(self, urgency: Urgency) -> float:
-        return RESERVE[urgency] * self._state.writes.per_s
+        return RESERVE[urgency] * self._state.writes.burst
 
     def _gather(self, now: float) -> list[Proposal]:
         """Take the most urgent proposals that fit together into one transaction."""
@@ -189,7 +212,10 @@
         while self._queue:
             item = heapq.heappop(self._queue)
             proposal = item[2]
-            if proposal.future.done():
+            if proposal.future.done() or proposal.sent:
+                continue
+            if item[0] != proposal.urgency:
+                # Pushed again since, with a higher one.
                 continue
             if proposal.wanted is not None and not proposal.wanted():
                 proposal.future.set_exception(Dropped())
@@ -219,6 +245,7 @@
                     continue
                 break
             batch.append(proposal)
+            proposal.sent = True
             conditions = merged
             keys |= proposal.keys
             operations += len(proposal.writes)
@@ -247,7 +274,7 @@
                 if failed:
                     proposal.future.set_exception(Refused(failed))
                 else:
-                    self._push(proposal)
+                    self._again(proposal)
         except LeaseLost as error:
             for proposal in batch:
                 if not proposal.future.done():
@@ -257,7 +284,7 @@
         except Unavailable as error:
             for proposal in batch:
                 proposal.uncertain = proposal.uncertain or isinstance(error, Unknown)
-                self._push(proposal)
+                self._again(proposal)
             self._failures += 1
             if str(error) == "429":
                 self._state.writes.penalize(0.2)
@@ -278,7 +305,7 @@
         for proposal in batch:
             if len(batch) > 1:
                 proposal.alone = True
-                self._push(proposal)
+                self._again(proposal)
             elif not proposal.future.done():
                 keys = ", ".join(sorted(proposal.keys))
                 log.error("not written, since the state service takes it for malformed: %s", keys)
--- a/badgerseam/store/ledger.py
+++ b/badgerseam/store/ledger.py
@@ -24,6 +24,11 @@
 """A user who can't be served is told so soon, not when the patience is nearly over."""
 READ_DEADLINE_S = 1.0
 CLOSE_DEADLINE_S = 5.0
+END_S = 1.5
+"""For how long placements go before a job's end: users ask for it 3 s after at the earliest."""
+LOW_END_S = 10.0
+"""The same for jobs of the lowest priority: hundreds of single tasks that end must not keep the
+placements of others waiting."""
 REFRESH_S = 1.0
 """A refreshed page keeps the share from writing anything else: it is given up if it has to wait."""
 
@@ -357,10 +362,11 @@
         value = wire.raw(wire.StoredJob("done", job.tasks, round(job.submitted, 3), None, usage))
         try:
             revision = await self._committer.commit(
-                Urgency.PLACE,
+                Urgency.DONE if job.rank else Urgency.UPKEEP,
                 {claim_key(share.index): term, key: job.version},
                 [wire.Write(put=key, value=value)],
                 wanted=lambda: share.owned and share.term == term and job.phase == Phase.OPEN,
+                patience_s=END_S if job.rank else LOW_END_S,
             )
         except Dropped:
             job.end_sent = False
--- a/badgerseam/store/roster.py
+++ b/badgerseam/store/roster.py
@@ -14,6 +14,7 @@
 from badgerseam.wire import state as wire
 
 GATHER_S = 0.02
+LOOK_S = 0.3
 ROW_BYTES = 128
 """What a machine's row takes at most, as long as its names are short."""
 ADDRESS_BYTES = 32
@@ -47,6 +48,8 @@
         self._state = state
         self._committer = committer
         self._pending: dict[str, list[_Change]] = {}
+        self._patient: dict[str, list[_Change]] = {}
+        """What can wait, by group."""
         self._tasks: set[asyncio.Task[None]] = set()
 
     def most_rows(self, rows: list[wire.StoredMachine]) -> int:
@@ -81,8 +84,13 @@
         edit: Edit,
         claim: tuple[str, int],
         wanted: Callable[[], bool],
+        patience_s: float = 0.0,
     ) -> set[str]:
-        """Edit the rows of machines (None removes one); the names for which that is durable."""
+        """Edit the rows of machines (None removes one); the names for which that is durable.
+
+        `patience_s`: for how long it may wait for another write of their group, or for changes to
+        spare, whichever comes first.
+        """
         groups: dict[str, set[str]] = {}
         for machine in machines:
             groups.setdefault(machine.group, set()).add(machine.name)
@@ -90,11 +98,11 @@
         for group, names in groups.items():
             change = _Change(frozenset(names), edit, *claim, wanted)
             changes.append(change)
-            if group in self._pending:
-                self._pending[group].append(change)
+            if patience_s > 0 and group not in self._pending:
+                self._patient.setdefault(group, []).append(change)
+                self._spawn(self._later(group, patience_s))
             else:
-                self._pending[group] = [change]
-                self._spawn(self._run(group))
+                self._begin(group, [change])
         outcomes = await asyncio.gather(*(c.future for c in changes), return_exceptions=True)
         done: set[str] = set()
         for change, outcome in zip(changes, outcomes, strict=True):
@@ -104,6 +112,22 @@
                 raise outcome
         return done
 
+    def _begin(self, group: str, changes: list[_Change]) -> None:
+        if group in self._pending:
+            self._pending[group] += changes
+        else:
+            self._pending[group] = changes
+            self._spawn(self._run(group))
+
+    async def _later(self, group: str, patience_s: float) -> None:
+        """Write what waits for a group, unless another write of it does so before."""
+        until = self._model.clock.now() + patience_s
+        while group in self._patient:
+            if self._model.clock.now() >= until or self._committer.wait_s(Urgency.UPKEEP) <= 0:
+                self._begin(group, self._patient.pop(group))
+                return
+            await asyncio.sleep(min(LOOK_S, patience_s))
+
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
@@ -113,7 +137,8 @@
         try:
             while self._pending[group]:
                 await asyncio.sleep(GATHER_S)
-                changes, self._pending[group] = self._pending[group], []
+                changes = self._pending[group] + self._patient.pop(group, [])
+                self._pending[group] = []
                 while changes:
                     changes = await self._write(group, changes)
         finally:
--- /dev/null
+++ b/tests/test_patience.py
@@ -0,0 +1,131 @@
+"""What can wait goes behind what cannot, and not for ever."""
+
+from __future__ import annotations
+
+import asyncio
+
+from badgerseam.model.job import Stage
+from badgerseam.model.keys import LEADER_KEY, group_key
+from badgerseam.store.committer import Committer, Urgency
+from badgerseam.store.ledger import END_S
+from badgerseam.wire import state as wire
+from badgerseam.wire.state import Write
+from tests.stand_ins import Rig
+
+
+def put(key: str) -> list[Write]:
+    return [Write(put=key, value=wire.raw(1))]
+
+
+async def turns(rounds: int = 30) -> None:
+    for _ in range(rounds):
+        await asyncio.sleep(0)
+
+
+def test_a_placement_goes_before_an_end_that_came_first_until_that_has_waited() -> None:
+    rig = Rig()
+    rig.state.writes.charge(rig.state.writes.available())
+    committer: Committer = rig.committer
+
+    async def play() -> None:
+        end = asyncio.ensure_future(
+            committer.commit(Urgency.DONE, {}, put("bs/j/1"), patience_s=0.02)
+        )
+        place = asyncio.ensure_future(committer.commit(Urgency.PLACE, {}, put("bs/p/0/0")))
+        await turns()
+        rig.clock.time += 0.0011  # One change.
+        committer._pump()
+        await turns()
+        assert place.done() and not end.done()
+        rig.clock.time += 0.02
+        await asyncio.sleep(0.03)
+        assert end.done(), "as urgent as a placement now: it leaves nothing to others"
+
+    asyncio.run(play())
+
+
+def test_a_proposal_that_became_urgent_on_its_way_is_sent_once() -> None:
+    rig = Rig()
+    rig.state.script = ["503"]
+
+    async def play() -> None:
+        end = rig.committer.commit(Urgency.UPKEEP, {}, put("bs/j/1"), patience_s=0.0)
+        task = asyncio.ensure_future(end)
+        for _ in range(100):
+            await asyncio.sleep(0.002)
+            rig.clock.time += 0.02
+            if task.done():
+                break
+        assert task.done()
+
+    asyncio.run(play())
+    assert rig.state.transactions == 2, "refused once, and repeated once"
+
+
+def test_ends_of_a_flood_of_small_jobs_do_not_keep_a_placement_waiting() -> None:
+    # A guest's single tasks, some four a second, took each change before the placements of others.
+    rig = Rig()
+    rig.own()
+    machine = rig.machine()
+    for number in range(20):
+        job = rig.job(id=f"job-{number:06}", pieces=1, rank="best_effort")
+        rig.model.finish(rig.model.place(job, 0, 1, machine, Stage.RUNNING), rig.clock.now() + 99.0)
+    urgent = rig.job(id="job-000100", pieces=1)
+
+    async def play() -> None:
+        writes = rig.state.writes
+        writes.charge(writes.available())
+        rig.ledger.flush()
+        await turns()
+        attempt = rig.model.place(urgent, 0, 1, machine, Stage.PLANNED)
+        rig.clock.time += 0.0021
+        rig.ledger.flush()
+        rig.committer._pump()
+        await turns()
+        assert attempt.stage == Stage.PLACED
+        assert sum(job is not None and job.ending for job in rig.model.jobs) == 20
+        for _ in range(60):
+            rig.clock.time += 0.5
+            rig.committer._pump()
+            await turns()
+        assert not any(job is not None and job.ending for job in rig.model.jobs)
+
+    asyncio.run(play())
+    assert END_S < 3.0, "a user asks 3 s after the end"
+
+
+def test_rows_of_empty_machines_go_with_the_next_write_of_their_group() -> None:
+    rig = Rig()
+    rig.own()
+    rig.set(LEADER_KEY, wire.Claim("n-0", 1))
+    rig.set(group_key("g"), [rig.row("m-1"), rig.row("m-2"), rig.row("m-3")])
+    held = rig.model.leader
+    assert held is not None
+    claim = (LEADER_KEY, held.version)
+    first, second, third = (rig.model.machine(f"m-{n}") for n in (1, 2, 3))
+    assert first is not None and second is not None and third is not None
+
+    async def play() -> None:
+        # No change to spare.
+        rig.state.writes.charge(rig.state.writes.available() - 300.0)
+        patient = asyncio.ensure_future(
+            rig.roster.change([first], lambda row: None, claim, lambda: True, 60.0)
+        )
+        await asyncio.sleep(0.05)
+        assert not patient.done()
+        before = rig.state.transactions
+        done = await rig.roster.change([second], lambda row: None, claim, lambda: True)
+        assert done == {"m-2"} and await patient == {"m-1"}
+        assert rig.state.transactions == before + 1
+        alone = asyncio.ensure_future(
+            rig.roster.change([third], lambda row: None, claim, lambda: True, 1.0)
+        )
+        await asyncio.sleep(0.01)
+        rig.state.writes.charge(rig.state.writes.available() - 300.0)
+        assert not alone.done()
+        rig.clock.time += 1.1
+        await asyncio.sleep(0.4)
+        assert await alone == {"m-3"}, "it waits for no other write for ever"
+
+    asyncio.run(play())
+    assert not rig.model.machines
