--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -16,7 +16,7 @@
 from badgerseam.fleet.hiring import Hiring
 from badgerseam.fleet.releases import Releases
 from badgerseam.fleet.returns import DROP
-from badgerseam.model.job import HIGH_RANK
+from badgerseam.fleet.vacancies import VACATE_S, Vacancies
 from badgerseam.model.keys import LEADER_KEY, TYPES_KEY
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
@@ -49,8 +49,6 @@
 rounds come four times a second, and the cloud's calls, of MOST_HOSTS each, are scarcer."""
 MOST_HOSTS = 50
 """The protocol's limit of machines in one rental."""
-VACATE_S = 3.0
-"""How long HP work waits before a machine of another share is vacated for it."""
 ADDRESSES_S = 2.5
 """Between requests for the addresses of machines that were taken over."""
 
@@ -86,11 +84,11 @@
         self._clock = model.clock
         self.hiring = Hiring(model, member, committer, roster, cloud, self._spawn, changed)
         self.boots = Boots(model)
+        self._vacancies = Vacancies(model, planner)
         self.releases = Releases(model, member, roster, cloud, self._spawn, changed)
         self._moving: set[str] = set()
         self._missing: dict[str, int] = {}
         self._learnt_at = -1e9
-        self._vacated_at: dict[int, float] = {}
         self._told_at = -1e9
         self._consolidated_at: dict[int, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -347,9 +345,9 @@
             if now - self._consolidated_at.get(share, -1e9) >= tunables.consolidate_s:
                 self._consolidated_at[share] = now
                 self._start_move([model.machines[index]], DROP, vacate=True)
-        for index, share in self._vacancies(snapshots, decisions, now):
-            self._vacated_at[share] = now
-            self._start_move([model.machines[index]], share, vacate=True)
+        found = self._vacancies.look(snapshots, decisions, self._moving, now)
+        for share, machines in found.items():
+            self._start_move(machines, share, vacate=True)
         asked: dict[Offer, list[int]] = {}
         for offer, share in decisions.rents:
             asked.setdefault(offer, []).append(share)
@@ -405,53 +403,6 @@
         job = self._model.jobs[index]
         return None if job is None else self._planner.request(job, 1)
 
-    def _vacancies(
-        self, snapshots: list[pts.Snapshot], decisions: policy.Decisions, now: float
-    ) -> list[tuple[int, int]]:
-        """Machines to be vacated for HP work that finds no room in its share nor in the cloud.
-
-        Low-priority work of other shares may hold all there is of the machines that it needs.
-        """
-        model = self._model
-        found: list[tuple[int, int]] = []
-        for index, snapshot in enumerate(snapshots):
-            waiting = decisions.waiting[index]
-            if not waiting or any(share == index for _, share in decisions.rents):
-                continue
-            if now - self._vacated_at.get(index, -1e9) < VACATE_S:
-                continue
-            for request in snapshot.requests:
-                job = model.jobs[request.job]
-                if request.job not in waiting or not request.high or job is None:
-                    continue
-                if now - job.seen_at < VACATE_S:
-                    continue
-                best = self._cheapest_to_vacate(index, request, now)
-                if best is not None:
-                    found.append((best.index, index))
-                    break
-        return found
-
-    def _cheapest_to_vacate(self, share: int, request: pts.Request, now: float) -> Machine | None:
-        best: Machine | None = None
-        best_waste = 0.0
-        for machine in self._model.machines.values():
-            if machine.share == share or machine.name in self._moving or machine.dropped:
-                continue
-            if machine.draining or machine.lost or not machine.attempts:
-                continue
-            if any(attempt.job.rank >= HIGH_RANK for attempt in machine.attempts.values()):
-                continue
-            if not pts.allowed(request, self._planner.node(machine, now)):
-                continue
-            waste = sum(
-                pts.slots_of(attempt.job.need) * (now - attempt.planned_at)
-                for attempt in machine.attempts.values()
-            )
-            if best is None or waste < best_waste:
-                best, best_waste = machine, waste
-        return best
-
     def _start_move(self, machines: list[Machine], share: int, vacate: bool = False) -> None:
         by_origin: dict[int, list[Machine]] = {}
         for machine in machines:
--- a/badgerseam/store/ledger.py
+++ b/badgerseam/store/ledger.py
@@ -26,7 +26,7 @@
 CLOSE_DEADLINE_S = 5.0
 END_S = 1.5
 """For how long placements go before a job's end: users ask for it 3 s after at the earliest."""
-LOW_END_S = 10.0
+LOW_END_S = 40.0
 """The same for jobs of the lowest priority: hundreds of single tasks that end must not keep the
 placements of others waiting."""
 REFRESH_S = 1.0
