--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -14,11 +14,14 @@
 from badgerseam.fleet.demand import Offer, options
 from badgerseam.fleet.manager import Fleet
 from badgerseam.fleet.returns import DROP
+from badgerseam.fleet.vacancies import Vacancies
 from badgerseam.http.client import NoResponse, Response
+from badgerseam.model.job import Stage
 from badgerseam.model.keys import hire_key
 from badgerseam.model.resources import NOTHING, Resources
 from badgerseam.model.state import Arrival
 from badgerseam.sched import pts
+from badgerseam.settings import Team
 from badgerseam.wire import cloud as cloud_wire
 from badgerseam.wire import state as wire
 from badgerseam.workers.draining import drain
@@ -300,3 +303,40 @@
     assert vacated(set()) == []
     assert vacated({"img"}, now=10.0) == [], "a start that is undone soon is none"
     assert vacated({"img"}, kept=4) == [], "the room is kept for what may come"
+
+
+def test_claims_to_a_guarantee_vacate_borrowers_of_other_shares_and_nobody_else() -> None:
+    # A guest's tasks filled all machines that could be had: work within its team's guarantee waited
+    # beside them in another share, where a plan evicts nothing.
+    teams = [Team("blue", 0.0, 0.0), Team("red", 16.0, 64.0)]
+    rig = Rig(teams, shares=2)
+    rig.own(0)
+    rig.own(1)
+    machine = rig.machine("m-1", share=0)
+    guest = rig.job(id="job-000001", owner="blue", pieces=1, rank="best_effort")
+    rig.model.place(guest, 0, 1, machine, Stage.RUNNING)
+    rig.job(id="job-000002", owner="red", pieces=4)
+    vacancies = Vacancies(rig.model, rig.planner)
+
+    def look(waiting: int) -> dict[int, list[str]]:
+        snapshots = [
+            rig.planner.snapshot(share, rig.planner.nodes(share), rig.planner.requests(share))
+            for share in rig.model.shares
+        ]
+        job = rig.model.job("job-000002")
+        assert job is not None
+        decisions = policy.Decisions(waiting=[{}, {job.index: waiting}])
+        found = vacancies.look(snapshots, decisions, set(), rig.clock.now())
+        return {share: [m.name for m in machines] for share, machines in found.items()}
+
+    assert look(4) == {}, "it has not waited yet"
+    rig.clock.time += 4.0
+    assert look(4) == {1: ["m-1"]}
+    assert look(4) == {}, "one machine after the other is given time to come"
+    rig.clock.time += 4.0
+    # The same beyond the guarantee: it borrows like the guest.
+    large = rig.job(id="job-000003", owner="red", pieces=8)
+    elsewhere = rig.machine("m-9", share=1)
+    for task in range(8):
+        rig.model.place(large, task, 1, elsewhere, Stage.RUNNING)
+    assert look(4) == {}
