--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 from badgerseam.model.job import Stage
 from badgerseam.model.keys import LEADER_KEY, group_key
@@ -62,6 +63,36 @@
     assert rig.state.transactions == 2, "refused once, and repeated once"
 
 
+def test_what_is_on_its_way_is_not_sent_again_because_it_has_waited() -> None:
+    rig = Rig()
+    gate = asyncio.Event()
+    execute = rig.state.transact
+    sent = 0
+
+    async def slow(*arguments: Any) -> int:
+        nonlocal sent
+        sent += 1
+        await gate.wait()
+        return await execute(*arguments)
+
+    rig.state.transact = slow  # type: ignore[method-assign]
+
+    async def play() -> None:
+        rig.state.writes.charge(rig.state.writes.available())
+        commit = rig.committer.commit(Urgency.PLACE, {}, put("bs/p/0/0"), patience_s=0.0)
+        task = asyncio.ensure_future(commit)
+        await asyncio.sleep(0.01)
+        rig.clock.time += 1.0
+        for _ in range(4):
+            rig.committer._pump()
+            await turns()
+        assert sent == 1 and not task.done()
+        gate.set()
+        await task
+
+    asyncio.run(play())
+
+
 def test_ends_of_a_flood_of_small_jobs_do_not_keep_a_placement_waiting() -> None:
     # A guest's single tasks, some four a second, took each change before the placements of others.
     rig = Rig()
