--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -75,7 +75,7 @@
         await gate.wait()
         return await execute(*arguments)
 
-    rig.state.transact = slow  # type: ignore[method-assign]
+    rig.state.transact = slow  # type: ignore[assignment,method-assign]
 
     async def play() -> None:
         rig.state.writes.charge(rig.state.writes.available())
