--- a/badgerseam/cluster/member.py
+++ b/badgerseam/cluster/member.py
@@ -211,7 +211,7 @@
                         key = claim_key(share.index)
                         if key not in self._claiming:
                             log.info("share %d: a claim that came late is made anew", share.index)
-                            self._spawn(self._take_anew(key, share.held))
+                            self._spawn(self._claim(key, share.held, self._until(None)))
                         continue
                     model.own(share, share.held.version, others_s)
             if self.lease is None or not self._present:
@@ -396,17 +396,13 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _take_anew(self, key: str, held: Held) -> None:
-        lease = self.lease
-        if lease is not None:
-            await self._write_claim(key, held.version, lease, self._until(None))
-
-    async def _claim(self, key: str, held: Held | None) -> None:
+    async def _claim(self, key: str, held: Held | None, until: float | None = None) -> None:
         lease = self.lease
         if lease is None or key in self._claiming:
             return
         version = 0 if held is None else held.version
-        await self._write_claim(key, version, lease, self._until(held))
+        until = self._until(held) if until is None else until
+        await self._write_claim(key, version, lease, until)
 
     async def _write_claim(self, key: str, version: int, lease: int, until: float) -> bool:
         self._claiming.add(key)
