--- a/badgerseam/cli/__init__.py
+++ b/badgerseam/cli/__init__.py
@@ -13,6 +13,7 @@
 from badgerseam.cli.exits import EXIT_FAILED, EXIT_OK, EXIT_USAGE, fail
 from badgerseam.settings import (
     SettingsError,
+    check_tunables,
     load_settings,
     load_tunables,
     tunables_schema,
@@ -59,8 +60,8 @@
         if options.command == "serve":
             return _serve(options)
         if options.command == "check-config":
-            load_settings(options.config)
-            load_tunables(options.options)
+            tunables = load_tunables(options.options)
+            check_tunables(tunables, load_settings(options.config), options.options)
             print("the settings are usable")
             return EXIT_OK
         if options.command == "schema":
@@ -88,6 +89,7 @@
         return fail(str(error), EXIT_USAGE)
     settings = load_settings(options.config)
     tunables = load_tunables(options.options)
+    check_tunables(tunables, settings, options.options)
     # The client commands above need none of this.
     from badgerseam.clock import Clock, make_random
     from badgerseam.node import Node
--- a/badgerseam/levels/table.py
+++ b/badgerseam/levels/table.py
@@ -20,6 +20,10 @@
 
     ATTEMPT_STARTS = "attempt-starts"
     """Rows of tasks in the pages say when their attempt began to run."""
+    NOTES = "notes"
+    """Pages hold notes on single tasks: failures of a run's members, intents of replicas."""
+    PLACES = "places"
+    """Jobs' records keep their place in the queue when they are written again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +45,7 @@
 LEVELS = (
     Level(FIRST, "before levels"),
     Level(2, "starts of attempts", frozenset({Behaviour.ATTEMPT_STARTS})),
+    Level(3, "notes and places", frozenset({Behaviour.NOTES, Behaviour.PLACES})),
 )
 
 
--- a/badgerseam/model/job.py
+++ b/badgerseam/model/job.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from badgerseam.model.resources import Resources
+from badgerseam.wire.state import Note
 from badgerseam.wire.users import Submission
 
 if TYPE_CHECKING:
@@ -17,6 +18,10 @@
 HIGH_RANK = RANKS["high"]
 
 
+NoteKey = tuple[type[Note], int]
+"""The kind of a note and the number it is about."""
+
+
 class Phase(IntEnum):
     OPEN = 0
     DONE = 1
@@ -133,6 +138,14 @@
     need: Resources = field(init=False)
     rank: int = field(init=False)
     types: frozenset[str] | None = field(init=False)
+    place: int = 0
+    """In the queue: given once, when it was accepted."""
+    notes: dict[NoteKey, Note] = field(default_factory=dict)
+    """What is to be known of single tasks or replicas whoever acts for them."""
+    notes_page: dict[NoteKey, int] = field(default_factory=dict)
+    """The page that holds the durable one."""
+    notes_changed: set[NoteKey] = field(default_factory=set)
+    """Those that are not durable yet."""
     seen_at: float = 0.0
     meter: Meter | None = None
     """Only where accounts are kept."""
@@ -165,6 +178,9 @@
         self.bits.clear()
         self.bits_page.clear()
         self.bits_changed.clear()
+        self.notes.clear()
+        self.notes_page.clear()
+        self.notes_changed.clear()
         self.status = bytearray(self.spec.tasks)
         self.idle = list(range(self.spec.tasks - 1, -1, -1))
         self.finished = 0
@@ -263,6 +279,22 @@
             self.status[attempt.task] = IDLE
             self.idle.append(attempt.task)
 
+    def note(self, note: Note) -> None:
+        """Have a note written with the share's next page; the caller sees that it is due."""
+        key = (type(note), note.number)
+        held = self.notes.get(key)
+        if held is None or note.step > held.step:
+            self.notes[key] = note
+            self.notes_changed.add(key)
+
+    def read_note(self, note: Note, page: int) -> None:
+        """Take over a durable note. Pages are read in any order: the highest step counts."""
+        key = (type(note), note.number)
+        held = self.notes.get(key)
+        if held is None or note.step > held.step:
+            self.notes[key] = note
+            self.notes_page[key] = page
+
     def mark_done(self, task: int) -> int:
         """Set a finished task's bit; its chunk."""
         chunk, place = divmod(task, self.chunk_size)
--- a/badgerseam/model/keys.py
+++ b/badgerseam/model/keys.py
@@ -37,8 +37,13 @@
     return f"{PREFIX}h/{name}"
 
 
+def run_key(plan: str, number: int) -> str:
+    return f"{PREFIX}u/{plan}/{number}"
+
+
 LEADER_KEY = f"{PREFIX}l"
 TYPES_KEY = f"{PREFIX}f"
+CLASSES_KEY = f"{PREFIX}k"
 TARGET_KEY = f"{PREFIX}r/target"
 LEVEL_KEY = f"{PREFIX}c/level"
 """Among the claims on purpose: programs from before levels take the last part of such a key for the
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -81,6 +81,15 @@
                     self.versions.pop(key, None)
                 else:
                     self.hires[name] = (msgspec.json.decode(value, type=wire.StoredHire), version)
+            elif kind == "k":
+                self.classes = None if value is None else (_classes(value), version)
+                self.kicks.update(range(len(self.shares)))
+            elif kind == "u":
+                plan, _, number = name.rpartition("/")
+                if value is not None:
+                    run: wire.StoredRun = msgspec.json.decode(value, type=wire.StoredRun)
+                    self.runs.setdefault(plan, {})[int(number)] = (run, version)
+                    self.kicks.update(range(len(self.shares)))
             elif kind == "g" and value is not None:
                 share = self.shares[int(name)]
                 counts: wire.StoredCounts = msgspec.json.decode(value, type=wire.StoredCounts)
@@ -150,6 +159,7 @@
         share = self.teams[team].share
         job = Job(job_id, index, spec, version, stored.at, team, share, self.chunk_size)
         job.seen_at = self.clock.now()
+        job.place = stored.place or version
         if index == len(self.jobs):
             self.jobs.append(job)
         else:
@@ -229,6 +239,8 @@
                 if job.status[task] != FINISHED:
                     job.status[task] = FINISHED
                     job.finished += 1
+        for note in entry.notes:
+            job.read_note(note, page)
         starts = dict(entry.starts)
         for row in entry.rows:
             task = row.task
@@ -387,6 +399,7 @@
     def _reload(self, share: Share) -> None:
         share.planned.clear()
         share.bits_due.clear()
+        share.notes_due.clear()
         if self.accounts is not None:
             self.accounts.loading = True
         jobs = list(self.open_jobs[share.index].values())
@@ -414,5 +427,10 @@
     return Site(record.level, version, record.carried)
 
 
+def _classes(value: msgspec.Raw) -> wire.StoredClasses:
+    record: wire.StoredClasses = msgspec.json.decode(value, type=wire.StoredClasses)
+    return record
+
+
 def _held(value: msgspec.Raw | None, version: int) -> Held | None:
     return None if value is None else Held(msgspec.json.decode(value, type=wire.Holding), version)
--- a/badgerseam/model/records.py
+++ b/badgerseam/model/records.py
@@ -18,6 +18,7 @@
     Stage,
 )
 from badgerseam.model.keys import (
+    CLASSES_KEY,
     LEADER_KEY,
     LEVEL_KEY,
     TARGET_KEY,
@@ -88,6 +89,10 @@
     site: Site = field(default_factory=lambda: Site(FIRST, 0))
     target: tuple[wire.Target, int] | None = None
     """The level that operators want, and the stamp of that record."""
+    classes: tuple[wire.StoredClasses, int] | None = None
+    """The site's priority classes, and the stamp of that record."""
+    runs: dict[str, dict[int, tuple[wire.StoredRun, int]]] = field(default_factory=dict)
+    """Reckoning runs by plan and number, with their stamps."""
     hires: dict[str, tuple[wire.StoredHire, int]] = field(default_factory=dict)
     pages: list[dict[int, Page]] = field(default_factory=list)
     """The tasks of each share as they are stored."""
@@ -289,6 +294,8 @@
             keys.append(LEVEL_KEY)
         if self.target is not None:
             keys.append(TARGET_KEY)
+        if self.classes is not None:
+            keys.append(CLASSES_KEY)
         return keys
 
     def usage(self, team: int) -> Resources:
--- a/badgerseam/model/state.py
+++ b/badgerseam/model/state.py
@@ -100,6 +100,8 @@
     """Placements to be made durable."""
     bits_due: dict[int, float] = field(default_factory=dict)
     """Jobs with finished tasks to be made durable, and by when."""
+    notes_due: set[int] = field(default_factory=set)
+    """Jobs with notes to be made durable, with the next write of the share or before."""
     committing: bool = False
     """A transaction with tasks of the share is on its way; there is one at a time."""
     last_holder: str | None = None
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from typing import Protocol
 
 from badgerseam.batch.terms import TermsRules
 from badgerseam.clock import Clock
@@ -27,6 +28,20 @@
 in the next round, when these are on their way to be durable."""
 
 
+class ClassRules(Protocol):
+    """What the plan asks of priority classes, if operators have declared any."""
+
+    def of(self, job: Job) -> int:
+        """The job's class, the first one is 0."""
+
+
+class RunRules(Protocol):
+    """What the plan asks of reckoning runs, if operators have declared any."""
+
+    def held(self, job: Job) -> str | None:
+        """Why no more of the job's tasks start now; None if they may."""
+
+
 class Planner:
     """Plans for the shares that this controller owns."""
 
@@ -35,6 +50,8 @@
         self.terms = TermsRules(model)
         self._clock: Clock = model.clock
         self._tunables = tunables
+        self.classes: ClassRules | None = None
+        self.runs: RunRules | None = None
         self._waits: dict[str | None, float] = {}
         for objective in model.settings.params.objectives:
             if objective.kind in ("wait", "guarantee") and objective.within_s is not None:
@@ -182,6 +199,10 @@
             held = self.terms.held(job)
             if held is not None:
                 return held
+        if self.runs is not None:
+            held = self.runs.held(job)
+            if held is not None:
+                return held
         if now < job.retry_at:
             return "backoff"
         if job.failing and job.attempts:
@@ -218,6 +239,8 @@
             job.gang,
             self.wait_s(job),
             spec.image_gb,
+            0 if self.classes is None else self.classes.of(job),
+            job.place,
         )
 
     def run(self, share: Share) -> dict[int, int]:
--- a/badgerseam/sched/pts.py
+++ b/badgerseam/sched/pts.py
@@ -64,8 +64,10 @@
             # Towards a team that borrows, one that claims its own is of high priority: behind the
             # other, it would evict again and again what had just been placed.
             not bench.claims(request),
+            request.klass,
             request.order,
             -slots_of(request.need),
+            request.place,
             request.job,
         ),
     )
--- a/badgerseam/sched/snapshot.py
+++ b/badgerseam/sched/snapshot.py
@@ -107,6 +107,11 @@
     wait_s: float | None = None
     """How soon the operator wants its tasks started."""
     image_gb: float = 0.0
+    klass: int = 0
+    """Priority class, the first one is 0: less goes first within a rank, behind claims to
+    guarantees."""
+    place: int = 0
+    """In the queue, given at acceptance: decides between what is alike otherwise."""
 
     @property
     def plain(self) -> bool:
--- a/badgerseam/settings.py
+++ b/badgerseam/settings.py
@@ -8,6 +8,11 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
+from badgerseam.options import classes, replicas, runs
+from badgerseam.options.classes import ClassesOptions
+from badgerseam.options.replicas import ReplicasOptions
+from badgerseam.options.runs import RunsOptions
+
 Positive = Annotated[float, Meta(gt=0)]
 Amount = Annotated[float, Meta(ge=0)]
 Count = Annotated[int, Meta(ge=1)]
@@ -226,6 +231,19 @@
         Meta(description="raising the level of the stored state; controllers that leave"),
     ] = None
 
+    runs: Annotated[
+        RunsOptions | None, Meta(description="reckoning runs; kept if this is there")
+    ] = None
+
+    classes: Annotated[
+        ClassesOptions | None, Meta(description="priority classes; kept if this is there")
+    ] = None
+
+    replicas: Annotated[
+        ReplicasOptions | None,
+        Meta(description="replicas that span machines; kept if this is there"),
+    ] = None
+
     may_ignore: Annotated[
         list[Name],
         Meta(
@@ -272,6 +290,21 @@
         raise SettingsError(f"{path}: {error}") from error
 
 
+def check_tunables(tunables: Tunables, settings: Settings, path: str | None) -> None:
+    """SettingsError for all that the operators' sections name and cannot have, each with its
+    field and its remedy."""
+    teams = {team.name for team in settings.params.teams}
+    found: list[str] = []
+    if tunables.runs is not None:
+        found += [f"runs.{text}" for text in runs.check(tunables.runs, teams)]
+    if tunables.classes is not None:
+        found += [f"classes.{text}" for text in classes.check(tunables.classes, teams)]
+    if tunables.replicas is not None:
+        found += [f"replicas.{text}" for text in replicas.check(tunables.replicas, teams)]
+    if found:
+        raise SettingsError("\n".join(f"{path}: {text}" for text in found))
+
+
 def tunables_schema() -> dict[str, Any]:
     """The JSON Schema of the operators' settings."""
     return msgspec.json.schema(Tunables)
--- a/badgerseam/store/ledger.py
+++ b/badgerseam/store/ledger.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from badgerseam.levels.table import Behaviour
 from badgerseam.model.job import PHASE_NAMES, Job, Phase, Stage
 from badgerseam.model.keys import LEVEL_KEY, claim_key, counts_key, job_key, page_key
 from badgerseam.model.model import Model
@@ -134,7 +135,9 @@
                 continue
             spec, also = asked
             # A change that changes nothing is confirmed all the same: what we know may be old.
-            stored = wire.StoredJob("open", job.tasks, round(job.submitted, 3), spec)
+            stored = wire.StoredJob(
+                "open", job.tasks, round(job.submitted, 3), spec, None, job.place
+            )
             value = wire.raw(stored)
             writes = [] if spec == job.spec else [wire.Write(put=key, value=value)]
             try:
@@ -188,7 +191,8 @@
         What has to wait is not queued: it goes with all that has gathered by then.
         """
         planned = bool(share.planned)
-        if not planned and not any(due <= now for due in share.bits_due.values()):
+        noted = bool(share.notes_due) and self._model.active(Behaviour.NOTES)
+        if not planned and not noted and not any(due <= now for due in share.bits_due.values()):
             return
         urgency = Urgency.PLACE if planned else Urgency.DONE
         wait_s = self._committer.wait_s(urgency)
@@ -264,6 +268,10 @@
                     job = model.job(entry.job)
                     if job is not None:
                         job.bits_page.update((chunk, number) for chunk, _ in entry.done)
+                        for note in entry.notes:
+                            key_of = (type(note), note.number)
+                            if job.notes.get(key_of) == note:
+                                job.notes_page[key_of] = number
             for attempt in draft.planned:
                 if attempt.job.attempts.get(attempt.task) is attempt:
                     if attempt.stage == Stage.PLANNED:
@@ -338,6 +346,10 @@
                 if model.jobs[job.index] is job:
                     job.bits_changed.add(chunk)
                     share.bits_due[job.index] = model.clock.now()
+            for job, key in draft.notes:
+                if model.jobs[job.index] is job:
+                    job.notes_changed.add(key)
+                    share.notes_due.add(job.index)
 
     async def _read_level(self) -> None:
         """The site's level has changed under a write: it is composed again in the form of now."""
--- a/badgerseam/store/pages.py
+++ b/badgerseam/store/pages.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from dataclasses import dataclass, field
 
 from badgerseam.levels.table import Behaviour
-from badgerseam.model.job import FINISHED, Attempt, Job, Phase, Stage
+from badgerseam.model.job import FINISHED, Attempt, Job, NoteKey, Phase, Stage
 from badgerseam.model.keys import LEVEL_KEY, claim_key, job_key, page_key
 from badgerseam.model.model import Model
 from badgerseam.model.state import Page, Share
@@ -38,6 +39,8 @@
     finished: list[Attempt]
     bits: list[tuple[Job, int]] = field(default_factory=list)
     """Jobs and chunks whose bits are among it."""
+    notes: list[tuple[Job, NoteKey]] = field(default_factory=list)
+    """Jobs and notes that are among it."""
 
     def values(self, share: Share) -> dict[str, object]:
         """What is written, by key."""
@@ -104,7 +107,10 @@
         found.bits_changed.clear()
         del share.bits_due[index]
         draft.finished += [a for a in found.attempts.values() if a.finishing]
-    _pack(model, share, draft, [_entry(*parts) for parts in fresh.values()])
+    entries = [_entry(*parts) for parts in fresh.values()]
+    if model.active(Behaviour.NOTES):
+        entries += _notes(model, share, draft, room)
+    _pack(model, share, draft, entries)
     return draft
 
 
@@ -112,6 +118,31 @@
     return wire.JobRows(job.id, done, rows)
 
 
+def _notes(model: Model, share: Share, draft: Draft, room: int) -> list[wire.JobRows]:
+    """The notes that are due, as far as there is room beside the rest; others wait."""
+    entries = []
+    for index in list(share.notes_due):
+        job = model.jobs[index]
+        if job is None or job.phase != Phase.OPEN:
+            share.notes_due.discard(index)
+            continue
+        taken: list[wire.Note] = []
+        for key in sorted(job.notes_changed, key=lambda key: key[1]):
+            if room <= 0:
+                break
+            taken.append(job.notes[key])
+            room -= len(wire.encode(job.notes[key])) + 1
+            draft.notes.append((job, key))
+            job.notes_changed.discard(key)
+        if taken:
+            entries.append(wire.JobRows(job.id, [], [], [], taken))
+        if not job.notes_changed:
+            share.notes_due.discard(index)
+        if room <= 0:
+            break
+    return entries
+
+
 def _pack(model: Model, share: Share, draft: Draft, entries: list[wire.JobRows]) -> None:
     """Put the entries into as few pages as will do."""
     limit = _limit(model)
@@ -121,10 +152,11 @@
     fresh: dict[str, set[int]] = {}
     for job, chunk in draft.bits:
         fresh.setdefault(job.id, set()).add(chunk)
+    noted = {(job.id, key) for job, key in draft.notes}
     for position, number in enumerate(old[:OLD_PAGES]):
         if not queue or (position + 1) * limit > MOST_BYTES:
             break
-        live = _live(model, pages[number], number, draft, fresh)
+        live = _live(model, pages[number], number, draft, fresh, noted)
         size = sum(map(_size, live.values()))
         if size + _size(queue[0]) <= limit:
             _fill(draft, number, live, size, queue, limit)
@@ -156,7 +188,11 @@
         held = content.get(entry.job)
         if held is not None:
             entry = wire.JobRows(
-                entry.job, held.done + entry.done, held.rows + entry.rows, held.starts
+                entry.job,
+                held.done + entry.done,
+                held.rows + entry.rows,
+                held.starts,
+                held.notes + entry.notes,
             )
         content[entry.job] = entry
     draft.pages[number] = content
@@ -168,7 +204,11 @@
         wire.JobRows(entry.job, [], entry.rows[first : first + ENTRY_ROWS])
         for first in range(0, len(entry.rows), ENTRY_ROWS)
     ]
-    return parts + [wire.JobRows(entry.job, [bits], []) for bits in entry.done]
+    parts += [wire.JobRows(entry.job, [bits], []) for bits in entry.done]
+    return parts + [
+        wire.JobRows(entry.job, [], [], [], entry.notes[first : first + ENTRY_ROWS])
+        for first in range(0, len(entry.notes), ENTRY_ROWS)
+    ]
 
 
 def _size(entry: wire.JobRows) -> int:
@@ -176,7 +216,12 @@
 
 
 def _live(
-    model: Model, page: Page, number: int, draft: Draft, fresh: dict[str, set[int]]
+    model: Model,
+    page: Page,
+    number: int,
+    draft: Draft,
+    fresh: dict[str, set[int]],
+    noted: Container[tuple[str, NoteKey]] = (),
 ) -> dict[str, wire.JobRows]:
     """What of a page still counts, as it is now."""
     live: dict[str, wire.JobRows] = {}
@@ -220,8 +265,15 @@
                 # The attempt after it is neither durable nor among this: the number of this one
                 # has to be remembered.
                 rows.append(wire.TaskRow(row.task, row.attempt, None))
-        if done or rows:
-            live[job.id] = wire.JobRows(job.id, done, rows, starts)
+        notes = [
+            note
+            for note in entry.notes
+            if job.notes_page.get(key := (type(note), note.number)) == number
+            and job.phase == Phase.OPEN
+            and (job.id, key) not in noted
+        ]
+        if done or rows or notes:
+            live[job.id] = wire.JobRows(job.id, done, rows, starts, notes)
     return live
 
 
--- a/badgerseam/wire/state.py
+++ b/badgerseam/wire/state.py
@@ -116,6 +116,9 @@
     spec: Submission | None = None
     usage: Usage | None = None
     """What it used, of one that has ended and was accounted for."""
+    place: int = 0
+    """Its place in the queue: the stamp of the record that accepted it, kept when that is written
+    again; 0 in that record itself."""
 
 
 class TaskRow(Struct, frozen=True, array_like=True):
@@ -126,6 +129,34 @@
     machine: str | None
 
 
+class Failures(Struct, frozen=True, array_like=True, tag="f"):
+    """A note: how often a member of a reckoning run has failed."""
+
+    number: int
+    """The task."""
+    step: int
+    """Its failures. Of two notes on the same task the one with more counts."""
+
+
+class StoredReplica(Struct, frozen=True, array_like=True, tag="r"):
+    """A note: what is intended with a replica that spans machines."""
+
+    number: int
+    """Of the replica within its job."""
+    step: int
+    """Rises with each change of what follows: the note with the highest counts."""
+    phase: int
+    incarnation: int
+    """Rises whenever it is started anew."""
+    at: int
+    """When the phase began, in tenths of a second after the job's acceptance."""
+    members: list[int] = field(default_factory=list)
+    """The tasks that the phase is about: those lost, or those being moved."""
+
+
+Note = Failures | StoredReplica
+
+
 class JobRows(Struct, frozen=True, array_like=True):
     """What a page holds of a job: finished tasks as hexadecimal bit sets, each of one chunk of
     the job's tasks, and tasks that were tried."""
@@ -136,6 +167,8 @@
     starts: list[tuple[int, int]] = field(default_factory=list)
     """When attempts of these rows began to run, where the site's level has it: the task, and
     tenths of a second after the job's acceptance. Programs of the level before leave it out."""
+    notes: list[Note] = field(default_factory=list)
+    """Where the site's level has them."""
 
 
 class StoredMachine(Struct, frozen=True, array_like=True):
@@ -182,6 +215,42 @@
     at: float
 
 
+class StoredRun(Struct, frozen=True, array_like=True):
+    """A reckoning run of a plan; it is never removed."""
+
+    phase: str
+    opened: float
+    """Time of day."""
+    closes: float | None
+    """Time of day by which it must be closed, if its plan says."""
+    by: str
+    """The leader that wrote it."""
+    at: float
+    """When the phase began."""
+    counts: list[int] = field(default_factory=list)
+    """Of a closed one: members reckoned, withdrawn and unresolved."""
+    reasons: dict[str, int] = field(default_factory=dict)
+    """Why members are unresolved, and how many."""
+
+
+class StoredClass(Struct, frozen=True, array_like=True):
+    """A priority class: what belongs to it."""
+
+    name: str
+    jobs: list[str]
+    """Classes of jobs."""
+    teams: list[str]
+
+
+class StoredClasses(Struct, frozen=True, array_like=True):
+    """The priority classes of a site, the first one first."""
+
+    classes: list[StoredClass]
+    default: str
+    by: str
+    at: float
+
+
 class StoredCounts(Struct, frozen=True, array_like=True):
     """G and F of a share."""
 
--- /dev/null
+++ b/tests/test_notes.py
@@ -0,0 +1,77 @@
+"""Notes on single tasks ride on the pages, whoever writes these and in whichever order."""
+
+from __future__ import annotations
+
+import asyncio
+
+from badgerseam.model.keys import LEVEL_KEY, page_key
+from badgerseam.wire import state as wire
+from tests.stand_ins import Rig
+
+LEVEL = 3
+
+
+def _rig() -> Rig:
+    rig = Rig()
+    rig.set(LEVEL_KEY, wire.SiteLevel(LEVEL, "n-0", 0.0))
+    rig.own()
+    return rig
+
+
+def _stored(rig: Rig) -> list[wire.Note]:
+    pages = (rig.state.core.get(page_key(0, number)) for number in range(8))
+    return [
+        note
+        for page in pages
+        if page is not None
+        for entry in wire.page_decoder.decode(page.value)
+        for note in entry.notes
+    ]
+
+
+def test_a_note_outlives_its_owner_and_the_pages_that_held_it() -> None:
+    rig = _rig()
+    job = rig.job()
+    share = rig.model.shares[0]
+    for step in range(1, 8):
+        job.note(wire.Failures(2, step))
+        share.notes_due.add(job.index)
+        rig.run(rig.settle())
+    assert max(note.step for note in _stored(rig)) == 7
+    other = Rig(beside=rig, node="n-1")
+    other.sync()
+    there = other.model.job(job.id)
+    assert there is not None
+    assert there.notes == {(wire.Failures, 2): wire.Failures(2, 7)}
+    # Pages are read in any order: one that was written before says nothing new.
+    there.read_note(wire.Failures(2, 3), 0)
+    assert there.notes[wire.Failures, 2].step == 7
+
+
+def test_a_note_of_a_refused_write_is_written_again() -> None:
+    rig = _rig()
+    job = rig.job()
+    job.note(wire.StoredReplica(0, 1, 0, 1, 5))
+    rig.model.shares[0].notes_due.add(job.index)
+    rig.state.script = ["lost", "503"]
+
+    async def wait() -> None:
+        for _ in range(100):
+            rig.ledger.flush()
+            await asyncio.sleep(0.005)
+
+    rig.run(wait())
+    assert _stored(rig) == [wire.StoredReplica(0, 1, 0, 1, 5)]
+
+
+def test_below_its_level_no_note_is_written() -> None:
+    rig = Rig()
+    rig.own()
+    job = rig.job()
+    job.note(wire.Failures(0, 1))
+    rig.model.shares[0].notes_due.add(job.index)
+    rig.run(rig.settle())
+    assert _stored(rig) == []
+    rig.set(LEVEL_KEY, wire.SiteLevel(LEVEL, "n-0", 0.0))
+    rig.run(rig.settle())
+    assert _stored(rig) == [wire.Failures(0, 1)]
