Plans take a bounded part of the time; what is left of a backlog is not looked at on machines without room

By a profile no single pass: plans that find little room are made at each end, the leader's counting walks the whole backlog on each of 600 machines, and the collector looks for circles after each 700 objects. Change: plans take 15% of the time at most, as the leader's rounds have their bound; the counting stops where no want fits the room, and counts alike wants only as far as a machine could hold; the collector looks rarer.

--- a/badgerseam/cli/__init__.py
+++ b/badgerseam/cli/__init__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import gc
 import json
 import os
 from collections.abc import Sequence
@@ -94,6 +95,10 @@
     from badgerseam.clock import Clock, make_random
     from badgerseam.node import Node
 
+    # What a controller keeps lives long; looking for circles in it after each 700 new objects took
+    # a tenth of its time.
+    gc.set_threshold(20_000, 25, 25)
+
     async def serve() -> None:
         await Node(settings, tunables, Clock(), make_random()).run()
 
--- a/badgerseam/fleet/demand.py
+++ b/badgerseam/fleet/demand.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from badgerseam.model.resources import Resources
+from badgerseam.model.resources import NOTHING, Resources
 from badgerseam.sched import pts
 from badgerseam.wire.cloud import MachineType
 
@@ -66,6 +66,7 @@
         found.sort(key=lambda request: (-request.rank, request.order))
         self._wants = [_Want(r, waiting[r.job], dict(r.zones)) for r in found]
         self._left = {index: team.limit.minus(team.used) for index, team in teams.items()}
+        self._least = _least(self._wants)
 
     def __bool__(self) -> bool:
         return bool(self._wants)
@@ -75,6 +76,10 @@
         placed = 0
         emptied = False
         for want in self._wants:
+            # With a long backlog most machines hold no room for any of it: looking at all of it
+            # on each of them took a quarter of the leader's rounds.
+            if not self._least.fits(room):
+                break
             count = self._fits(want, node, room)
             if count <= 0:
                 continue
@@ -88,6 +93,7 @@
             emptied = emptied or want.count <= 0
         if emptied:
             self._wants = [want for want in self._wants if want.count > 0]
+            self._least = _least(self._wants)
         return placed
 
     def _fits(self, want: _Want, node: pts.Node, room: Resources) -> int:
@@ -120,6 +126,16 @@
                     break
         return rented
 
+    def _alike(self, node: pts.Node, most: int) -> int:
+        """How many of the tasks a machine may take, as far as that matters."""
+        found = 0
+        for want in self._wants:
+            if found >= most:
+                break
+            if pts.allowed(want.request, node, want.zones):
+                found += want.count
+        return found
+
     def _cheapest(self, head: _Want, choices: list[Option]) -> Option | None:
         best: Option | None = None
         best_price = 0.0
@@ -130,7 +146,7 @@
                 continue
             # What others would use of it makes a large machine worth its price.
             each = head.request.need.times_in(option.total)
-            alike = sum(w.count for w in self._wants if pts.allowed(w.request, node, w.zones))
+            alike = self._alike(node, each)
             crowd = head.zones.get(option.offer.zone, 0) if head.request.zone_limit else 0
             price = option.price / min(each, alike) * (1 + 0.02 * crowd)
             # A large machine holds images for more tasks, and leaves less room unused.
@@ -140,6 +156,12 @@
         return best
 
 
+def _least(wants: list[_Want]) -> Resources:
+    """What any of the wants takes at least, of each amount."""
+    needs = [want.request.need for want in wants] or [NOTHING]
+    return Resources(*(min(amounts) for amounts in zip(*needs, strict=True)))
+
+
 def _virtual(option: Option, index: int) -> pts.Node:
     offer = option.offer
     return pts.Node(
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -62,6 +62,11 @@
 """Ticks between looks at cancelled jobs without a summary."""
 PLAN_DELAY_S = 0.004
 """Gathers what arrives together before it is planned."""
+PLAN_PART = 0.15
+"""Part of the time that plans may take: with a long backlog and a full fleet each end calls for a
+plan that finds little room. They get rarer then, and each serves all that ended meanwhile."""
+MOST_PLAN_PAUSE_S = 0.25
+"""A process that stood still in the middle of a plan must not pause for a multiple of that."""
 
 
 class Node:
@@ -184,6 +189,7 @@
             rollout,
         )
         self._pulse_at: asyncio.TimerHandle | None = None
+        self._plan_at: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     def _keep(self) -> int:
@@ -215,12 +221,8 @@
         self._pulse_at = None
         model = self.model
         self.member.review()
-        with model.lock:
-            kicks, model.kicks = model.kicks, set()
-            for index in kicks:
-                share = model.shares[index]
-                if share.owned and not share.releasing and self.member.fresh(5.0):
-                    self.planner.run(share)
+        if self._plan_at is None:
+            self._plan()
         self.ledger.flush()
         with model.lock:
             pushes, model.pushes = model.pushes, set()
@@ -229,6 +231,26 @@
                 if machine is not None:
                     self.control.push(machine)
 
+    def _plan(self) -> None:
+        """Plan for the shares that something has changed for."""
+        model = self.model
+        began = self.clock.now()
+        with model.lock:
+            kicks, model.kicks = model.kicks, set()
+            for index in kicks:
+                share = model.shares[index]
+                if share.owned and not share.releasing and self.member.fresh(5.0):
+                    self.planner.run(share)
+        pause_s = (self.clock.now() - began) * (1.0 / PLAN_PART - 1.0)
+        if pause_s > PLAN_DELAY_S:
+            loop = asyncio.get_running_loop()
+            self._plan_at = loop.call_later(min(pause_s, MOST_PLAN_PAUSE_S), self._plan_again)
+
+    def _plan_again(self) -> None:
+        self._plan_at = None
+        if self.model.kicks:
+            self.pulse()
+
     async def _tick(self) -> None:
         """What time alone calls for."""
         rounds = 0
