The service runs on uvloop

Cause: half of a controller's processor time goes into the event loop and HTTP, not into decisions. Change: uvloop under tornado, for the service alone.

--- a/badgerseam/cli/__init__.py
+++ b/badgerseam/cli/__init__.py
@@ -92,6 +92,8 @@
     tunables = load_tunables(options.options)
     check_tunables(tunables, settings, options.options)
     # The client commands above need none of this.
+    import uvloop
+
     from badgerseam.clock import Clock, make_random
     from badgerseam.node import Node
 
@@ -103,7 +105,7 @@
         await Node(settings, tunables, Clock(), make_random()).run()
 
     try:
-        asyncio.run(serve())
+        uvloop.run(serve())
     except OSError as error:
         return fail(f"cannot listen: {error}", EXIT_FAILED)
     return EXIT_OK
