The judge counts as the users do: forgotten once all troubles are over, served by class, team and largest jobs

Cause: forgotten was judged by 90 s beside half of the other polls, so a service that forgot all of its jobs forgot none; half of a class could hide its largest jobs. Change: trouble and calm are events of a history; 75 s without an answer while calm are forgotten. Served by class, team and largest jobs with their begin in the report and the exit code. The circle of imports between the lab's experiment and report is undone.

--- a/badgerseam/cli/lab.py
+++ b/badgerseam/cli/lab.py
@@ -279,12 +279,15 @@
     _print_report(report, console)
     console.print("written: " + ", ".join(str(path) for path in paths), soft_wrap=True)
     faults = report.accounts.faults if report.accounts is not None else []
-    return EXIT_FAILED if report.breaches or faults else EXIT_OK
+    failed = report.breaches or report.served.failures or faults
+    return EXIT_FAILED if failed else EXIT_OK
 
 
 def _print_report(report: Report, console: Any) -> None:
     from rich.table import Table
 
+    from badgerseam.lab.report import largest_cells
+
     table = Table(title="simulated machines, real controllers")
     for column in ("class", "jobs", "ended", "starts", "first start 50/90/99/100 %", "in time"):
         table.add_column(column, justify="left" if column == "class" else "right")
@@ -298,6 +301,17 @@
             "" if figures.in_time is None else f"{figures.in_time:.3f}",
         )
     console.print(table)
+    served = report.served
+    for what, rows in (("classes", served.classes), ("teams", served.teams)):
+        parts = ", ".join(f"{name} {row.served:.3f} of {row.jobs}" for name, row in rows.items())
+        console.print(f"served, {what}: {parts or 'none'}")
+    table = Table(title="largest jobs of each class and shape")
+    columns = ("class", "jobs", "served", "least tasks x CPUs", "first s", "all s", "too late")
+    for column in columns:
+        table.add_column(column, justify="left" if column == "class" else "right")
+    for name, big in served.largest.items():
+        table.add_row(name, *largest_cells(big))
+    console.print(table)
     console.print(
         f"accepted within {' / '.join(f'{v:.3f}' for v in report.accept_s)} s; "
         f"{report.polls_failed} of {report.polls} polls failed; {report.machines_rented} machines, "
@@ -326,6 +340,11 @@
             f"{accounts.useful_really_s} s, wasted {accounts.wasted_s} of "
             f"{accounts.wasted_really_s} s; faults {accounts.faults or 'none'}"
         )
+    if report.silent:
+        console.print(f"unanswered at the end, not judged: {', '.join(report.silent)}")
+    console.print(f"failures by what was served: {len(served.failures)}")
+    for text in served.failures:
+        console.print(text)
     console.print(f"broken rules: {len(report.breaches)}")
     for breach in report.breaches:
         console.print(breach)
--- a/badgerseam/lab/checker.py
+++ b/badgerseam/lab/checker.py
@@ -3,21 +3,22 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 import msgspec
 
 from badgerseam.lab.history import Event
+from badgerseam.lab.served import Served, Tally
 from badgerseam.model.resources import Resources
 from badgerseam.settings import Team
 from badgerseam.wire.users import Submission
 
-FORGOTTEN_S = 90.0
+FORGOTTEN_S = 75.0
+"""How long every question about a job may go unanswered once all troubles are over."""
 SLACK_S = 0.1
 """By which clocks on one machine may seem to differ."""
-MOST_POLLS = 0.5
-"""Part of the other polls that have to be answered for a job's silence to count."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,20 +44,30 @@
     ended: str = ""
     done: set[int] = field(default_factory=set)
     unanswered_since: float | None = None
-    """Since when every poll has failed, and how many polls of others were answered meanwhile."""
+    """Since when every poll has failed."""
     live: int = 0
     """Tasks on machines."""
     released: bool = False
-    others: int = 0
-    others_ok: int = 0
 
 
 class Checker:
-    """Takes events in order; what it found broken is in `breaches`."""
+    """Takes events in order; what it found broken is in `breaches`.
 
-    def __init__(self, teams: Iterable[Team], cancel_s: float, wall: float = 0.0) -> None:
-        """`wall`: time of day at which the history begins, for begin times."""
+    A history tells by `trouble` and `calm` when something is broken on purpose; one that tells
+    nothing is calm throughout.
+    """
+
+    def __init__(
+        self,
+        teams: Collection[Team],
+        cancel_s: float,
+        wall: float = 0.0,
+        aside: Collection[str] = (),
+    ) -> None:
+        """`wall`: time of day at which the history begins, for begin times; `aside`: jobs that
+        were submitted with a mistake, which nobody can serve."""
         self._wall = wall
+        self._tally = Tally(teams, aside)
         self._limits = {t.name: Resources(*t.limits, float("inf")) for t in teams}
         self._cancel_s = cancel_s
         self._jobs: dict[str, _Job] = {}
@@ -67,8 +78,8 @@
         self._zones: dict[str, Counter[str]] = defaultdict(Counter)
         self._late: dict[str, float] = {}
         """Cancelled jobs with tasks on machines, by the time they have to be gone."""
-        self._silent: dict[str, _Job] = {}
-        """Jobs whose latest poll failed."""
+        self._calm_since: float | None = 0.0
+        """Since when nothing is broken on purpose; None while something is."""
         self._begun: set[str] = set()
         self.started = 0
         self.breaches: list[Breach] = []
@@ -78,6 +89,7 @@
 
     def take(self, event: Event) -> None:
         """Look at the next event."""
+        self._tally.take(event)
         for late, until in list(self._late.items()):
             if event.t > until:
                 del self._late[late]
@@ -97,6 +109,10 @@
             job.asked_abort = event.t if job.asked_abort is None else job.asked_abort
         elif event.kind == "answer":
             self._answer(event)
+        elif event.kind == "trouble":
+            self._calm_since = None
+        elif event.kind == "calm":
+            self._calm_since = event.t
         elif event.kind == "on":
             self._start(event)
         elif event.kind == "off":
@@ -238,41 +254,69 @@
             job.ended = phase
 
     def _poll(self, event: Event, job: _Job | None) -> None:
-        """A job whose every poll fails for long, while most polls of others are answered."""
-        ok = event.status in (200, 404)
-        for name, other in self._silent.items():
-            if name != event.job:
-                other.others += 1
-                other.others_ok += ok
+        """A job about which no question is answered for long, however others fare.
+
+        Time counts while nothing is broken on purpose: a judge that counted an outage too would
+        call every job forgotten, and one that asked for answers to others would call none so if
+        the whole service forgot its jobs.
+        """
         if job is None or not job.accepted:
             return
-        if ok:
-            if self._silent.pop(event.job, None) is not None:
-                job.unanswered_since, job.others, job.others_ok = None, 0, 0
-        elif job.unanswered_since is None:
-            job.unanswered_since = event.asked or event.t
-            self._silent[event.job] = job
-        elif (
-            event.t - job.unanswered_since > FORGOTTEN_S
-            and job.others
-            and job.others_ok > MOST_POLLS * job.others
-        ):
-            self._breach(event, "forgotten", event.job, f"no answer for {FORGOTTEN_S:.0f} s")
-            del self._silent[event.job]
+        if event.heard and event.status in (200, 404):
             job.unanswered_since = None
+            return
+        if job.unanswered_since is None:
+            job.unanswered_since = event.asked or event.t
+        if self._calm_since is None:
+            return
+        silent_s = event.t - max(job.unanswered_since, self._calm_since)
+        if silent_s > FORGOTTEN_S:
+            text = f"no question answered for {silent_s:.0f} s, and nothing was broken"
+            self._breach(event, "forgotten", event.job, text)
+            # Told once for each time that it is too long, not at every poll from now on.
+            job.unanswered_since = event.t
+
+    def served(self, t: float) -> Served:
+        """What was served until t, the day's end."""
+        return self._tally.table(t)
+
+    def silent(self) -> list[str]:
+        """Accepted jobs whose latest question was not answered: what comes of them is open."""
+        return sorted(name for name, job in self._jobs.items() if job.unanswered_since is not None)
 
 
 def _job(task: str) -> str:
     return task.partition("/")[0]
 
 
-def check(
-    events: Iterable[Event], teams: Iterable[Team], cancel_s: float, wall: float = 0.0
-) -> list[Breach]:
-    """All rules broken in a history that began at a time of day."""
-    checker = Checker(teams, cancel_s, wall)
+class Verdict(NamedTuple):
+    """What is said of a whole history."""
+
+    breaches: list[Breach]
+    served: Served
+    silent: list[str]
+    """Jobs whose latest question was not answered; the history is too short to call them
+    forgotten."""
+
+
+def judge(
+    events: Iterable[Event],
+    teams: Collection[Team],
+    cancel_s: float,
+    wall: float = 0.0,
+    aside: Collection[str] = (),
+) -> Verdict:
+    """Judge a history that began at a time of day; `aside` as for `Checker`."""
+    checker = Checker(teams, cancel_s, wall, aside)
     t = 0.0
     for event in events:
         checker.take(event)
         t = event.t
-    return checker.finish(t)
+    return Verdict(checker.finish(t), checker.served(t), checker.silent())
+
+
+def check(
+    events: Iterable[Event], teams: Collection[Team], cancel_s: float, wall: float = 0.0
+) -> list[Breach]:
+    """All rules broken in a history that began at a time of day."""
+    return judge(events, teams, cancel_s, wall).breaches
--- a/badgerseam/lab/experiment.py
+++ b/badgerseam/lab/experiment.py
@@ -13,8 +13,9 @@
 from badgerseam.cli.client import Unreachable
 from badgerseam.lab.faults import Breaker, Fault
 from badgerseam.lab.lab import Lab, LabError
+from badgerseam.lab.questions import Asker
 from badgerseam.lab.reconcile import reconcile
-from badgerseam.lab.report import Report, summarize
+from badgerseam.lab.report import Report, Sample, summarize
 from badgerseam.lab.site import Site
 from badgerseam.settings import SettingsError
 
@@ -62,20 +63,8 @@
         raise SettingsError(f"{path}: {error}") from error
 
 
-class Sample(Struct, frozen=True):
-    """The lab at one moment."""
-
-    t: float
-    machines: int
-    running: int
-    waiting: int
-    healthy: int
-
-
 async def play(lab: Lab, experiment: Experiment, told: Callable[[float, str], None]) -> Report:
     """Play an experiment on a lab that has been started; `told` hears of the progress (0 to 1)."""
-    from badgerseam.lab.questions import Asker
-
     await lab.ready()
     breaker = Breaker(lab)
     samples: list[Sample] = []
--- a/badgerseam/lab/history.py
+++ b/badgerseam/lab/history.py
@@ -20,10 +20,16 @@
     "on",  # a task is on its machine, with its image
     "off",  # it is not any more
     "fault",  # something is broken on purpose, or mended
+    "trouble",  # from here on something is broken on purpose
+    "calm",  # from here on nothing is
     "note",
 ]
 
 
+WAITS_S = {"poll": 2.0, "submit": 5.0, "abort": 5.0}
+"""How long a user waits for an answer, by what it is about."""
+
+
 class Event(Struct, frozen=True, omit_defaults=True, rename="camel"):
     """Times are in seconds since the lab began."""
 
@@ -46,6 +52,16 @@
     spot: bool = False
     text: str = ""
 
+    @property
+    def heard(self) -> bool:
+        """Whether this answer came while its user still waited for it.
+
+        The load balancer notes answers that come after that as well; counted as answers, they
+        would hide a service that is always too slow.
+        """
+        waits_s = WAITS_S.get(self.about, float("inf"))
+        return self.status != 0 and (not self.asked or self.t - self.asked <= waits_s)
+
 
 class History:
     """Keeps events in memory, writes them to a file, and shows them to listeners."""
--- a/badgerseam/lab/lab.py
+++ b/badgerseam/lab/lab.py
@@ -16,7 +16,7 @@
 
 from badgerseam.clock import Clock
 from badgerseam.http.server import Server
-from badgerseam.lab.checker import Breach, check
+from badgerseam.lab.checker import Breach, Verdict, judge
 from badgerseam.lab.cloud import CloudCore, Rented
 from badgerseam.lab.controllers import Controller
 from badgerseam.lab.front import Front
@@ -344,11 +344,16 @@
 
     def breaches(self) -> list[Breach]:
         """The rules broken so far."""
-        return check(
+        return self.judge().breaches
+
+    def judge(self) -> Verdict:
+        """What is to be said of the day if it ends now."""
+        return judge(
             self.history.events,
             self.site.teams,
             self.site.workers.cancel_s,
             self.history.wall,
+            {job for job, truth in self.front.truths.items() if truth.broken},
         )
 
     def status(self) -> dict[str, object]:
--- a/badgerseam/lab/report.py
+++ b/badgerseam/lab/report.py
@@ -13,9 +13,9 @@
 from msgspec import Struct, field
 
 from badgerseam.lab.reconcile import Reconciled
+from badgerseam.lab.served import Largest, Served
 
 if TYPE_CHECKING:
-    from badgerseam.lab.experiment import Sample
     from badgerseam.lab.history import Event
     from badgerseam.lab.lab import Lab
     from badgerseam.lab.questions import Asker
@@ -23,6 +23,17 @@
 QUANTILES = (50.0, 90.0, 99.0, 100.0)
 
 
+class Sample(Struct, frozen=True):
+    """The lab at one moment: machines rented, tasks on machines and those that wait there for
+    their images, controllers that take requests."""
+
+    t: float
+    machines: int
+    running: int
+    waiting: int
+    healthy: int
+
+
 class ClassFigures(Struct, frozen=True):
     """Of one class of jobs. Times in seconds, at the quantiles 50, 90, 99 and 100 %."""
 
@@ -51,6 +62,10 @@
     controllers_started: int
     ended_by_themselves: int
     breaches: list[str]
+    served: Served
+    silent: list[str] = field(default_factory=list)
+    """Accepted jobs about which the latest question was not answered, for too short a time to call
+    them forgotten."""
     questions: dict[str, int] = field(default_factory=dict)
     """Answers to questions why a job waits, by status; 0: no response."""
     answer_s: list[float] = field(default_factory=list)
@@ -95,6 +110,7 @@
             polls += 1
             failed += event.status not in (200, 404)
     times = asker.times
+    verdict = lab.judge()
     return Report(
         round(lab.history.now(), 1),
         _classes(events, first_submit, accepted),
@@ -105,7 +121,9 @@
         round(lab.cloud_core.money(), 4),
         sum(controller.starts for controller in lab.controllers.values()),
         sum(controller.unasked for controller in lab.controllers.values()),
-        [str(breach) for breach in lab.breaches()],
+        [str(breach) for breach in verdict.breaches],
+        verdict.served,
+        verdict.silent,
         {str(status): count for status, count in sorted(asker.statuses.items())},
         [round(times.get_value_at_percentile(q) / 1e6, 4) for q in QUANTILES]
         if times.get_total_count()
@@ -201,6 +219,34 @@
     return buffer.getvalue()
 
 
+def largest_cells(big: Largest) -> list[str]:
+    """The figures of a row of largest jobs, as people read them."""
+    seconds = ["-" if s is None else f"{s:.1f}" for s in (big.first_s, big.all_s)]
+    served = "-" if big.served is None else f"{big.served:.3f}"
+    return [str(big.jobs), served, f"{big.least:g}", *seconds, " ".join(big.late)]
+
+
+def _served(served: Served) -> str:
+    rows = "".join(
+        f"<tr><td>{kind} {html.escape(name)}</td><td>{row.jobs}</td><td>{row.served:.3f}</td></tr>"
+        for kind, table in (("class", served.classes), ("team", served.teams))
+        for name, row in table.items()
+    )
+    largest = "".join(
+        f"<tr><td>{html.escape(name)}</td>"
+        + "".join(f"<td>{html.escape(cell)}</td>" for cell in largest_cells(big))
+        + "</tr>"
+        for name, big in served.largest.items()
+    )
+    failures = "".join(f"<li>{html.escape(text)}</li>" for text in served.failures)
+    return (
+        f"<h2>Served; failures: {len(served.failures)}</h2><ul>{failures}</ul>"
+        f"<table><tr><th>of<th>jobs<th>served</tr>{rows}</table>"
+        "<table><tr><th>largest of<th>jobs<th>served<th>tasks times CPUs, least"
+        f"<th>first start s, latest<th>all s, latest<th>too late</tr>{largest}</table>"
+    )
+
+
 def _page(report: Report, picture: bytes) -> str:
     rows = "".join(
         f"<tr><td>{html.escape(name)}</td><td>{f.jobs}</td><td>{f.accepted}</td><td>{f.ended}</td>"
@@ -219,5 +265,6 @@
         f"<h2>Broken rules: {len(report.breaches)}</h2><ul>{broken}</ul>"
         "<table><tr><th>class<th>jobs<th>accepted<th>ended<th>tasks started"
         "<th>first start s, 50 / 90 / 99 / 100 %<th>in time<th>started again</tr>"
-        f"{rows}</table><img alt='timeline' src='data:image/png;base64,{image}'>\n"
+        f"{rows}</table>{_served(report.served)}"
+        f"<img alt='timeline' src='data:image/png;base64,{image}'>\n"
     )
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from badgerseam.lab.checker import check
+from badgerseam.lab.checker import check, judge
 from badgerseam.lab.history import Event
 from badgerseam.settings import Team
 from tests.stand_ins import submission
@@ -160,15 +160,46 @@
         assert not history(*met)
 
 
-def test_a_job_is_forgotten_only_if_others_are_answered_meanwhile() -> None:
-    started = (*BEGIN, on(2), submit(3, "job-000002"), answer(3.1, job="job-000002"))
-    silent = [answer(float(t), "poll", 0, "") for t in range(5, 105, 5)]
-    others = [
-        answer(t + 1.0, "poll", status, "pending" if status else "", job="job-000002")
-        for t in range(5, 105, 5)
-        for status in (200,)
+STARTED = (*BEGIN, on(2), submit(3, "job-000002"), answer(3.1, job="job-000002"))
+
+
+def polls(begin: float, end: float, status: int = 0, **fields: Any) -> list[Any]:
+    phase = "pending" if status == 200 else ""
+    return [
+        answer(t, "poll", status, phase, asked=t - 1.5, **fields)
+        for t in (begin + 5.0 * step for step in range(int((end - begin) / 5) + 1))
+    ]
+
+
+@pytest.mark.parametrize(
+    ("found", "steps"),
+    [
+        (["forgotten"], polls(5, 85)),
+        ([], polls(5, 75)),
+        # However others fare: nobody is answered here.
+        (["forgotten"] * 2, polls(5, 85) + polls(5.1, 85.1, job="job-000002")),
+        # One answer is enough, but not one that comes after its user gave up waiting.
+        ([], [*polls(5, 40), *polls(45, 45, 200), *polls(50, 120)]),
+        (["forgotten"], [*polls(5, 40), answer(45, "poll", 200, asked=42.5), *polls(50, 85)]),
+        # What is unanswered while something is broken does not count, nor what was before.
+        ([], [*polls(5, 50), (51, "trouble", {}), *polls(55, 300), (301, "calm", {})]),
+        ([], [(4, "trouble", {}), *polls(5, 50), (51, "calm", {}), *polls(55, 125)]),
+        (["forgotten"], [(4, "trouble", {}), *polls(5, 50), (51, "calm", {}), *polls(55, 135)]),
+        # The other two readings count at any time.
+        (["forgotten"], [(4, "trouble", {}), answer(9, "poll", 404, "")]),
+        (["forgotten"], [(4, "trouble", {}), answer(9, "submit", 422, "")]),
+    ],
+)
+def test_a_job_without_an_answer_is_forgotten_once_all_troubles_are_over(
+    found: list[str], steps: list[Any]
+) -> None:
+    assert history(*STARTED, *sorted(steps, key=lambda step: float(step[0]))) == found
+
+
+def test_a_silence_too_short_to_judge_is_told() -> None:
+    events = [
+        msgspec.convert({"t": t, "kind": kind, **fields}, Event)
+        for t, kind, fields in (*STARTED, *polls(5, 30))
     ]
-    both = sorted([*silent, *others], key=lambda step: step[0])
-    assert history(*started, *both) == ["forgotten"]
-    outage = [(t, kind, {**fields, "status": 0}) for t, kind, fields in both]
-    assert not history(*started, *outage)
+    verdict = judge(events, [Team("red", 16, 4)], CANCEL_S)
+    assert (verdict.breaches, verdict.silent) == ([], ["job-000001"])
