--- a/badgerseam/cli/lab.py
+++ b/badgerseam/cli/lab.py
@@ -55,7 +55,15 @@
     fault.add_argument("to", nargs="?", default="")
     fault.add_argument("--for", dest="for_s", type=float, default=0.0, help="seconds until mended")
     fault.add_argument("--count", type=int, default=1, help="machines")
-    fault.add_argument("--factor", type=float, default=0.3, help="of speed, or of arrivals")
+    fault.add_argument(
+        "--factor", type=float, default=0.3, help="of speed, of arrivals, part of reports"
+    )
+    fault.add_argument(
+        "--within", dest="within_s", type=float, default=0.0, help="several end within so long"
+    )
+    fault.add_argument(
+        "--back", dest="back_s", type=float, default=3.0, help="seconds until started again"
+    )
     orders.add_parser("mend", help="mend all that is broken")
     orders.add_parser("check", help="judge what has happened so far by the protocol's rules")
     cost = orders.add_parser("why-cost", help="measure what an explanation costs at size")
@@ -362,7 +370,7 @@
     if options.order == "load":
         body = json.dumps({"factor": options.factor}).encode()
     elif options.order == "fault":
-        names = ("do", "target", "to", "for_s", "count", "factor")
+        names = ("do", "target", "to", "for_s", "count", "factor", "within_s", "back_s")
         body = json.dumps({name: getattr(options, name) for name in names}).encode()
     reading = options.order in ("status", "check")
     try:
--- a/badgerseam/lab/controllers.py
+++ b/badgerseam/lab/controllers.py
@@ -61,6 +61,7 @@
         self.unasked = 0
         """Ends that nobody asked for."""
         self._expected = False
+        self._back_s = BACK_S
         self.state = "stopped"
 
     @property
@@ -91,7 +92,8 @@
                     self._told(f"{self.node} keeps ending at its start: not started again")
                     return
             self._expected = False
-            await asyncio.sleep(BACK_S)
+            back_s, self._back_s = self._back_s, BACK_S
+            await asyncio.sleep(back_s)
 
     def _launch(self) -> None:
         arguments = [*self.tree.command, str(self._settings)]
@@ -119,19 +121,21 @@
         self._process.send_signal(number)
         return True
 
-    def kill(self) -> bool:
-        """End it without a warning; it comes back by itself. False if it is not running."""
+    def kill(self, back_s: float = BACK_S) -> bool:
+        """End it without a warning; it comes back by itself after so many seconds. False if it is
+        not running."""
         self._expected = True
         if self._signal(signal.SIGKILL):
+            self._back_s = back_s
             return True
         self._expected = False
         return False
 
-    def replace(self, tree: Tree) -> bool:
+    def replace(self, tree: Tree, back_s: float = BACK_S) -> bool:
         """End it, and have it come back from other sources; one that was given up as well."""
         self.tree = tree
         self._short = 0
-        ended = self.kill()
+        ended = self.kill(back_s)
         self.start()
         return ended
 
--- a/badgerseam/lab/faults.py
+++ b/badgerseam/lab/faults.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from functools import partial
+from collections.abc import Callable, Coroutine
 from typing import Annotated, Literal
 
 import msgspec
@@ -12,7 +11,10 @@
 
 from badgerseam.cli.client import Front, Unreachable, refusal
 from badgerseam.cli.rollout import ask_view
+from badgerseam.lab.controllers import BACK_S, Controller
 from badgerseam.lab.lab import Lab, LabError
+from badgerseam.lab.links import Trouble
+from badgerseam.lab.machines import ANSWERS, zone_end
 from badgerseam.lab.trees import Tree
 from badgerseam.rollout.choreography import Choreography, Stopped
 from badgerseam.wire.rollout import View
@@ -32,12 +34,16 @@
     "take",
     "notice",
     "die",
+    "deaf",
+    "copies",
+    "island",
     "hang-machine",
     "slow-machine",
     "faulty-machine",
     "burst",
 ]
 DEEDS: tuple[str, ...] = Deed.__args__  # type: ignore[attr-defined]
+LOOK_S = 0.05
 LINKED = ("cut", "refused", "lossy", "slow")
 
 
@@ -46,17 +52,33 @@
 
     do: Deed
     target: Annotated[
-        str, Meta(description="a controller, `all`, `each` (one after the other), or `workers`")
+        str,
+        Meta(
+            description="a controller, several with commas between, `all`, `each` (one after the "
+            "other), or `workers`; of `deaf` a zone or a machine"
+        ),
     ] = ""
     to: Annotated[
-        str, Meta(description="the other end of a link: state, cloud, or a controller")
+        str,
+        Meta(
+            description="the other end of a link: state, cloud, or a controller; of `island` cut "
+            "or refused"
+        ),
     ] = ""
     count: Annotated[int, Meta(ge=1, description="machines, chosen by chance")] = 1
     for_s: Annotated[
         float, Meta(ge=0, description="mended after so long; 0: when it is mended by hand")
     ] = 0.0
-    factor: Annotated[float, Meta(gt=0, description="of speed, or of arrivals")] = 0.3
+    factor: Annotated[
+        float, Meta(gt=0, description="of speed, or of arrivals; of `copies` the part of reports")
+    ] = 0.3
     every_s: Annotated[float, Meta(gt=0, description="between one and the next of `each`")] = 6.0
+    within_s: Annotated[
+        float, Meta(ge=0, description="several controllers end by chance within so long")
+    ] = 0.0
+    back_s: Annotated[
+        float, Meta(ge=0, description="after which an ended controller is started again")
+    ] = BACK_S
 
 
 class LabSite:
@@ -92,6 +114,8 @@
         self._lab = lab
         self._mending: dict[str, Callable[[], None]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._troubles: set[str] = set()
+        """What is broken now, in the sense in which users excuse silence."""
 
     def apply(self, fault: Fault) -> str:
         """Break something; what was done. LabError if the fault names nothing there is."""
@@ -102,6 +126,12 @@
             text = self._rollout(fault)
         elif fault.do in ("kill", "hang", "replace"):
             text = self._controllers(fault)
+        elif fault.do == "island":
+            text = self._island(fault)
+        elif fault.do == "deaf":
+            text = self._deaf(fault)
+        elif fault.do == "copies":
+            text = self._copies(fault)
         elif fault.do == "state-down":
             lab.state.outage(True)
             text = self._until(fault, "state service down", lambda: lab.state.outage(False))
@@ -132,6 +162,9 @@
 
     def _until(self, fault: Fault, name: str, mend: Callable[[], None]) -> str:
         self._mending[name] = mend
+        if fault.do != "burst":
+            # Many jobs are no excuse.
+            self._begin(name)
         if fault.for_s:
             self._later(fault.for_s, lambda: self._mend(name))
         return name + (f" for {fault.for_s:g} s" if fault.for_s else "")
@@ -141,13 +174,39 @@
         if mend is not None:
             mend()
             self._lab.history.add("fault", about="mended", text=name)
+            self._over(name)
+
+    def _begin(self, name: str) -> None:
+        if not self._troubles:
+            self._lab.history.add("trouble")
+        self._troubles.add(name)
+
+    def _over(self, name: str) -> None:
+        if name in self._troubles:
+            self._troubles.discard(name)
+            if not self._troubles:
+                self._lab.history.add("calm")
+
+    def _over_once(self, name: str, over: Callable[[], bool]) -> None:
+        """A trouble that ends by itself, once `over` says so."""
+        self._begin(name)
+
+        async def wait() -> None:
+            while not over():
+                await asyncio.sleep(LOOK_S)
+            self._over(name)
+
+        self._spawn(wait())
 
     def _later(self, seconds: float, do: Callable[[], object]) -> None:
         async def wait() -> None:
             await asyncio.sleep(seconds)
             do()
 
-        task = asyncio.ensure_future(wait())
+        self._spawn(wait())
+
+    def _spawn(self, work: Coroutine[object, object, None]) -> None:
+        task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -155,9 +214,13 @@
         nodes = self._lab.nodes
         if fault.target in ("all", "each"):
             return nodes
-        if fault.target not in nodes:
-            raise LabError(f"target: {fault.target!r}: one of {', '.join(nodes)}, all, each")
-        return [fault.target]
+        names = fault.target.split(",")
+        if not set(names) <= set(nodes):
+            raise LabError(
+                f"target: {fault.target!r}: one of {', '.join(nodes)}, several with commas "
+                "between, all, each"
+            )
+        return names
 
     def _controllers(self, fault: Fault) -> str:
         names = self._named(fault)
@@ -168,15 +231,22 @@
                 controller.hang()
                 self._until(fault, f"{node} hung", lambda c=controller: c.go_on())  # type: ignore[misc]
                 continue
-            deed = controller.kill
-            if tree is not None:
-                deed = partial(controller.replace, tree)
+
+            def deed(c: Controller = controller) -> None:
+                starts = c.starts
+                if c.kill(fault.back_s) if tree is None else c.replace(tree, fault.back_s):
+                    over = ("given up", "stopped")
+                    self._over_once(f"{c.node} ended", lambda: c.starts > starts or c.state in over)
+
             if fault.target == "each" and place:
                 self._later(fault.every_s * place, deed)
+            elif fault.within_s:
+                self._later(self._lab.random.uniform(0.0, fault.within_s), deed)
             else:
                 deed()
+        within = f" within {fault.within_s:g} s" if fault.within_s else ""
         what = f" by {fault.to or 'these sources'}" if fault.do == "replace" else ""
-        return f"{fault.do} {', '.join(names)}{what}"
+        return f"{fault.do} {', '.join(names)}{within}{what}"
 
     def _tree(self, fault: Fault) -> Tree:
         found = self._lab.trees.get(fault.to)
@@ -201,9 +271,7 @@
                 lab.rollouts.append(str(stopped))
                 told(f"stopped: {stopped}")
 
-        task = asyncio.ensure_future(play())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._spawn(play())
         return f"rollout of {fault.to or 'these sources'}"
 
     def _link(self, fault: Fault) -> str:
@@ -217,16 +285,76 @@
         pairs = [(fault.target, fault.to)]
         if fault.to in lab.nodes and fault.target in lab.nodes:
             pairs.append((fault.to, fault.target))
-        if fault.to in lab.nodes and fault.do != "cut":
-            raise LabError(f"{fault.do}: between controllers and from workers only `cut` is made")
+        if fault.to in lab.nodes and (
+            fault.do not in ("cut", "refused") or (fault.target == "workers" and fault.do != "cut")
+        ):
+            raise LabError(
+                f"{fault.do}: between controllers only `cut` and `refused` are made, from workers "
+                "only `cut`"
+            )
+        name = f"{fault.target} to {fault.to} {fault.do}"
+        return self._break(fault, name, pairs, fault.do)  # type: ignore[arg-type]
+
+    def _break(
+        self, fault: Fault, name: str, pairs: list[tuple[str, str]], trouble: Trouble
+    ) -> str:
+        links = self._lab.links
         for source, target in pairs:
-            lab.links.break_(source, target, fault.do)  # type: ignore[arg-type]
+            links.break_(source, target, trouble)
 
         def heal() -> None:
             for source, target in pairs:
-                lab.links.heal(source, target)
+                links.heal(source, target)
+
+        return self._until(fault, name, heal)
+
+    def _island(self, fault: Fault) -> str:
+        """A controller loses the state service and its siblings, but not its workers."""
+        lab, node = self._lab, fault.target
+        if node not in lab.nodes:
+            raise LabError(f"target: {node!r}: one of {', '.join(lab.nodes)}")
+        if fault.to not in ("", "cut", "refused"):
+            raise LabError(f"to: {fault.to!r}: cut (if nothing is said) or refused")
+        pairs = [(node, "state")]
+        for other in lab.nodes:
+            if other != node:
+                pairs += [(node, other), (other, node)]
+        how: Trouble = "refused" if fault.to == "refused" else "cut"
+        return self._break(fault, f"{node} an island, {how}", pairs, how)
+
+    def _deaf(self, fault: Fault) -> str:
+        """Reports of machines arrive; answers and commands don't reach them."""
+        lab = self._lab
+        if fault.target in lab.site.zones:
+            name = f"zone {fault.target} deaf"
+            return self._break(fault, name, [(ANSWERS, zone_end(fault.target))], "cut")
+        if fault.target and fault.target not in lab.machines:
+            raise LabError(
+                f"target: {fault.target!r}: a zone ({', '.join(lab.site.zones)}), a machine that "
+                "is up, or empty for --count by chance"
+            )
+        if not lab.machines:
+            raise LabError("deaf: no machine is up")
+        up = sorted(lab.machines)
+        chosen = [fault.target]
+        if not fault.target:
+            chosen = sorted(lab.random.sample(up, min(fault.count, len(up))))
+        for name in chosen:
+            self._break(fault, f"{name} deaf", [(ANSWERS, name)], "cut")
+        return f"deaf {', '.join(chosen)}"
+
+    def _copies(self, fault: Fault) -> str:
+        """Copies of a part of the reports come late, also after this is mended."""
+        copies = self._lab.copies
+        if fault.factor > 1:
+            raise LabError(f"factor: {fault.factor:g}: a part of the reports, at most 1")
+        copies.part = fault.factor
+
+        def end() -> None:
+            copies.part = 0.0
+            self._over_once("copies under way", lambda: not copies.under_way)
 
-        return self._until(fault, f"{fault.target} to {fault.to} {fault.do}", heal)
+        return self._until(fault, "copies of reports", end)
 
     def _no_capacity(self, fault: Fault) -> str:
         core = self._lab.cloud_core
@@ -252,13 +380,18 @@
             machine, rented = lab.machines[name], lab.cloud_core.machines[name]
             core = machine.core
             if fault.do == "take":
+                self._begin(name)
                 lab.cloud_core.take(name)
+                self._over(name)
             elif fault.do == "die":
+                self._begin(name)
                 lab.cloud_core.die(name)
+                self._over(name)
             elif fault.do == "notice":
                 left = (fault.for_s or 10.0) * lab.random.uniform(0.5, 1.5)
                 rented.notice_at = core.notice_at = lab.clock.now() + left
                 core.changed = True
+                self._over_once(f"{name} noticed", lambda n=name: n not in lab.machines)  # type: ignore[misc]
             elif fault.do == "hang-machine":
                 machine.hang()
                 self._until(fault, f"{name} hung", machine.go_on)
--- a/badgerseam/lab/lab.py
+++ b/badgerseam/lab/lab.py
@@ -19,6 +19,7 @@
 from badgerseam.lab.checker import Breach, Verdict, judge
 from badgerseam.lab.cloud import CloudCore, Rented
 from badgerseam.lab.controllers import Controller
+from badgerseam.lab.copies import Copies
 from badgerseam.lab.front import Front
 from badgerseam.lab.history import History
 from badgerseam.lab.links import Links, Relay
@@ -102,6 +103,7 @@
         self._numbers = itertools.count(1)
         self.history: History
         self.front: Front
+        self.copies: Copies
         self.front_port = 0
 
     # ---- beginning and end ----
@@ -144,6 +146,7 @@
         ports = self._ports()
         self.addresses = {node: f"127.0.0.1:{ports[node].api}" for node in self.nodes}
         self.front = Front(self.addresses, self.history)
+        self.copies = Copies(self.links, self.random, self.addresses, self.site.workers.lease_s)
         for node in self.nodes:
             own = ports[node]
             for target, handle, port in (
@@ -237,6 +240,8 @@
         await asyncio.gather(*(c.stop() for c in self.controllers.values()))
         for machine in self.machines.values():
             machine.stop()
+        if hasattr(self, "copies"):
+            self.copies.stop()
         if self.front_port and hasattr(self, "front"):
             self.front.stop()
         for server in self._servers:
@@ -305,7 +310,13 @@
         )
         core.speed = self.random.uniform(0.95, 1.05)
         machine = Machine(
-            core, self.clock, self.site.workers, self.addresses, self.links, self.random
+            core,
+            self.clock,
+            self.site.workers,
+            self.addresses,
+            self.links,
+            self.random,
+            self.copies.report,
         )
         machine.start(int(rented.addr.rpartition(":")[2]))
         self.machines[rented.name] = machine
--- a/badgerseam/lab/links.py
+++ b/badgerseam/lab/links.py
@@ -83,7 +83,8 @@
 
 
 class Relay:
-    """Forwards one controller's connections to another's peer address, until the link is cut."""
+    """Forwards one controller's connections to another's peer address, until the link is cut, which
+    holds packets back, or refused, which ends connections."""
 
     def __init__(self, links: Links, source: str, target: str, port: int) -> None:
         self._links = links
@@ -98,7 +99,14 @@
         if self._server is not None:
             self._server.close()
 
+    @property
+    def _refused(self) -> bool:
+        return self._links.trouble(*self._ends) == "refused"
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._refused:
+            writer.transport.abort()
+            return
         with contextlib.suppress(OSError, asyncio.CancelledError):
             await self._links.passed(*self._ends)
             there, back = await asyncio.open_connection("127.0.0.1", self._port)
@@ -116,6 +124,8 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
                 await self._links.passed(*ends)
+                if self._refused:
+                    break
                 writer.write(data)
                 await writer.drain()
         writer.close()
--- a/badgerseam/lab/machines.py
+++ b/badgerseam/lab/machines.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from random import Random
 
 import msgspec
@@ -23,12 +24,19 @@
 LEAST_PAUSE_S = 0.5
 RESPONSE_S = 4.0
 TRY_NEXT_S = 1.0
+ANSWERS = "answers"
+"""The other end of the link that brings a machine answers and commands, but not its reports out."""
 
 _orders: msgspec.json.Decoder[wire.Orders] = msgspec.json.Decoder(wire.Orders)
 _direct: msgspec.json.Decoder[wire.DirectOrders] = msgspec.json.Decoder(wire.DirectOrders)
 _redirect: msgspec.json.Decoder[wire.Redirect] = msgspec.json.Decoder(wire.Redirect)
 
 
+def zone_end(zone: str) -> str:
+    """What a whole zone is called as the end of a link."""
+    return f"zone {zone}"
+
+
 class Machine:
     """One machine that is up."""
 
@@ -40,13 +48,16 @@
         nodes: dict[str, str],
         links: Links,
         random: Random,
+        copied: Callable[[bytes], None] = lambda body: None,
     ) -> None:
+        """`copied` is told of every report that is sent."""
         self.core = core
         self._clock = clock
         self._params = params
         self._nodes = nodes
         self._links = links
         self._random = random
+        self._copied = copied
         self._http = Client(connect_s=1.0, keep=4)
         self._server = Server(self._handle)
         self._gone = False
@@ -90,7 +101,13 @@
 
     # ---- commands ----
 
+    async def _heard(self) -> None:
+        """Return when answers and commands reach the machine."""
+        await self._links.passed(ANSWERS, self.core.who.name)
+        await self._links.passed(ANSWERS, zone_end(self.core.who.zone))
+
     async def _handle(self, method: str, uri: str, body: bytes) -> Reply:
+        await self._heard()
         await self._running.wait()
         if self._gone:
             # A kept connection outlives the listening address.
@@ -134,10 +151,12 @@
         try:
             async with asyncio.timeout(RESPONSE_S):
                 await self._links.passed("workers", self._at)
+                self._copied(body)
                 response = await self._http.request(
                     self._nodes[self._at], "POST", "/checkin", body, RESPONSE_S
                 )
                 await self._links.passed("workers", self._at)
+                await self._heard()
         except (NoResponse, TimeoutError):
             self._next()
             return TRY_NEXT_S
--- /dev/null
+++ b/tests/test_lab_faults.py
@@ -0,0 +1,231 @@
+"""What the lab breaks: machines that hear nothing, late copies, islands, ends close together."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from badgerseam.clock import Clock
+from badgerseam.http.client import Client, NoResponse
+from badgerseam.http.server import Reply, Server
+from badgerseam.lab import copies as copies_module
+from badgerseam.lab import machines as machines_module
+from badgerseam.lab.controllers import Controller
+from badgerseam.lab.copies import Copies
+from badgerseam.lab.faults import Breaker, Fault
+from badgerseam.lab.history import History
+from badgerseam.lab.lab import Lab, LabError, free_ports
+from badgerseam.lab.links import Links, Relay
+from badgerseam.lab.machines import Machine
+from badgerseam.lab.site import Site
+from badgerseam.lab.trees import Tree
+from badgerseam.lab.worker import Identity, Results, WorkerCore
+from badgerseam.model.resources import Resources
+from badgerseam.settings import WorkerParams
+from badgerseam.wire import workers as wire
+
+LEASE_S = 0.4
+
+
+def quiet_lab(directory: Path) -> Lab:
+    """A lab of which nothing runs but what a test starts."""
+    lab = Lab(Site(), directory, Clock(), Random(3))
+    lab.history = History(lab.clock.now)
+    return lab
+
+
+def told(lab: Lab) -> list[str]:
+    return [event.kind for event in lab.history.events if event.kind in ("trouble", "calm")]
+
+
+async def until(condition: Callable[[], bool], what: str) -> None:
+    for _ in range(500):
+        if condition():
+            return
+        await asyncio.sleep(0.02)
+    raise AssertionError(what)
+
+
+class Controllers:
+    """Two controllers that answer every report with an ever higher token."""
+
+    def __init__(self) -> None:
+        self.token = 1
+        self.heard: list[tuple[str, wire.Report]] = []
+        self.addresses: dict[str, str] = {}
+        self._servers: list[Server] = []
+
+    def start(self) -> None:
+        for node, port in zip(("node-0", "node-1"), free_ports(2), strict=True):
+            server = Server(partial(self._checkin, node))
+            server.listen(f"127.0.0.1:{port}")
+            self._servers.append(server)
+            self.addresses[node] = f"127.0.0.1:{port}"
+
+    def _checkin(self, node: str, _method: str, _uri: str, body: bytes) -> Reply:
+        self.heard.append((node, wire.report_decoder.decode(body)))
+        self.token += 1
+        return Reply(200, wire.encode(wire.Orders(self.token, [])))
+
+    def stop(self) -> None:
+        for server in self._servers:
+            server.stop()
+
+
+def machine(lab: Lab, nodes: dict[str, str], port: int) -> Machine:
+    who = Identity("m-000001", f"127.0.0.1:{port}", "c8", "a", True)
+    core = WorkerCore(who, lab.clock, LEASE_S, Resources(8, 0, 32), lambda task: None, Results())
+    params = WorkerParams(0.05, LEASE_S, 9.0)
+    return Machine(core, lab.clock, params, nodes, lab.links, Random(1), lab.copies.report)
+
+
+@pytest.mark.parametrize("target", ["", "a"])
+def test_a_deaf_machine_is_heard_and_obeys_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, target: str
+) -> None:
+    for name, value in (("RESPONSE_S", 0.1), ("TRY_NEXT_S", 0.02), ("LEAST_PAUSE_S", 0.05)):
+        monkeypatch.setattr(machines_module, name, value)
+
+    async def play() -> None:
+        lab, controllers = quiet_lab(tmp_path), Controllers()
+        controllers.start()
+        lab.copies = Copies(lab.links, Random(1), controllers.addresses, LEASE_S)
+        (port,) = free_ports(1)
+        lab.machines["m-000001"] = one = machine(lab, controllers.addresses, port)
+        one.start(port)
+        core = one.core
+        try:
+            await until(lambda: core.token > 1, "it hears answers")
+            breaker = Breaker(lab)
+            breaker.apply(Fault("deaf", target))
+            await asyncio.sleep(0.15)
+            token, session = core.token, core.session
+            controllers.heard.clear()
+            orders = wire.DirectOrders(10**6, session, [])
+            with pytest.raises(NoResponse):
+                body = wire.encode(orders)
+                await Client().request(f"127.0.0.1:{port}", "POST", "/do", body, 0.15)
+            await until(lambda: core.session >= session + 2, "its lease ends again and again")
+            assert core.token == token, "no answer and no command reached it"
+            assert {report.session for _, report in controllers.heard} >= {session, session + 1}
+            assert {node for node, _ in controllers.heard} == {"node-0", "node-1"}, "it walks"
+            breaker.mend_all()
+            await until(lambda: core.token > token, "it hears again")
+            # What was held back came when it could not be valid any more.
+            assert core.token < 10**6 and told(lab) == ["trouble", "calm"]
+        finally:
+            one.stop()
+            controllers.stop()
+
+    asyncio.run(play())
+
+
+def test_copies_come_late_and_are_a_trouble_until_the_last_has_come(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(copies_module, "SOONEST_S", 0.05)
+
+    async def play() -> None:
+        lab, controllers = quiet_lab(tmp_path), Controllers()
+        controllers.start()
+        lab.copies = copies = Copies(lab.links, Random(1), controllers.addresses, 0.2)
+        report = wire.Report("m-000009", "x:1", "c8", "a", True, 1, 1)
+        try:
+            breaker = Breaker(lab)
+            copies.report(wire.encode(report))
+            assert not copies.under_way
+            breaker.apply(Fault("copies", factor=1.0))
+            for _ in range(20):
+                copies.report(wire.encode(report))
+            breaker.mend_all()
+            copies.report(wire.encode(report))
+            assert (copies.under_way, controllers.heard) == (20, [])
+            assert told(lab) == ["trouble"]
+            await until(lambda: copies.delivered == 20, "all come")
+            await until(lambda: told(lab) == ["trouble", "calm"], "the trouble is over")
+            assert {node for node, _ in controllers.heard} == {"node-0", "node-1"}
+            assert all(heard == report for _, heard in controllers.heard)
+            with pytest.raises(LabError, match="factor"):
+                breaker.apply(Fault("copies", factor=2.0))
+        finally:
+            controllers.stop()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("how", ["", "refused"])
+def test_an_island_loses_state_and_siblings_and_nothing_else(tmp_path: Path, how: str) -> None:
+    async def play() -> None:
+        lab = quiet_lab(tmp_path)
+        breaker = Breaker(lab)
+        breaker.apply(Fault("island", "node-1", how))
+        lost = {("node-1", "state")}
+        lost |= {pair for n in ("node-0", "node-2") for pair in (("node-1", n), (n, "node-1"))}
+        assert set(lab.links.open()) == {(a, b, how or "cut") for a, b in lost}
+        breaker.mend_all()
+        assert not lab.links.open() and told(lab) == ["trouble", "calm"]
+        for fault in (Fault("island", "all"), Fault("island", "node-1", "slow")):
+            with pytest.raises(LabError):
+                breaker.apply(fault)
+
+    asyncio.run(play())
+
+
+def test_a_refused_link_between_controllers_ends_connections() -> None:
+    async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(100):
+            writer.write(data)
+        writer.close()
+
+    async def play() -> None:
+        links = Links(Random(1))
+        behind, before = free_ports(2)
+        server = await asyncio.start_server(echo, "127.0.0.1", behind)
+        relay = Relay(links, "node-0", "node-1", behind)
+        await relay.listen(before)
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", before)
+            writer.write(b"x")
+            assert await reader.read(100) == b"x"
+            links.break_("node-0", "node-1", "refused")
+            writer.write(b"x")
+            assert await asyncio.wait_for(reader.read(100), 2.0) == b""
+            reader, _ = await asyncio.open_connection("127.0.0.1", before)
+            assert await asyncio.wait_for(reader.read(100), 2.0) == b""
+        finally:
+            relay.close()
+            server.close()
+
+    asyncio.run(play())
+
+
+def test_controllers_end_close_together_and_are_back_at_once(tmp_path: Path) -> None:
+    async def play() -> None:
+        lab = quiet_lab(tmp_path)
+        tree = Tree(tmp_path, (sys.executable, "-c", "import time; time.sleep(60)"))
+        for node in lab.nodes:
+            log = tmp_path / f"{node}.log"
+            lab.controllers[node] = Controller(node, log, tree, log, lab.clock, print)
+            lab.controllers[node].start()
+        starts = [c for c in lab.controllers.values()]
+        try:
+            await until(lambda: all(c.pid for c in starts), "all run")
+            breaker = Breaker(lab)
+            with pytest.raises(LabError, match="target"):
+                breaker.apply(Fault("kill", "node-0,nobody"))
+            began = lab.clock.now()
+            breaker.apply(Fault("kill", "node-0,node-2", within_s=0.3, back_s=0.1))
+            await until(lambda: [c.starts for c in starts] == [2, 1, 2], "two are back")
+            assert lab.clock.now() - began < 2.0, "sooner than in the usual time"
+            await until(lambda: told(lab)[-1:] == ["calm"], "the trouble is over")
+            assert [c.unasked for c in starts] == [0, 0, 0]
+        finally:
+            await asyncio.gather(*(c.stop() for c in starts))
+
+    asyncio.run(play())
