The lab counts jumps past higher classes and plays models and nights

Cause: the parts to come need a judge of the order of classes, replicas with heavy images, and runs of many members. Change: lab/jumps.py over histories (machines tell launches as well), classes with replicas and several images, the fault night, an experiment's options and order; experiments models and night. An experiment's own site is checked as a site file is.

--- a/badgerseam/cli/lab.py
+++ b/badgerseam/cli/lab.py
@@ -20,6 +20,8 @@
 
 Commands = argparse._SubParsersAction
 
+SHOWN = 5
+"""Jumps that are printed; the report has all."""
 MISSING = (
     "the lab's libraries are not installed: python3 -m pip install -r requirements-lab.txt "
     "(or the extra badgerseam[lab])"
@@ -144,10 +146,11 @@
     return EXIT_OK
 
 
-def _options_file(directory: Path) -> Path:
-    """The service's own options, all that a lab shows switched on."""
+def _options_file(directory: Path, sections: dict[str, Any] | None = None) -> Path:
+    """The service's own options, all that a lab shows switched on, and an experiment's sections."""
     path = directory / "options.json"
-    path.write_text('{"explain": {}, "batch": {}, "accounting": {}, "rollout": {}}\n')
+    shown: dict[str, Any] = {"explain": {}, "batch": {}, "accounting": {}, "rollout": {}}
+    path.write_text(json.dumps(shown | (sections or {})) + "\n")
     return path
 
 
@@ -263,7 +266,7 @@
         Clock(),
         Random(seed),
         0,
-        _options_file(out.resolve()),
+        _options_file(out.resolve(), experiment.options),
         experiment.sources,
         experiment.first,
     )
@@ -350,6 +353,13 @@
         )
     if report.silent:
         console.print(f"unanswered at the end, not judged: {', '.join(report.silent)}")
+    if report.jumps:
+        console.print(
+            f"jumps: {len(report.jumps)}, past work that had waited for at most "
+            f"{report.longest_jump_s:.1f} s; the first ones:"
+        )
+        for text in report.jumps[:SHOWN]:
+            console.print(text)
     console.print(f"failures by what was served: {len(served.failures)}")
     for text in served.failures:
         console.print(text)
--- a/badgerseam/lab/experiment.py
+++ b/badgerseam/lab/experiment.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta, Struct, field
@@ -16,7 +16,7 @@
 from badgerseam.lab.questions import Asker
 from badgerseam.lab.reconcile import reconcile
 from badgerseam.lab.report import Report, Sample, summarize
-from badgerseam.lab.site import Site
+from badgerseam.lab.site import Site, check_site
 from badgerseam.settings import SettingsError
 
 SAMPLE_S = 1.0
@@ -43,6 +43,14 @@
         float, Meta(ge=0, description="how often users ask why a job waits")
     ] = 0.0
     site: Site | None = None
+    options: Annotated[
+        dict[str, Any],
+        Meta(description="sections of the controllers' options, beside or instead of the lab's"),
+    ] = field(default_factory=dict)
+    order: Annotated[
+        list[str],
+        Meta(description="classes of jobs, the first one first; jumps are counted if it is given"),
+    ] = field(default_factory=list)
     sources: Annotated[
         dict[str, str],
         Meta(description="other programs for `replace`: a folder, or a revision of this project"),
@@ -56,11 +64,21 @@
 def load_experiment(path: str) -> Experiment:
     """Read and check an experiment."""
     try:
-        return msgspec.json.decode(Path(path).read_bytes(), type=Experiment)
+        experiment: Experiment = msgspec.json.decode(Path(path).read_bytes(), type=Experiment)
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise SettingsError(f"{path}: {error}") from error
+    if experiment.site is not None:
+        check_site(experiment.site, path)
+    known = {entry.name for entry in (experiment.site or Site()).classes}
+    unknown = [name for name in experiment.order if name not in known]
+    if unknown:
+        raise SettingsError(
+            f"{path}: order: {', '.join(unknown)}: the site has the classes "
+            f"{', '.join(sorted(known))}"
+        )
+    return experiment
 
 
 async def play(lab: Lab, experiment: Experiment, told: Callable[[float, str], None]) -> Report:
@@ -102,7 +120,7 @@
         accounts = await reconcile(lab)
     except Unreachable:
         accounts = None
-    return summarize(lab, samples, asker, accounts)
+    return summarize(lab, samples, asker, accounts, experiment.order)
 
 
 def _sample(lab: Lab, samples: list[Sample]) -> None:
--- a/badgerseam/lab/load.py
+++ b/badgerseam/lab/load.py
@@ -23,11 +23,22 @@
 """Of the lognormal run times within a class."""
 
 
+def pick_image(job_class: JobClass, random: Random) -> tuple[str, float]:
+    """One of a class's images and its size in GB; the same image always has the same size."""
+    if job_class.images == 1:
+        return job_class.image, job_class.image_gb
+    number = random.randrange(job_class.images)
+    most = job_class.image_gb if job_class.image_gb_most is None else job_class.image_gb_most
+    size = job_class.image_gb + (most - job_class.image_gb) * number / (job_class.images - 1)
+    return f"{job_class.image}-{number}", round(size, 3)
+
+
 def make_job(job_class: JobClass, number: int, random: Random) -> tuple[wire.Submission, Truth]:
     """A job of a class, as its owner describes it, and what it really does."""
     low, high = job_class.tasks
     run_s = job_class.run_s * random.lognormvariate(-(SIGMA**2) / 2, SIGMA)
     guess_s = run_s * random.lognormvariate(0.0, job_class.guess_error)
+    image, image_gb = pick_image(job_class, random)
     service = job_class.shape == "standing"
     spec = wire.Submission(
         id=f"job-{number:06d}",
@@ -35,12 +46,12 @@
         team=random.choice(job_class.teams),
         kind=job_class.shape,
         priority=job_class.rank,
-        tasks=random.randint(low, high),
+        tasks=random.randint(low, high) * job_class.replica,
         cpus=job_class.cpus,
-        gpus=0.0,
+        gpus=job_class.gpus,
         memory_gb=job_class.memory_gb,
-        image=job_class.image,
-        image_gb=job_class.image_gb,
+        image=image,
+        image_gb=image_gb,
         one_zone=job_class.one_zone,
         spread=job_class.scatter,
         spot=job_class.spot,
@@ -105,6 +116,18 @@
         """Users whose job has not ended."""
         return len(self._users)
 
+    def night(self, name: str, members: int) -> int:
+        """So many members of a class at once, in arrays of its largest size; how many arrays.
+
+        KeyError if there is no such class.
+        """
+        job_class = {entry.name: entry for entry in self._classes}[name]
+        most = job_class.tasks[1]
+        sizes = [most] * (members // most) + [members % most] * (members % most > 0)
+        for size in sizes:
+            self._user(msgspec.structs.replace(job_class, tasks=[size, size]))
+        return len(sizes)
+
     async def _arrive(self, job_class: JobClass) -> None:
         while True:
             rate = job_class.per_minute * self.factor / 60
--- a/badgerseam/lab/report.py
+++ b/badgerseam/lab/report.py
@@ -5,6 +5,7 @@
 import base64
 import html
 import io
+from collections.abc import Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -12,8 +13,10 @@
 from hdrh.histogram import HdrHistogram
 from msgspec import Struct, field
 
+from badgerseam.lab.jumps import find_jumps
 from badgerseam.lab.reconcile import Reconciled
 from badgerseam.lab.served import Largest, Served
+from badgerseam.model.resources import Resources
 
 if TYPE_CHECKING:
     from badgerseam.lab.history import Event
@@ -66,6 +69,10 @@
     silent: list[str] = field(default_factory=list)
     """Accepted jobs about which the latest question was not answered, for too short a time to call
     them forgotten."""
+    jumps: list[str] = field(default_factory=list)
+    """Starts of lower-class work past higher-class work, if the experiment says an order."""
+    longest_jump_s: float = 0.0
+    """How long the work had waited that was passed, at most."""
     questions: dict[str, int] = field(default_factory=dict)
     """Answers to questions why a job waits, by status; 0: no response."""
     answer_s: list[float] = field(default_factory=list)
@@ -91,9 +98,13 @@
 
 
 def summarize(
-    lab: Lab, samples: list[Sample], asker: Asker, accounts: Reconciled | None = None
+    lab: Lab,
+    samples: list[Sample],
+    asker: Asker,
+    accounts: Reconciled | None = None,
+    order: Sequence[str] = (),
 ) -> Report:
-    """The figures of a lab's history so far."""
+    """The figures of a lab's history so far; `order`: classes of jobs, the first one first."""
     events = lab.history.events
     accept: list[float] = []
     first_submit: dict[str, float] = {}
@@ -111,6 +122,14 @@
             failed += event.status not in (200, 404)
     times = asker.times
     verdict = lab.judge()
+    site = lab.site
+    jumps = find_jumps(
+        events,
+        order,
+        site.teams,
+        {kind.name: Resources(kind.cpus, kind.gpus, kind.memory_gb) for kind in site.types},
+        2 * site.workers.lease_s + site.workers.cancel_s,
+    )
     return Report(
         round(lab.history.now(), 1),
         _classes(events, first_submit, accepted),
@@ -124,6 +143,8 @@
         [str(breach) for breach in verdict.breaches],
         verdict.served,
         verdict.silent,
+        [str(jump) for jump in jumps],
+        max((jump.waited_s for jump in jumps), default=0.0),
         {str(status): count for status, count in sorted(asker.statuses.items())},
         [round(times.get_value_at_percentile(q) / 1e6, 4) for q in QUANTILES]
         if times.get_total_count()
@@ -265,6 +286,7 @@
         f"<h2>Broken rules: {len(report.breaches)}</h2><ul>{broken}</ul>"
         "<table><tr><th>class<th>jobs<th>accepted<th>ended<th>tasks started"
         "<th>first start s, 50 / 90 / 99 / 100 %<th>in time<th>started again</tr>"
-        f"{rows}</table>{_served(report.served)}"
+        f"{rows}</table>{_served(report.served)}<h2>Jumps: {len(report.jumps)}, at most over work "
+        f"that had waited for {report.longest_jump_s:.1f} s</h2>"
         f"<img alt='timeline' src='data:image/png;base64,{image}'>\n"
     )
--- a/badgerseam/lab/worker.py
+++ b/badgerseam/lab/worker.py
@@ -30,7 +30,8 @@
 Describe = Callable[[str], Description | None]
 """The description of a task's job, or None if the job was never submitted."""
 Watch = Callable[[str, str, str, int], None]
-"""Is told of (event, machine, task, attempt): on, then off, or done if it has completed."""
+"""Is told of (event, machine, task, attempt): launch, then on, then off, or done if it has
+completed; or drop after launch, if it is gone before it had its image."""
 
 
 def unwatched(event: str, machine: str, task: str, attempt: int) -> None:
@@ -185,6 +186,7 @@
         else:
             self.tasks[new.task] = new
             self.changed = True
+            self._watch("launch", self.who.name, new.task, new.attempt)
             if job.image in self.images or job.image_gb <= 0:
                 self._start(new)
             else:
@@ -241,6 +243,8 @@
             held.on = False
             event = "done" if cause == "done" else "off"
             self._watch(event, self.who.name, held.task, held.attempt)
+        else:
+            self._watch("drop", self.who.name, held.task, held.attempt)
         image = held.job.image
         if image in self._fetched and not any(
             h.phase == "fetching" and h.job.image == image for h in self.tasks.values()
@@ -294,6 +298,8 @@
             if held.on:
                 held.on = False
                 self._watch("off", self.who.name, held.task, held.attempt)
+            elif held.phase == "fetching":
+                self._watch("drop", self.who.name, held.task, held.attempt)
         self.tasks.clear()
         self._fetched.clear()
         self.session += 1
