--- a/tests/test_lab_faults.py
+++ b/tests/test_lab_faults.py
@@ -248,5 +248,5 @@
     assert load.factor == 3.0
     breaker.apply(Fault("night", "reckon", count=700))
     assert arrays == [[300, 300], [300, 300], [100, 100]] and not told(lab)
-    with pytest.raises(LabError, match="reckon"):
+    with pytest.raises(LabError, match="one of report, sign"):
         breaker.apply(Fault("night", "nobody"))
