--- a/badgerseam/cli/lab.py
+++ b/badgerseam/cli/lab.py
@@ -20,6 +20,8 @@
 
 Commands = argparse._SubParsersAction
 
+SHOWN = 5
+"""Jumps that are printed; the report has all."""
 MISSING = (
     "the lab's libraries are not installed: python3 -m pip install -r requirements-lab.txt "
     "(or the extra badgerseam[lab])"
@@ -55,7 +57,15 @@
     fault.add_argument("to", nargs="?", default="")
     fault.add_argument("--for", dest="for_s", type=float, default=0.0, help="seconds until mended")
     fault.add_argument("--count", type=int, default=1, help="machines")
-    fault.add_argument("--factor", type=float, default=0.3, help="of speed, or of arrivals")
+    fault.add_argument(
+        "--factor", type=float, default=0.3, help="of speed, of arrivals, part of reports"
+    )
+    fault.add_argument(
+        "--within", dest="within_s", type=float, default=0.0, help="several end within so long"
+    )
+    fault.add_argument(
+        "--back", dest="back_s", type=float, default=3.0, help="seconds until started again"
+    )
     orders.add_parser("mend", help="mend all that is broken")
     orders.add_parser("check", help="judge what has happened so far by the protocol's rules")
     cost = orders.add_parser("why-cost", help="measure what an explanation costs at size")
@@ -136,10 +146,11 @@
     return EXIT_OK
 
 
-def _options_file(directory: Path) -> Path:
-    """The service's own options, all that a lab shows switched on."""
+def _options_file(directory: Path, sections: dict[str, Any] | None = None) -> Path:
+    """The service's own options, all that a lab shows switched on, and an experiment's sections."""
     path = directory / "options.json"
-    path.write_text('{"explain": {}, "batch": {}, "accounting": {}, "rollout": {}}\n')
+    shown: dict[str, Any] = {"explain": {}, "batch": {}, "accounting": {}, "rollout": {}}
+    path.write_text(json.dumps(shown | (sections or {})) + "\n")
     return path
 
 
@@ -255,7 +266,7 @@
         Clock(),
         Random(seed),
         0,
-        _options_file(out.resolve()),
+        _options_file(out.resolve(), experiment.options),
         experiment.sources,
         experiment.first,
     )
@@ -279,12 +290,15 @@
     _print_report(report, console)
     console.print("written: " + ", ".join(str(path) for path in paths), soft_wrap=True)
     faults = report.accounts.faults if report.accounts is not None else []
-    return EXIT_FAILED if report.breaches or faults else EXIT_OK
+    failed = report.breaches or report.served.failures or faults
+    return EXIT_FAILED if failed else EXIT_OK
 
 
 def _print_report(report: Report, console: Any) -> None:
     from rich.table import Table
 
+    from badgerseam.lab.report import largest_cells
+
     table = Table(title="simulated machines, real controllers")
     for column in ("class", "jobs", "ended", "starts", "first start 50/90/99/100 %", "in time"):
         table.add_column(column, justify="left" if column == "class" else "right")
@@ -298,6 +312,17 @@
             "" if figures.in_time is None else f"{figures.in_time:.3f}",
         )
     console.print(table)
+    served = report.served
+    for what, rows in (("classes", served.classes), ("teams", served.teams)):
+        parts = ", ".join(f"{name} {row.served:.3f} of {row.jobs}" for name, row in rows.items())
+        console.print(f"served, {what}: {parts or 'none'}")
+    table = Table(title="largest jobs of each class and shape")
+    columns = ("class", "jobs", "served", "least tasks x CPUs", "first s", "all s", "too late")
+    for column in columns:
+        table.add_column(column, justify="left" if column == "class" else "right")
+    for name, big in served.largest.items():
+        table.add_row(name, *largest_cells(big))
+    console.print(table)
     console.print(
         f"accepted within {' / '.join(f'{v:.3f}' for v in report.accept_s)} s; "
         f"{report.polls_failed} of {report.polls} polls failed; {report.machines_rented} machines, "
@@ -326,6 +351,18 @@
             f"{accounts.useful_really_s} s, wasted {accounts.wasted_s} of "
             f"{accounts.wasted_really_s} s; faults {accounts.faults or 'none'}"
         )
+    if report.silent:
+        console.print(f"unanswered at the end, not judged: {', '.join(report.silent)}")
+    if report.jumps:
+        console.print(
+            f"jumps: {len(report.jumps)}, past work that had waited for at most "
+            f"{report.longest_jump_s:.1f} s; the first ones:"
+        )
+        for text in report.jumps[:SHOWN]:
+            console.print(text)
+    console.print(f"failures by what was served: {len(served.failures)}")
+    for text in served.failures:
+        console.print(text)
     console.print(f"broken rules: {len(report.breaches)}")
     for breach in report.breaches:
         console.print(breach)
@@ -343,7 +380,7 @@
     if options.order == "load":
         body = json.dumps({"factor": options.factor}).encode()
     elif options.order == "fault":
-        names = ("do", "target", "to", "for_s", "count", "factor")
+        names = ("do", "target", "to", "for_s", "count", "factor", "within_s", "back_s")
         body = json.dumps({name: getattr(options, name) for name in names}).encode()
     reading = options.order in ("status", "check")
     try:
