--- a/badgerseam/cli/__init__.py
+++ b/badgerseam/cli/__init__.py
@@ -97,8 +97,8 @@
     from badgerseam.clock import Clock, make_random
     from badgerseam.node import Node
 
-    # What a controller keeps lives long; looking for circles in it after each 700 new objects took
-    # a tenth of its time.
+    # What a controller keeps lives long, so that circles in it are looked for more rarely than
+    # after each 700 new objects: with the bound on plans a tenth less time on a long backlog.
     gc.set_threshold(20_000, 25, 25)
 
     async def serve() -> None:
--- a/badgerseam/model/state.py
+++ b/badgerseam/model/state.py
@@ -100,6 +100,13 @@
     """Placements to be made durable."""
     bits_due: dict[int, float] = field(default_factory=dict)
     """Jobs with finished tasks to be made durable, and by when."""
+    front: int | None = None
+    """The job that has waited for so long that it goes first, see Planner."""
+    front_since: float = 0.0
+    front_part: float = 1.0
+    """Of the starts, for it."""
+    front_credit: float = 1.0
+    """Starts of low-priority work that it may still take before others have their turn."""
     notes_due: set[int] = field(default_factory=set)
     """Jobs with notes to be made durable, with the next write of the share or before."""
     committing: bool = False
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -23,6 +23,18 @@
 HOPEFUL = 0.5
 """The part of its estimate in which a task may well be done, estimates being as wrong as that."""
 LATE_S = 1e7
+AGES_AT = 0.5
+"""Part of the time in which a job should begin after which it ages."""
+FRONT_PART = 0.5
+"""Part of the starts of low-priority work that the oldest job may take before others while it can
+still begin in time."""
+LATE_PART = 0.2
+"""The same of one that cannot any more. Measured in a long burst: with half of the starts for
+these as well, fewer jobs began in time than without any ageing."""
+FRONT_CREDIT = 64.0
+"""Starts that may be saved up for it."""
+GATHER_S = 60.0
+"""How long room that frees is kept for an aged gang at most, before others have their turn."""
 MOST_STARTS = 400
 """Tasks of a job planned at once, so that one of 100,000 does not hold the loop; more are planned
 in the next round, when these are on their way to be durable."""
@@ -87,7 +99,41 @@
         """The share's waiting work."""
         now = self._clock.now()
         found = (self._request(job, now) for job in self._model.open_jobs[share.index].values())
-        return [request for request in found if request is not None]
+        requests = [request for request in found if request is not None]
+        front = self._front(share, requests)
+        if front is not None:
+            front.front = True
+        return requests
+
+    def _front(self, share: Share, requests: list[pts.Request]) -> pts.Request | None:
+        """The low-priority work that goes first because it has waited for longest, if any has for
+        too long and others have had their turn.
+
+        By deadline alone what is late goes last, and in a long burst a large array, which is late
+        before its turn comes, waited for six minutes beside small ones that came and went. One job
+        at a time, and for a part of the starts only: were all that is late to go first, nothing
+        would be in time any more.
+        """
+        if share.front_credit <= 0:
+            return None
+        model = self._model
+        wall = model.clock.wall()
+        latest = wall - AGES_AT * self._tunables.begin_s
+        hopeless = wall - self._tunables.begin_s
+        found: tuple[bool, int, pts.Request] | None = None
+        for request in requests:
+            job = model.jobs[request.job]
+            if request.rank >= HIGH_RANK or job is None or job.failing or job.submitted > latest:
+                continue
+            # What has been tried has begun: it was stopped, or lost, since.
+            if len(job.tries) < job.tasks:
+                order = (job.submitted <= hopeless, job.place, request)
+                if found is None or order[:2] < found[:2]:
+                    found = order
+        if found is None:
+            return None
+        share.front_part = LATE_PART if found[0] else FRONT_PART
+        return found[2]
 
     def nodes(self, share: Share) -> list[pts.Node]:
         """The share's machines that take tasks now."""
@@ -251,6 +297,7 @@
             return {}
         now = self._clock.now()
         result = pts.plan(self.snapshot(share, self.nodes(share), requests))
+        self._count_front(share, requests, result, now)
         for stop in result.stops:
             job = model.jobs[stop.key[0]]
             assert job is not None
@@ -281,6 +328,25 @@
             machine.idle_since = now
         return result.waiting
 
+    def _count_front(
+        self, share: Share, requests: list[pts.Request], result: pts.Plan, now: float
+    ) -> None:
+        """Share the starts of low-priority work between the oldest job and the others."""
+        front = next((request for request in requests if request.front), None)
+        low = {request.job for request in requests if request.rank < HIGH_RANK}
+        for start in result.starts:
+            if front is not None and start.job == front.job:
+                share.front_credit -= 1.0 / share.front_part - 1.0
+            elif start.job in low:
+                share.front_credit = min(share.front_credit + 1.0, FRONT_CREDIT)
+        if front is None or front.job != share.front:
+            share.front = None if front is None else front.job
+            share.front_since = now
+        elif front.gathers and now - share.front_since > GATHER_S:
+            # It may never fit: others go on until as many of them have started.
+            share.front_credit = -FRONT_CREDIT
+            share.front = None
+
     def stop(self, attempt: Attempt, wait_s: float | None = None) -> None:
         """Have an attempt stopped, with time to save if its task can and nobody is kept waiting.
 
--- a/badgerseam/sched/pts.py
+++ b/badgerseam/sched/pts.py
@@ -44,14 +44,25 @@
 """What a start takes besides the fetch."""
 
 
+LAST_LOW = 1
+"""The highest of the low ranks: what has waited for too long is not behind any of them."""
+
+
 def plan(snapshot: Snapshot, evict: bool = True) -> Plan:
     """Place what fits, and evict where the rules of priority allow it.
 
     Without `evict` it is only asked what finds room at all, however late it would start there.
     """
     bench = Bench(snapshot, evict)
+    gathering = False
     for request in in_order(bench, snapshot.requests):
-        place(bench, request)
+        if gathering and not request.high:
+            # A gang needs all of its room at once, which smaller work that always fits somewhere
+            # would never leave free together.
+            bench.result.waiting[request.job] = request.count
+            continue
+        placed = place(bench, request)
+        gathering = gathering or (request.gathers and not placed and bench.within_limit(request))
     return bench.result
 
 
@@ -60,10 +71,11 @@
     return sorted(
         requests,
         key=lambda request: (
-            -request.rank,
+            -(LAST_LOW if request.front else request.rank),
             # Towards a team that borrows, one that claims its own is of high priority: behind the
             # other, it would evict again and again what had just been placed.
             not bench.claims(request),
+            not request.front,
             request.klass,
             request.order,
             -slots_of(request.need),
--- a/badgerseam/sched/snapshot.py
+++ b/badgerseam/sched/snapshot.py
@@ -112,6 +112,13 @@
     guarantees."""
     place: int = 0
     """In the queue, given at acceptance: decides between what is alike otherwise."""
+    front: bool = False
+    """It has waited for so long that it goes before other low-priority work, whatever its rank."""
+
+    @property
+    def gathers(self) -> bool:
+        """Room that frees is kept for it until all of it fits."""
+        return self.front and self.gang
 
     @property
     def plain(self) -> bool:
--- a/badgerseam/settings.py
+++ b/badgerseam/settings.py
@@ -213,6 +213,14 @@
             "covers, by the share of them that should start in time",
         ),
     ] = 0.5
+    begin_s: Annotated[
+        float,
+        Meta(
+            gt=0,
+            description="time in which also the largest jobs should begin; low-priority ones that "
+            "have waited for half of it go first, one at a time",
+        ),
+    ] = 240.0
     explain: Annotated[
         ExplainOptions | None, Meta(description="why a job waits; answered if this is there")
     ] = None
