Priority classes: options, the site's record, rules of the plan, the leader's moves, the order of writes

Classes order work within a rank by one record that every controller follows. The leader writes it on the stamps of all controllers' own records, which carry a digest of their options. Planner, pages, launches, acceptances, moves, rentals, vacating and the reserve ask for it where the section is there.

--- /dev/null
+++ b/badgerseam/api/classes.py
@@ -0,0 +1,70 @@
+"""What operators ask of priority classes: which are in force, who disagrees; and setting others."""
+
+from __future__ import annotations
+
+import msgspec
+
+from badgerseam.classes.keeper import Keeper
+from badgerseam.classes.rules import Rules
+from badgerseam.classes.table import to_options
+from badgerseam.http.server import Reply, error_reply
+from badgerseam.model.model import Model
+from badgerseam.options.classes import check
+from badgerseam.store.client import Refused
+from badgerseam.wire import classes as wire
+
+CLASSES = "/classes"
+RETRY_S = 1
+
+
+class ClassesApi:
+    """Answers `/classes`."""
+
+    def __init__(self, model: Model, keeper: Keeper, rules: Rules) -> None:
+        self._model = model
+        self._keeper = keeper
+        self._rules = rules
+
+    async def handle(self, method: str, body: bytes) -> Reply:
+        """A request for `/classes`."""
+        if method not in ("GET", "POST"):
+            return error_reply(405, "GET or POST only")
+        if not self._model.loaded:
+            return error_reply(503, "starting", RETRY_S)
+        return self.view() if method == "GET" else await self._set(body)
+
+    async def _set(self, body: bytes) -> Reply:
+        try:
+            options = wire.wish_decoder.decode(body)
+        except msgspec.DecodeError as error:
+            return Reply(400, wire.encode({"error": str(error)}))
+        wrong = check(options, self._model.team_index)
+        if wrong:
+            return Reply(422, wire.encode({"error": "; ".join(wrong)}))
+        try:
+            found = await self._keeper.set(options)
+        except Refused:
+            return error_reply(409, "a controller or the classes changed meanwhile: try again")
+        if found:
+            listed = "; ".join(f"{entry.node} {entry.reason}" for entry in found)
+            return Reply(409, wire.encode({"error": listed}))
+        return self.view()
+
+    def view(self) -> Reply:
+        """The classes in force, as this controller's replica shows them."""
+        model, keeper, rules = self._model, self._keeper, self._rules
+        with model.lock:
+            record, revision = model.classes or (None, 0)
+            view = wire.ClassesView(
+                None if record is None else to_options(record),
+                None if record is None else record.by,
+                None if record is None else record.at,
+                revision,
+                keeper.digest,
+                keeper.due(),
+                keeper.objections(),
+                rules.waiting(),
+                rules.jumps,
+                rules.held,
+            )
+        return Reply(200, wire.encode(view))
--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -12,6 +12,7 @@
 
 from badgerseam.api.accounting import ACCOUNTING, AccountingApi
 from badgerseam.api.batch import MACHINES, NUMBERS, BatchApi
+from badgerseam.api.classes import CLASSES, ClassesApi
 from badgerseam.api.questions import Questions
 from badgerseam.api.rollout import ROLLOUT, RolloutApi
 from badgerseam.cluster.member import Away, Member
@@ -111,9 +112,11 @@
         batch: BatchApi | None = None,
         accounting: AccountingApi | None = None,
         rollout: RolloutApi | None = None,
+        classes: ClassesApi | None = None,
     ) -> None:
         self._model = model
         self._rollout = rollout
+        self._classes = classes
         self._questions = questions
         self._batch = batch
         self._accounting = accounting
@@ -132,6 +135,8 @@
         try:
             if self._rollout is not None and path.startswith(ROLLOUT + "/"):
                 return await self._rollout.handle(method, path, body)
+            if self._classes is not None and path == CLASSES:
+                return await self._classes.handle(method, body)
             return await self._route(method, path, body)
         except Unavailable:
             return error_reply(503, "the state service cannot be asked", RETRY_S)
--- /dev/null
+++ b/badgerseam/classes/__init__.py
@@ -0,0 +1,1 @@
+"""Priority classes: which work goes ahead within a rank, the same on every controller."""
--- /dev/null
+++ b/badgerseam/classes/jumps.py
@@ -0,0 +1,117 @@
+"""Starts ahead of the queue: a checker over a plan and the snapshot that it was made from.
+
+A jump is a start of lower-class work while work of a higher class and of the same rank, accepted
+before it, waits that would have had that very room. What claims its team's guarantee goes first by
+rule, and classes are those that jobs count as. The planner is not asked: the check looks at what
+has come out.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+
+from badgerseam.model.resources import Resources
+from badgerseam.sched import pts
+from badgerseam.sched.bench import barred
+
+
+@dataclass(frozen=True, slots=True)
+class Jump:
+    """A start of one job on a machine, and the job that it went ahead of (indices)."""
+
+    job: int
+    node: int
+    ahead_of: int
+
+
+def jumps(
+    snapshot: pts.Snapshot, result: pts.Plan, rest: dict[int, int] | None = None
+) -> list[Jump]:
+    """The jumps of a plan, one a start at most.
+
+    `rest`: of each job, tasks that wait beyond those that its request asked for.
+    """
+    requests = {request.job: request for request in snapshot.requests}
+    waiting = Counter(result.waiting)
+    waiting.update(rest or {})
+    if not waiting or not result.starts:
+        return []
+    first = min((requests[job].klass for job in waiting if job in requests), default=0)
+    placed: dict[int, list[pts.Request]] = {}
+    for start in result.starts:
+        request = requests[start.job]
+        if request.klass > first and not _claims(snapshot, request):
+            placed.setdefault(start.node, []).append(request)
+    if not placed:
+        return []
+    after = {node.index: node for node in result.nodes}
+    zones = _zones(requests, result, after)
+    found = []
+    for index, starts in placed.items():
+        node = after[index]
+        for request in starts:
+            for job in waiting:
+                other = requests.get(job)
+                if other is None or not _before(other, request):
+                    continue
+                # Its room, and that of all that went after it in the queue to the same machine.
+                room = node.free
+                for lower in starts:
+                    if _before(other, lower):
+                        room = room.plus(lower.need)
+                if (
+                    other.need.fits(room)
+                    and node.index not in other.shunned
+                    and not barred(other, node, zones.get(job, other.zones))
+                    and _within_limit(result, other, request)
+                    and not (other.gang and not _whole(other, placed, after))
+                ):
+                    found.append(Jump(request.job, index, job))
+                    break
+    return found
+
+
+def _before(other: pts.Request, request: pts.Request) -> bool:
+    return (
+        other.rank == request.rank and other.klass < request.klass and other.place < request.place
+    )
+
+
+def _claims(snapshot: pts.Snapshot, request: pts.Request) -> bool:
+    team = snapshot.teams[request.team]
+    return team.used.plus(request.need).fits(team.guarantee)
+
+
+def _within_limit(result: pts.Plan, other: pts.Request, request: pts.Request) -> bool:
+    team = result.teams[other.team]
+    used = team.used.minus(request.need) if request.team == other.team else team.used
+    return used.plus(other.need).fits(team.limit)
+
+
+def _whole(
+    other: pts.Request, placed: dict[int, list[pts.Request]], after: dict[int, pts.Node]
+) -> bool:
+    """Whether all of a gang would have had room without the lower starts."""
+    left = other.count
+    for index, node in after.items():
+        if node.index in other.shunned or barred(other, node):
+            continue
+        room: Resources = node.free
+        for lower in placed.get(index, ()):
+            if _before(other, lower):
+                room = room.plus(lower.need)
+        left -= other.need.times_in(room)
+    return left <= 0
+
+
+def _zones(
+    requests: dict[int, pts.Request], result: pts.Plan, after: dict[int, pts.Node]
+) -> dict[int, dict[str, int]]:
+    """Where the tasks of jobs are after the plan, of those that it placed any of."""
+    found: dict[int, dict[str, int]] = {}
+    for start in result.starts:
+        zones = found.setdefault(start.job, dict(requests[start.job].zones))
+        zone = after[start.node].zone
+        zones[zone] = zones.get(zone, 0) + 1
+    return found
--- /dev/null
+++ b/badgerseam/cli/classes.py
@@ -0,0 +1,87 @@
+"""`badgerseam classes`: the priority classes in force, who disagrees, and setting others."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+from pathlib import Path
+
+from badgerseam.cli.client import DEFAULT_NODE, NODES_VARIABLE, Front, Unreachable, refusal
+from badgerseam.cli.exits import EXIT_FAILED, EXIT_OK, EXIT_UNREACHABLE, EXIT_USAGE, fail
+from badgerseam.wire import classes as wire
+
+Commands = argparse._SubParsersAction
+PATH = "/classes"
+
+
+def add_commands(commands: Commands[argparse.ArgumentParser]) -> None:
+    """Declare `classes` and its own commands."""
+    classes = commands.add_parser("classes", help="priority classes: show or set them")
+    orders = classes.add_subparsers(dest="order", required=True)
+    orders.add_parser("show", help="the classes in force, and which controllers disagree")
+    setting = orders.add_parser("set", help="put others in force, until the options change")
+    setting.add_argument("file", help="JSON as in the options' section classes; - for input")
+    for order in orders.choices.values():
+        order.add_argument(
+            "--node",
+            default=os.environ.get(NODES_VARIABLE, DEFAULT_NODE),
+            help=f"address of a node, or several with commas ({NODES_VARIABLE} if not given; "
+            f"default {DEFAULT_NODE})",
+        )
+        order.add_argument("--patience", type=float, default=3.0, help="seconds (%(default)s)")
+        order.add_argument("--json", action="store_true", help="print the response as it came")
+
+
+async def run(options: argparse.Namespace) -> int:
+    """Carry out one of the commands; the exit code."""
+    if options.patience < 0:
+        return fail("--patience: a number of seconds, 0 to ask once", EXIT_USAGE)
+    method, body = "GET", None
+    if options.order == "set":
+        try:
+            text = sys.stdin.read() if options.file == "-" else Path(options.file).read_text()
+        except (OSError, UnicodeDecodeError) as error:
+            return fail(f"{options.file}: {error}", EXIT_USAGE)
+        method, body = "POST", text.encode()
+    try:
+        response = await Front(options.node, options.patience).ask(method, PATH, body)
+    except Unreachable as error:
+        return fail(str(error), EXIT_UNREACHABLE)
+    if response.status == 404:
+        return fail("no classes are kept there (section classes of the options)", EXIT_FAILED)
+    if response.status != 200:
+        return fail(refusal(response), EXIT_FAILED)
+    if options.json:
+        print(response.body.decode())
+    else:
+        print(describe(wire.view_decoder.decode(response.body)))
+    return EXIT_OK
+
+
+def describe(view: wire.ClassesView) -> str:
+    """The classes for people."""
+    lines = []
+    classes = view.classes
+    if classes is None:
+        lines.append("no classes are in force yet")
+    else:
+        lines.append(f"in force since revision {view.revision}, by {view.by}")
+        last = classes.order[-1].name if classes.order else ""
+        for number, entry in enumerate(classes.order, 1):
+            parts = [f"jobs {' '.join(entry.jobs)}"] if entry.jobs else []
+            parts += [f"teams {' '.join(entry.teams)}"] if entry.teams else []
+            parts += ["all the rest"] if entry.name == (classes.default or last) else []
+            waiting = view.waiting.get(entry.name, 0)
+            lines.append(
+                f"{number}. {entry.name}: {'; '.join(parts) or 'nothing'} ({waiting} tasks wait)"
+            )
+        age = f"one class higher each {classes.age_s:g} s" if classes.age_s else "never higher"
+        lines.append(
+            f"what waits counts {age}; room is kept for {classes.held_s:g} s after a takeover"
+        )
+    if view.pending:
+        lines.append(f"the options ({view.digest}) are not in force yet")
+    lines += [f"  {entry.node}: {entry.reason}" for entry in view.objections]
+    lines.append(f"jumps here since the start: {view.jumps}; plans with room kept: {view.held}")
+    return "\n".join(lines)
--- a/badgerseam/cluster/member.py
+++ b/badgerseam/cluster/member.py
@@ -65,6 +65,8 @@
         self.confirmed_at = -1e9
         """Sending time of the last confirmed renewal."""
         self._away: set[Away] = set()
+        self.classes_digest = ""
+        """Of the priority classes in our options, told with our record."""
         self.ask_to_take: AskToTake | None = None
         self._present = False
         self._announced_at = -1e9
@@ -169,7 +171,15 @@
         if lease is None:
             return
         program = self._model.program
-        record = wire.Presence(self.node, lease, away, program.least, program.most, __version__)
+        record = wire.Presence(
+            self.node,
+            lease,
+            away,
+            program.least,
+            program.most,
+            __version__,
+            self.classes_digest,
+        )
         write = wire.Write(put=node_key(self.node), value=wire.raw(record), lease=lease)
         try:
             await self._committer.commit(Urgency.CLAIM, {}, [write], 2.0)
--- a/badgerseam/fleet/demand.py
+++ b/badgerseam/fleet/demand.py
@@ -12,6 +12,20 @@
 """A machine of twice the size may cost 2**SIZE_WEIGHT as much for each slot that will be used."""
 
 
+Level = tuple[int, int]
+"""Rank, negated, and priority class: less goes first, across shares too."""
+
+
+def level_of(request: pts.Request) -> Level:
+    """What decides between shares, where classes are kept."""
+    return -request.rank, request.klass
+
+
+def in_turn(requests: list[pts.Request]) -> list[pts.Request]:
+    """Requests by level, where classes are kept; else as they are."""
+    return sorted(requests, key=level_of) if any(r.klass for r in requests) else requests
+
+
 @dataclass(frozen=True, slots=True)
 class Offer:
     """What can be asked of the cloud."""
@@ -63,13 +77,20 @@
         teams: dict[int, pts.TeamUse],
     ) -> None:
         found = [request for request in requests if request.job in waiting]
-        found.sort(key=lambda request: (-request.rank, request.order))
+        found.sort(key=lambda request: (-request.rank, request.klass, request.order))
         self._wants = [_Want(r, waiting[r.job], dict(r.zones)) for r in found]
         self._left = {index: team.limit.minus(team.used) for index, team in teams.items()}
 
     def __bool__(self) -> bool:
         return bool(self._wants)
 
+    def wanted(self, node: pts.Node, level: Level | None) -> bool:
+        """Whether anything of a level would go into an empty machine; True if none is given."""
+        return level is None or any(
+            level_of(want.request) == level and self._fits(want, node, node.free) > 0
+            for want in self._wants
+        )
+
     def fill(self, node: pts.Node, room: Resources) -> int:
         """Count tasks into the room on a machine; how many went in."""
         placed = 0
--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -20,7 +20,7 @@
 from badgerseam.model.keys import LEADER_KEY, TYPES_KEY
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
-from badgerseam.model.state import Share
+from badgerseam.model.state import Arrival, Share
 from badgerseam.sched import pts
 from badgerseam.sched.planner import Planner
 from badgerseam.settings import Tunables
@@ -86,6 +86,8 @@
         self.boots = Boots(model)
         self._vacancies = Vacancies(model, planner)
         self.releases = Releases(model, member, roster, cloud, self._spawn, changed)
+        self.class_of: Callable[[Arrival], int] | None = None
+        """The priority class of an arrival, where classes are kept."""
         self._moving: set[str] = set()
         self._missing: dict[str, int] = {}
         self._learnt_at = -1e9
@@ -297,7 +299,7 @@
 
     def _decide(self, now: float) -> None:
         model = self._model
-        tunables = self._tunables
+        tunables, planner = self._tunables, self._planner
         snapshots = [self._snapshot(share, now) for share in model.shares]
         empty = set()
         idle = set()
@@ -319,6 +321,7 @@
             now,
             tunables.arrivals_s,
             (self._guarantee_spread, tunables.reserve_spread),
+            self.class_of,
         )
         blocked = {offer for offer, (until, _) in self.hiring.blocked.items() if until > now}
         choices = options(model.types, blocked)
@@ -328,7 +331,15 @@
             self._told_at = now
             log.debug("%s", self._describe(kept))
         decisions = policy.decide(
-            snapshots, empty, idle, kept, choices, MOST_AT_ONCE, nominal_s, self._rules
+            snapshots,
+            empty,
+            idle,
+            kept,
+            choices,
+            MOST_AT_ONCE,
+            nominal_s,
+            self._rules,
+            None if planner.classes is None else planner.classes.cautious(),
         )
         moves: dict[int, list[Machine]] = {}
         for index, share in decisions.moves:
@@ -378,7 +389,10 @@
                 node = virtual_node(model.types, offer, -1000 - len(nodes) - 10000 * share.index)
                 if node is not None:
                     nodes.append(node)
-        return planner.snapshot(share, nodes, planner.requests(share))
+        snapshot = planner.snapshot(share, nodes, planner.requests(share))
+        if planner.classes is not None:
+            planner.classes.bound(share, snapshot, leading=True)
+        return snapshot
 
     def _describe(self, kept: list[policy.Reserve]) -> str:
         """The fleet in a line: machines, the empty ones, and the slots that are used."""
--- a/badgerseam/fleet/policy.py
+++ b/badgerseam/fleet/policy.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from badgerseam.fleet.demand import Offer, Option, Wants
+from badgerseam.fleet.demand import Level, Offer, Option, Wants, level_of
 from badgerseam.model.job import HIGH_RANK
 from badgerseam.model.resources import NOTHING, Resources
 from badgerseam.model.state import Arrival
@@ -65,6 +65,7 @@
     now: float,
     window_s: float,
     spreads: tuple[float, float],
+    class_of: Callable[[Arrival], int] | None = None,
 ) -> list[Reserve]:
     """How much room the arrivals of the last while call for, by class.
 
@@ -80,8 +81,13 @@
     for arrival in arrivals:
         if now - arrival.at <= ARRIVAL_WINDOWS * window_s:
             by_class.setdefault(arrival.job_class, []).append(arrival)
-    # The classes of the highest rank choose first.
-    for job_class, recent in sorted(by_class.items(), key=lambda item: -item[1][-1].rank):
+
+    def turn(item: tuple[str, list[Arrival]]) -> tuple[int, int]:
+        last = item[1][-1]
+        return -last.rank, 0 if class_of is None else class_of(last)
+
+    # The classes of the highest rank choose first, of a rank the highest priority class.
+    for job_class, recent in sorted(by_class.items(), key=turn):
         if min(waits.get(job_class, math.inf), waits.get(None, math.inf)) >= boot_s:
             continue
         by_share: dict[int, list[Arrival]] = {}
@@ -113,34 +119,41 @@
     most: int,
     horizon_s: float = 0.0,
     rules: Rules | None = None,
+    cautious: int | None = None,
 ) -> Decisions:
     """Moves first, then rents for waiting work, then the reserve; what is left over is surplus.
 
     `empty`: machines with nothing on them; `idle`: those that have been so for long enough;
     `horizon_s`: how long a machine boots, so that room that is free by then is as good as a new
-    one; `rules`: the request of a job, without which no replica is moved.
+    one; `rules`: the request of a job, without which no replica is moved; `cautious`: for priority
+    classes below this one nothing is moved now, what claims a guarantee aside.
     """
     result = Decisions()
     plans = [pts.plan(snapshot, evict=False) for snapshot in snapshots]
     result.waiting = [plan.waiting for plan in plans]
     free = {node.index: node.free for plan in plans for node in plan.nodes}
     spare = _spare(snapshots, plans, empty)
+    levels = _levels(snapshots, plans, cautious)
     order = sorted(
-        range(len(snapshots)),
-        key=lambda index: -max((request.rank for request in snapshots[index].requests), default=-1),
+        range(len(snapshots)), key=lambda index: _turn(snapshots[index], plans[index], levels)
     )
-    for index in order:
+    wanting = {
+        index: Wants(snapshots[index].requests, plans[index].waiting, plans[index].teams)
+        for index in order
+        if plans[index].waiting
+    }
+    # What waits in one share goes before what is of a lower class in all the others.
+    for level in [None] if levels is None else levels:
+        for index, wants in wanting.items():
+            for node, origin in list(spare.values()):
+                if not wants or len(result.moves) >= most:
+                    break
+                if origin != index and wants.wanted(node, level) and wants.fill(node, node.free):
+                    del spare[node.index]
+                    del free[node.index]
+                    result.moves.append((node.index, index))
+    for index, wants in wanting.items():
         plan = plans[index]
-        if not plan.waiting:
-            continue
-        wants = Wants(snapshots[index].requests, plan.waiting, plan.teams)
-        for node, origin in list(spare.values()):
-            if not wants or len(result.moves) >= most:
-                break
-            if origin != index and wants.fill(node, node.free):
-                del spare[node.index]
-                del free[node.index]
-                result.moves.append((node.index, index))
         for node in plan.nodes if wants else ():
             room = _freed_soon(node, snapshots[index].now, horizon_s)
             if room is not None:
@@ -159,6 +172,32 @@
     return result
 
 
+def _levels(
+    snapshots: list[pts.Snapshot], plans: list[pts.Plan], cautious: int | None
+) -> list[Level] | None:
+    """The levels of what waits, the first one first; None where no classes are kept."""
+    if not any(request.klass for snapshot in snapshots for request in snapshot.requests):
+        return None
+    found = set()
+    for snapshot, plan in zip(snapshots, plans, strict=True):
+        for request in snapshot.requests:
+            if request.job not in plan.waiting:
+                continue
+            team = plan.teams[request.team]
+            claims = team.used.plus(request.need).fits(team.guarantee)
+            if cautious is None or request.klass <= cautious or claims:
+                found.add(level_of(request))
+    return sorted(found)
+
+
+def _turn(snapshot: pts.Snapshot, plan: pts.Plan, levels: list[Level] | None) -> Level:
+    """Which share goes first: that of the highest rank, or level of what waits."""
+    if levels is None:
+        return -max((request.rank for request in snapshot.requests), default=-1), 0
+    waiting = (level_of(r) for r in snapshot.requests if r.job in plan.waiting)
+    return min(waiting, default=(1, 0))
+
+
 def _vacant(
     nodes: list[pts.Node], free: dict[int, Resources], now: float, rules: Rules
 ) -> list[pts.Node]:
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -182,6 +182,7 @@
                 job.need,
                 job.rank,
                 spec.spot,
+                team,
             )
         )
 
--- a/badgerseam/model/records.py
+++ b/badgerseam/model/records.py
@@ -4,6 +4,7 @@
 
 import threading
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -91,6 +92,8 @@
     """The level that operators want, and the stamp of that record."""
     classes: tuple[wire.StoredClasses, int] | None = None
     """The site's priority classes, and the stamp of that record."""
+    class_of: Callable[[Job], int] | None = None
+    """The priority class that a job counts as, the first one is 0, where classes are kept."""
     runs: dict[str, dict[int, tuple[wire.StoredRun, int]]] = field(default_factory=dict)
     """Reckoning runs by plan and number, with their stamps."""
     hires: dict[str, tuple[wire.StoredHire, int]] = field(default_factory=dict)
@@ -298,6 +301,10 @@
             keys.append(CLASSES_KEY)
         return keys
 
+    def klass(self, job: Job) -> int:
+        """The priority class that a job counts as; the first one, where none are kept, is 0."""
+        return 0 if self.class_of is None else self.class_of(job)
+
     def usage(self, team: int) -> Resources:
         """What a team's tasks use or may use, finished ones aside."""
         total = NOTHING
--- a/badgerseam/model/state.py
+++ b/badgerseam/model/state.py
@@ -20,6 +20,7 @@
     need: Resources
     rank: int
     spot: bool
+    team: int = -1
 
 
 @dataclass(slots=True)
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -12,10 +12,13 @@
 from badgerseam.accounting.attempts import AttemptLog
 from badgerseam.api.accounting import AccountingApi
 from badgerseam.api.batch import BatchApi
+from badgerseam.api.classes import ClassesApi
 from badgerseam.api.questions import Questions
 from badgerseam.api.rollout import RolloutApi
 from badgerseam.api.users import Api
 from badgerseam.batch.numbers import Numbers
+from badgerseam.classes.keeper import Keeper
+from badgerseam.classes.rules import Rules
 from badgerseam.clock import Clock
 from badgerseam.cluster.deputies import Deputies
 from badgerseam.cluster.member import Away, Member
@@ -152,6 +155,14 @@
                     self.model, self.state, self.committer, tunables.accounting, self._process_name
                 )
             accounting = AccountingApi(self.model, accounts.book, accounts.log)
+        self.classes: Keeper | None = None
+        classes: ClassesApi | None = None
+        if tunables.classes is not None:
+            self.classes = Keeper(self.model, self.member, self.committer, tunables.classes)
+            rules = Rules(self.model, self.planner)
+            self.ledger.class_of = rules.of_submission
+            self.fleet.class_of = rules.of_arrival
+            classes = ClassesApi(self.model, self.classes, rules)
         self.peers.take_with(self.member.take)
         self.member.ask_to_take = self.peers.ask_to_take
         self.raising: Raising | None = None
@@ -182,6 +193,7 @@
             batch,
             accounting,
             rollout,
+            classes,
         )
         self._pulse_at: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -261,6 +273,8 @@
                     self._spawn(self._pass_on(machine, share))
                 if self.raising is not None:
                     self.raising.review()
+                if self.classes is not None:
+                    self.classes.review()
                 if rounds % CLOSE_ROUNDS == 0:
                     self.ledger.close()
                     if self.refresh is not None:
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -34,6 +34,15 @@
     def of(self, job: Job) -> int:
         """The job's class, the first one is 0."""
 
+    def bound(self, share: Share, snapshot: pts.Snapshot, leading: bool = False) -> None:
+        """Keep room from lower classes before a share is planned for."""
+
+    def planned(self, share: Share, snapshot: pts.Snapshot, result: pts.Plan) -> None:
+        """A plan is about to be carried out."""
+
+    def cautious(self) -> int | None:
+        """The class below which the leader moves no machines now; None if it does for all."""
+
 
 class RunRules(Protocol):
     """What the plan asks of reckoning runs, if operators have declared any."""
@@ -250,7 +259,12 @@
         if not requests:
             return {}
         now = self._clock.now()
-        result = pts.plan(self.snapshot(share, self.nodes(share), requests))
+        snapshot = self.snapshot(share, self.nodes(share), requests)
+        if self.classes is not None:
+            self.classes.bound(share, snapshot)
+        result = pts.plan(snapshot)
+        if self.classes is not None:
+            self.classes.planned(share, snapshot, result)
         for stop in result.stops:
             job = model.jobs[stop.key[0]]
             assert job is not None
--- a/badgerseam/store/committer.py
+++ b/badgerseam/store/committer.py
@@ -66,6 +66,8 @@
     """On its way, or answered."""
     patient_until: float | None = None
     """When it becomes as urgent as a placement."""
+    turn: int = 0
+    """Among what is as urgent: its priority class, the first one is 0."""
     uncertain: bool = False
     """Sent once without a response: a refusal may mean that it was applied."""
     since: float = 0.0
@@ -95,7 +97,7 @@
     def __init__(self, clock: Clock, state: StateClient) -> None:
         self._clock = clock
         self._state = state
-        self._queue: list[tuple[int, int, Proposal]] = []
+        self._queue: list[tuple[int, int, int, Proposal]] = []
         self._order = itertools.count()
         self._in_flight = 0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -123,10 +125,12 @@
         deadline_s: float | None = None,
         wanted: Callable[[], bool] | None = None,
         patience_s: float | None = None,
+        turn: int = 0,
     ) -> int:
         """The revision at which the writes were applied.
 
         `patience_s`: for how long more urgent proposals may go before it; None: always.
+        `turn`: less goes first among what is as urgent, for half of its deadline.
 
         Refused if a condition failed (its `uncertain` attribute tells that an earlier sending got
         no response), Unavailable after the deadline, Dropped when no longer wanted.
@@ -148,10 +152,19 @@
         if patience_s is not None:
             proposal.patient_until = proposal.since + patience_s
             loop.call_later(patience_s, self._hurry, proposal)
+        if turn and deadline_s is not None:
+            # Behind a stream of others for good, it would never be answered.
+            proposal.turn = turn
+            loop.call_later(deadline_s / 2, self._in_turn, proposal)
         self._push(proposal)
         self._pump()
         return await proposal.future
 
+    def _in_turn(self, proposal: Proposal) -> None:
+        if not proposal.future.done():
+            proposal.turn = 0
+            self._hurry(proposal)
+
     def _hurry(self, proposal: Proposal) -> None:
         """A proposal has waited behind more urgent ones for as long as it may."""
         if not proposal.future.done() and not proposal.sent:
@@ -162,7 +175,8 @@
         until = proposal.patient_until
         if until is not None and self._clock.now() >= until:
             proposal.urgency = min(proposal.urgency, Urgency.PLACE)
-        heapq.heappush(self._queue, (int(proposal.urgency), next(self._order), proposal))
+        place = next(self._order)
+        heapq.heappush(self._queue, (int(proposal.urgency), proposal.turn, place, proposal))
 
     def _again(self, proposal: Proposal) -> None:
         proposal.sent = False
@@ -184,7 +198,7 @@
 
     def _wait_s(self) -> float:
         pause = self._not_before - self._clock.now()
-        head = self._queue[0][2]
+        head = self._queue[0][3]
         budget = self._state.writes
         need = budget.wait_s(len(head.writes), self._reserve(head.urgency))
         return max(0.005, min(max(pause, need), 0.5))
@@ -208,13 +222,13 @@
         conditions: dict[str, int] = {}
         keys: set[str] = set()
         operations = size = 0
-        left: list[tuple[int, int, Proposal]] = []
+        left: list[tuple[int, int, int, Proposal]] = []
         while self._queue:
             item = heapq.heappop(self._queue)
-            proposal = item[2]
+            proposal = item[3]
             if proposal.future.done() or proposal.sent:
                 continue
-            if item[0] != proposal.urgency:
+            if item[:2] != (proposal.urgency, proposal.turn):
                 # Pushed again since, with a higher one.
                 continue
             if proposal.wanted is not None and not proposal.wanted():
--- a/badgerseam/store/ledger.py
+++ b/badgerseam/store/ledger.py
@@ -57,6 +57,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._closing = False
+        self.class_of: Callable[[Submission], int] | None = None
+        """The priority class of what is submitted, where classes are kept."""
 
     # ---- for users ----
 
@@ -68,7 +70,11 @@
         key = job_key(spec.id)
         try:
             revision = await self._committer.commit(
-                Urgency.USER, {key: 0}, [wire.Write(put=key, value=value)], USER_DEADLINE_S
+                Urgency.USER,
+                {key: 0},
+                [wire.Write(put=key, value=value)],
+                USER_DEADLINE_S,
+                turn=0 if self.class_of is None else self.class_of(spec),
             )
         except Refused:
             phase = await self.read(spec.id)
--- a/badgerseam/store/pages.py
+++ b/badgerseam/store/pages.py
@@ -78,6 +78,9 @@
     fresh: dict[str, tuple[Job, list[tuple[int, str]], list[wire.TaskRow]]] = {}
     left: list[Attempt] = []
     room = min(MOST_FRESH, max(1, params.txn_ops - OLD_PAGES) * int(512 * params.value_kb))
+    if model.class_of is not None:
+        # More may be planned than a transaction holds: of a rank, a lower class waits.
+        share.planned.sort(key=lambda attempt: (-attempt.job.rank, model.klass(attempt.job)))
     for attempt in share.planned:
         job = attempt.job
         if job.attempts.get(attempt.task) is not attempt or attempt.stage != Stage.PLANNED:
--- a/badgerseam/wire/state.py
+++ b/badgerseam/wire/state.py
@@ -88,6 +88,8 @@
     least: int = 1
     most: int = 1
     program: str = ""
+    classes: str = ""
+    """Digest of the priority classes in its options; empty if it keeps none."""
 
 
 class Holding(Claim, frozen=True, array_like=True):
@@ -249,6 +251,12 @@
     default: str
     by: str
     at: float
+    age_s: float = 0.0
+    """A job counts as one class higher for each of these times that it has waited; 0: never."""
+    held_s: float = 0.0
+    """How long after a takeover room is kept for what is coming."""
+    options: str = ""
+    """Digest of the options that were in force when it was written: only others replace it."""
 
 
 class StoredCounts(Struct, frozen=True, array_like=True):
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -298,7 +298,7 @@
                 continue
             if attempt.job.phase == Phase.OPEN:
                 starts.append(attempt)
-        starts.sort(key=lambda attempt: (-attempt.job.rank, attempt.planned_at))
+        starts.sort(key=lambda a: (-a.job.rank, model.klass(a.job), a.planned_at))
         for attempt in starts[:MOST_COMMANDS]:
             if not attempt.job.need.fits(room):
                 # Its victims have not left yet.
