--- a/badgerseam/classes/jumps.py
+++ b/badgerseam/classes/jumps.py
@@ -65,7 +65,9 @@
                     and node.index not in other.shunned
                     and not barred(other, node, zones.get(job, other.zones))
                     and _within_limit(result, other, request)
-                    and not (other.gang and not _whole(other, placed, after))
+                    and not (
+                        other.gang and not _whole(other, placed, after, result.teams[other.team])
+                    )
                 ):
                     found.append(Jump(request.job, index, job))
                     break
@@ -90,18 +92,32 @@
 
 
 def _whole(
-    other: pts.Request, placed: dict[int, list[pts.Request]], after: dict[int, pts.Node]
+    other: pts.Request,
+    placed: dict[int, list[pts.Request]],
+    after: dict[int, pts.Node],
+    team: pts.TeamUse,
 ) -> bool:
     """Whether all of a gang would have had room without the lower starts."""
+    zones = dict(other.zones)
     left = other.count
+    lowers = [lower for starts in placed.values() for lower in starts if _before(other, lower)]
+    used = team.used.plus(other.need.times(left))
+    for lower in lowers:
+        if lower.team == other.team:
+            used = used.minus(lower.need)
+    if not used.fits(team.limit):
+        return False
     for index, node in after.items():
-        if node.index in other.shunned or barred(other, node):
-            continue
         room: Resources = node.free
         for lower in placed.get(index, ()):
             if _before(other, lower):
                 room = room.plus(lower.need)
-        left -= other.need.times_in(room)
+        while left and other.need.fits(room) and node.index not in other.shunned:
+            if barred(other, node, zones):
+                break
+            room = room.minus(other.need)
+            zones[node.zone] = zones.get(node.zone, 0) + 1
+            left -= 1
     return left <= 0
 
 
