--- a/badgerseam/options/classes.py
+++ b/badgerseam/options/classes.py
@@ -5,11 +5,16 @@
 from collections.abc import Collection
 from typing import Annotated
 
+import msgspec
 from msgspec import Meta, Struct, field
 
 Name = Annotated[str, Meta(min_length=1, max_length=64)]
 
 
+MOST_BYTES = 6000
+"""Of all names together: the classes of a site are one value of the state service."""
+
+
 class ClassOptions(Struct, frozen=True, forbid_unknown_fields=True):
     """A priority class. A job belongs to the class that names its class of jobs, else to the one
     that names its team, else to the default."""
@@ -80,6 +85,12 @@
                 found.append(
                     f"{where}.teams: no team {team!r} in the settings: name one of {known}"
                 )
+    size = len(msgspec.json.encode(options.order))
+    if size > MOST_BYTES:
+        found.append(
+            f"order: takes {size} bytes, {MOST_BYTES} at most: name teams instead of their classes "
+            "of jobs, and leave out what the default is for"
+        )
     if options.default and options.default not in named:
         known = ", ".join(named) or "none, since order is empty"
         found.append(f"default: no class {options.default!r} in order: name one of {known}")
