--- a/tests/test_classes.py
+++ b/tests/test_classes.py
@@ -5,26 +5,32 @@
 import asyncio
 import copy
 import math
+from collections import deque
 from random import Random
 from typing import Any
 
 import pytest
 
+from badgerseam.classes.bounds import Kept, keep
 from badgerseam.classes.jumps import jumps
 from badgerseam.classes.rules import MOST_HELD_S, PAUSE_S, Rules
 from badgerseam.classes.table import Table, digest_of, to_options, to_record
 from badgerseam.fleet import policy
+from badgerseam.fleet.demand import Offer, Option, in_turn
+from badgerseam.fleet.vacancies import Vacancies
 from badgerseam.model.job import Job, Stage
 from badgerseam.model.keys import CLASSES_KEY
 from badgerseam.model.machine import Machine
 from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.model.state import Arrival
+from badgerseam.node import Node
 from badgerseam.options.classes import ClassesOptions, ClassOptions, check
 from badgerseam.sched import pts
-from badgerseam.settings import SettingsError, Team, check_tunables, load_tunables
+from badgerseam.settings import SettingsError, Team, Tunables, check_tunables, load_tunables
 from badgerseam.store.committer import Urgency
 from badgerseam.store.pages import compose
 from badgerseam.wire import state as wire
-from tests.stand_ins import Rig, settings, submission
+from tests.stand_ins import Rig, seeded, settings, submission
 from tests.test_pts import node, request, snapshot
 
 OPTIONS = ClassesOptions(
@@ -76,6 +82,8 @@
 
 
 def test_a_class_of_jobs_goes_before_the_team_and_the_default_is_the_last() -> None:
+    order = [ClassOptions("signing", ["sign"], ["blue"]), ClassOptions("reports", ["bulk"])]
+    assert Table(to_record(ClassesOptions(order), "", 0.0, "")).own("bulk", "blue") == 1
     table = Table(to_record(OPTIONS, "", 0.0, ""))
     assert [
         table.own(*pair) for pair in (("sign", "red"), ("train", "blue"), ("train", "red"))
@@ -135,6 +143,21 @@
     rig.plan()
     assert on(machine) == ["2", "2", "3", "4"] and not first.attempts
     assert same[0].place < same[1].place
+    # One that a new process reads later, since it was written again, keeps its place before others.
+    one = submission("job-000005", pieces=4, jobclass="sign", dueS=950.0)
+    early = wire.StoredJob("open", 4, same[0].submitted, one, None, 1)
+    rig.set("bs/j/job-000005", early)
+    for attempt in [a for entry in same for a in entry.attempts.values()]:
+        rig.model.unplace(attempt)
+    rig.plan()
+    assert on(machine) == ["2", "2", "5", "5"]
+    rig.model.unplace(next(a for a in machine.attempts.values() if a.job.id == one.id))
+    rig.plan()
+    assert on(machine) == ["2", "2", "5", "5"]
+    for attempt in [a for a in machine.attempts.values() if a.job.id == one.id]:
+        rig.model.unplace(attempt)
+    rig.set("bs/j/job-000005", wire.StoredJob("withdrawn", 4, 0.0, one))
+    rig.plan()
     # Its place is that of its acceptance, whatever has been rewritten or taken back since.
     for attempt in list(last.attempts.values()):
         rig.model.unplace(attempt)
@@ -295,6 +318,9 @@
     # A new leader leaves the rest where it is for a while.
     assert moved(reports, spare, cautious=0) == []
     assert moved(snapshot([], waits(1, 1)), spare, cautious=0) == [(7, 0)]
+    offered = Option(Offer("c8", "a", False), Resources(8, 0, 64), 1.0)
+    rents = policy.decide([reports, signing], set(), set(), [], [offered], 10).rents
+    assert [share for _, share in rents] == [1, 0]
     # Across ranks the rank decides.
     assert moved(signing, snapshot([], waits(1, 1, rank=2)), spare) == [(7, 1)]
     # Without classes, the order of shares is as it was.
@@ -307,6 +333,11 @@
     rig.own(1)
     machine = heard(rig, share=1)
     signing = job(rig, 1, jobclass="sign", owner="blue", pieces=2)
+    passing = job(rig, 3, jobclass="train", owner="red", pieces=1)
+    rig.plan(1)
+    assert passing.live == 1, "its own share may be about to place it"
+    rig.model.unplace(*passing.attempts.values())
+    rig.set(f"bs/j/{passing.id}", wire.StoredJob("withdrawn", 1, 0.0, passing.spec))
     rig.clock.time += 1.0
     report = job(rig, 2, jobclass="train", owner="red", pieces=4, cpus=2.0)
     machine.heard_at = rig.clock.now()
@@ -348,6 +379,61 @@
     assert on(machine) == ["2"]
 
 
+def test_room_is_kept_from_what_is_behind_only() -> None:
+    def shunned(entry: Kept, **fields: Any) -> set[int]:
+        asked = request(1, high=False, **{"klass": 1, "rank": 1, **fields})
+        teams = {0: pts.TeamUse(NOTHING, NOTHING, Resources(99, 99, 99))}
+        given = snapshot([node(7), node(8, used=4)], asked, teams=teams)
+        keep(given, [entry])
+        return given.requests[0].shunned
+
+    two = Resources(2, 0, 1)
+    assert shunned(Kept(0, 1, two, True, 2)) == {8}
+    assert shunned(Kept(0, 1, two, True, 3)) == {7, 8}
+    assert shunned(Kept(0, 1, two, True, 3, whole=True)) == {7}
+    assert shunned(Kept(0, 1, two, True, 3), rank=2) == set()
+    assert shunned(Kept(0, 1, two, True, 3), rank=0) == {7, 8}
+    assert shunned(Kept(0, 1, two, True, 3), klass=0) == set()
+    # What can evict needs no room kept from those that it evicts.
+    assert shunned(Kept(0, 2, two, True, 3), rank=1) == set()
+    assert shunned(Kept(0, 2, two, True, 3), rank=2) == {7, 8}
+
+
+def test_the_reserve_and_vacated_machines_go_to_the_first_class_first() -> None:
+    came = [
+        Arrival(0.0, name, 0, 4, Resources(cpus, 0, 4), 2, True, 0)
+        for name, cpus in (("train", 2), ("sign", 3))
+    ]
+    waits = {"sign": 1.0, "train": 1.0}
+    kept = policy.reserves(
+        deque(came), waits, 30.0, 1.0, 60.0, (2.0, 2.0), lambda a: int(a.job_class == "train")
+    )
+    assert [entry.need.cpus for entry in kept] == [3, 2]
+    rig = Rig(NO_CLAIMS, shares=2)
+    classed(rig)
+    for number, (name, where) in enumerate((("train", "a"), ("sign", "b"))):
+        job(rig, number, jobclass=name, owner="red", rank="high", sett=where, pieces=1)
+        machine = rig.machine(f"m-{where}", where)
+        guest = job(rig, 10 + number, owner="blue", rank="best_effort", pieces=1)
+        rig.model.place(guest, 0, 1, machine, Stage.RUNNING)
+    rig.clock.time += 4.0
+    snapshots = [
+        rig.planner.snapshot(share, [], rig.planner.requests(share)) for share in rig.model.shares
+    ]
+    waiting = {entry.job: 1 for entry in snapshots[1].requests}
+    found = Vacancies(rig.model, rig.planner).look(
+        snapshots, policy.Decisions(waiting=[{}, waiting]), set(), rig.clock.now()
+    )
+    assert [machine.name for machine in found[1]] == ["m-b"]
+    assert [r.job for r in in_turn([request(1, klass=1), request(2), request(3, rank=3)])] == [
+        3,
+        2,
+        1,
+    ]
+    untouched = [request(1, rank=0), request(2, rank=2)]
+    assert in_turn(untouched) is untouched
+
+
 def test_without_the_section_nothing_is_asked_and_nothing_told() -> None:
     rig = Rig(NO_CLAIMS)
     assert rig.planner.classes is None and rig.model.class_of is None
@@ -361,4 +447,9 @@
     assert on(machine) == ["1"] * 4 and not late.attempts and early.live == 4
     assert rig.state.transactions == before
     assert rig.planner.request(late, 1).klass == 0
-    assert wire.Presence("n", 1).classes == ""
+    plain = Node(settings(), Tunables(), rig.clock, seeded())
+    assert plain.planner.classes is None and plain.member.classes_digest == ""
+    assert plain.classes is None and plain.ledger.class_of is None and plain.fleet.class_of is None
+    keeping = Node(settings(), Tunables(classes=OPTIONS), rig.clock, seeded())
+    assert keeping.planner.classes is not None
+    assert keeping.member.classes_digest == digest_of(OPTIONS)
--- a/tests/test_classes_failover.py
+++ b/tests/test_classes_failover.py
@@ -15,6 +15,7 @@
 from badgerseam.classes.keeper import Keeper
 from badgerseam.classes.rules import Rules
 from badgerseam.classes.table import digest_of, to_record
+from badgerseam.cli.classes import describe
 from badgerseam.levels.table import Program
 from badgerseam.model.job import Job, Stage
 from badgerseam.model.keys import CLASSES_KEY, LEADER_KEY, claim_key, group_key, job_key, node_key
@@ -97,7 +98,11 @@
     asyncio.run(run())
 
 
-def test_the_record_is_written_when_all_options_agree_and_names_who_disagrees() -> None:
+def test_the_record_is_written_when_all_options_agree_and_names_who_disagrees(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO", "badgerseam.classes")
+
     async def story(site: Site) -> None:
         site.run_all(OLD)
         await site.go_on(2.0)
@@ -113,6 +118,9 @@
         leader = site.classed(site.holder(LEADER_KEY) or "")
         reply = await leader.api.handle("GET", b"")
         view = classes_wire.view_decoder.decode(reply.body)
+        assert "other classes in its options" in describe(view) and view.pending is (
+            leader.keeper.digest == digest_of(NEW)
+        )
         named = {entry.node for entry in view.objections}
         assert named == ({"n-1", "n-2"} if leader.member.node == "n-0" else {"n-0"})
         # An operator sets others meanwhile: they stand until the options have been rolled.
@@ -138,6 +146,10 @@
         )
 
     play(story)
+    waited = [
+        r.message for r in caplog.records if "classes of the options have to wait" in r.message
+    ]
+    assert waited and "has other classes in its options" in waited[-1]
 
 
 def test_what_cannot_be_set_is_refused_with_its_reason() -> None:
