--- a/badgerseam/classes/rules.py
+++ b/badgerseam/classes/rules.py
@@ -9,8 +9,9 @@
 from badgerseam.classes.jumps import jumps
 from badgerseam.classes.pressure import Kind
 from badgerseam.classes.table import Table
-from badgerseam.model.job import Job
+from badgerseam.model.job import Job, Phase
 from badgerseam.model.model import Model
+from badgerseam.model.resources import Resources
 from badgerseam.model.state import Arrival, Share
 from badgerseam.sched import pts
 from badgerseam.sched.planner import MOST_STARTS, Planner
@@ -44,7 +45,8 @@
         self._holding: dict[str, float] = {}
         self.jumps = 0
         self.held = 0
-        self._led: tuple[int, float] = (0, -1e9)
+        self._led: tuple[int, float, int | None] = (0, -1e9, None)
+        """Since when this controller leads, under which stamp, and what was coming then."""
         model.class_of = self.of
         planner.classes = self
 
@@ -134,6 +136,9 @@
             team = snapshot.teams[request.team]
             if job is not None:
                 most = request.need.times_in(team.limit.minus(team.used))
+                throttle = None if job.spec.terms is None else self._planner.terms.most(job)
+                if throttle is not None:
+                    most = min(most, throttle)
                 rest = min(job.waiting(), most) - request.count
                 if rest > 0:
                     found.append((request, rest))
@@ -200,13 +205,16 @@
         if known is not None and now - known[0] < LOOK_S:
             return known[1]
         found = []
+        room: dict[int, Resources] = {}
         lowest = 0 if self._table is None else len(self._table.names) - 1
         for request in self._planner.requests(share):
             job = self._model.jobs[request.job]
             if job is None or request.klass >= lowest or now - job.seen_at < PASS_S:
                 continue
-            team = self._model.teams[request.team]
-            left = team.limit.minus(self._model.usage(request.team))
+            left = room.get(request.team)
+            if left is None:
+                team = self._model.teams[request.team]
+                left = room[request.team] = team.limit.minus(self._model.usage(request.team))
             request.count = min(request.count, request.need.times_in(left))
             if request.count > 0:
                 found.append(request)
@@ -228,18 +236,18 @@
             return None
         now = self._clock.now()
         if self._led[0] != leader.version:
-            self._led = (leader.version, now)
-        until = self._led[1] + table.held_s
-        if now >= until:
-            return None
-        since, lowest = self._led[1], len(table.names) - 1
-        found: list[int] = []
-        for share in self._model.shares:
-            rates = pressure.rates(
-                self._model.arrivals, self.of_arrival, share.index, since, lowest
-            )
-            found += [kind.klass for kind, rate in rates.items() if rate * table.held_s >= 0.5]
-        return min(found, default=None)
+            found: list[int] = []
+            for share in self._model.shares:
+                rates = pressure.rates(
+                    self._model.arrivals,
+                    self.of_arrival,
+                    share.index,
+                    now,
+                    len(table.names) - 1,
+                )
+                found += [kind.klass for kind, rate in rates.items() if rate * table.held_s >= 0.5]
+            self._led = (leader.version, now, min(found, default=None))
+        return self._led[2] if now < self._led[1] + table.held_s else None
 
     def planned(self, share: Share, snapshot: pts.Snapshot, result: pts.Plan) -> None:
         """Count the jumps of a plan that is being carried out."""
@@ -271,6 +279,6 @@
         found = dict.fromkeys(table.names, 0)
         for jobs in self._model.open_jobs:
             for job in jobs.values():
-                if job.phase == 0:
+                if job.phase == Phase.OPEN:
                     found[table.names[self.own(job)]] += job.waiting()
         return found
--- a/tests/test_classes.py
+++ b/tests/test_classes.py
@@ -144,19 +144,19 @@
     assert on(machine) == ["2", "2", "3", "4"] and not first.attempts
     assert same[0].place < same[1].place
     # One that a new process reads later, since it was written again, keeps its place before others.
-    one = submission("job-000005", pieces=4, jobclass="sign", dueS=950.0)
-    early = wire.StoredJob("open", 4, same[0].submitted, one, None, 1)
+    spec = submission("job-000005", pieces=4, jobclass="sign", dueS=950.0)
+    early = wire.StoredJob("open", 4, same[0].submitted, spec, None, 1)
     rig.set("bs/j/job-000005", early)
     for attempt in [a for entry in same for a in entry.attempts.values()]:
         rig.model.unplace(attempt)
     rig.plan()
     assert on(machine) == ["2", "2", "5", "5"]
-    rig.model.unplace(next(a for a in machine.attempts.values() if a.job.id == one.id))
+    rig.model.unplace(next(a for a in machine.attempts.values() if a.job.id == spec.id))
     rig.plan()
     assert on(machine) == ["2", "2", "5", "5"]
-    for attempt in [a for a in machine.attempts.values() if a.job.id == one.id]:
+    for attempt in [a for a in machine.attempts.values() if a.job.id == spec.id]:
         rig.model.unplace(attempt)
-    rig.set("bs/j/job-000005", wire.StoredJob("withdrawn", 4, 0.0, one))
+    rig.set("bs/j/job-000005", wire.StoredJob("withdrawn", 4, 0.0, spec))
     rig.plan()
     # Its place is that of its acceptance, whatever has been rewritten or taken back since.
     for attempt in list(last.attempts.values()):
@@ -404,7 +404,7 @@
         Arrival(0.0, name, 0, 4, Resources(cpus, 0, 4), 2, True, 0)
         for name, cpus in (("train", 2), ("sign", 3))
     ]
-    waits = {"sign": 1.0, "train": 1.0}
+    waits: dict[str | None, float] = {"sign": 1.0, "train": 1.0}
     kept = policy.reserves(
         deque(came), waits, 30.0, 1.0, 60.0, (2.0, 2.0), lambda a: int(a.job_class == "train")
     )
