--- a/badgerseam/classes/keeper.py
+++ b/badgerseam/classes/keeper.py
@@ -96,15 +96,18 @@
         now = self._clock.now()
         if not self._model.loaded or self._writing or now < self._not_before:
             return
-        if not self._member.is_leader or not self.due():
+        if not self._member.is_leader:
             self._told = ()
             return
-        found = tuple(self.objections())
-        if found:
-            if found != self._told:
-                self._told = found
+        # Where nothing is to be written, one that is down is nobody who disagrees.
+        due = self.due()
+        found = tuple(objections(self.digest, self._member.order, self._model.nodes, missing=due))
+        if found != self._told:
+            self._told = found
+            if found:
                 listed = "; ".join(f"{entry.node} {entry.reason}" for entry in found)
                 log.info("classes of the options have to wait: %s", listed)
+        if found or not due:
             return
         self._writing = True
         task = asyncio.ensure_future(self._write())
