--- a/tests/test_classes.py
+++ b/tests/test_classes.py
@@ -121,14 +121,14 @@
 
 
 def test_class_orders_within_a_rank_and_behind_claims_and_place_decides_among_equals() -> None:
-    rig, _, machine = site(teams=[Team("blue", 0, 1000), Team("red", 2, 1000)])
+    rig, _, machine = site(teams=[Team("blue", 0, 1000), Team("red", 4, 1000)])
     job(rig, 1, pieces=1, rank="best_effort")
     job(rig, 2, pieces=3, dueS=99.0)
     job(rig, 3, pieces=1, dueS=90.0, jobclass="sign", owner="blue")
     job(rig, 4, pieces=1, dueS=95.0, jobclass="sign", owner="blue")
     job(rig, 5, pieces=1, rank="high")
     job(rig, 6, pieces=1, dueS=10.0, owner="blue", jobclass="else")
-    # One of the second is within the guarantee, and goes first alone. The sixth is of the first
+    # Beside the fifth, one task of the second is within the guarantee, and goes first alone. The sixth is of the first
     # class too, by its team: deadlines order within it.
     rig.plan()
     assert on(machine) == ["2", "3", "5", "6"]
