--- a/badgerseam/sched/pts.py
+++ b/badgerseam/sched/pts.py
@@ -14,7 +14,7 @@
 
 import heapq
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from badgerseam.sched.bench import (
     Bench,
@@ -54,37 +54,92 @@
     Without `evict` it is only asked what finds room at all, however late it would start there.
     """
     bench = Bench(snapshot, evict)
-    gathering = False
+    turns = _Turns(bench)
+    if any(request.klass for request in snapshot.requests):
+        _by_class(turns, snapshot.requests)
+        return bench.result
     for request in in_order(bench, snapshot.requests):
-        if gathering and not request.high:
+        turns.place(request)
+    return bench.result
+
+
+@dataclass(slots=True)
+class _Turns:
+    """Requests that get their turn one after the other."""
+
+    bench: Bench
+    gathering: bool = False
+    """Room is kept for a gang that has aged."""
+
+    def place(self, request: Request) -> int:
+        """Place a request; how many of its tasks were."""
+        if self.gathering and not request.high:
             # A gang needs all of its room at once, which smaller work that always fits somewhere
             # would never leave free together.
-            bench.result.waiting[request.job] = request.count
-            continue
-        placed = place(bench, request)
-        gathering = gathering or (request.gathers and not placed and bench.within_limit(request))
-    return bench.result
+            self.bench.result.waiting[request.job] = request.count
+            return 0
+        placed = place(self.bench, request)
+        if request.gathers and not placed and self.bench.within_limit(request):
+            self.gathering = True
+        return placed
 
 
 def in_order(bench: Bench, requests: list[Request]) -> list[Request]:
     """The order in which requests get their turn."""
-    return sorted(
-        requests,
-        key=lambda request: (
-            -(LAST_LOW if request.front else request.rank),
-            # Towards a team that borrows, one that claims its own is of high priority: behind the
-            # other, it would evict again and again what had just been placed.
-            not bench.claims(request),
-            not request.front,
-            request.klass,
-            request.order,
-            -slots_of(request.need),
-            request.place,
-            request.job,
-        ),
+    return sorted(requests, key=lambda request: _turn(request, bench.claims(request)))
+
+
+def _turn(request: Request, claims: bool) -> tuple[float, ...]:
+    return (
+        -(LAST_LOW if request.front else request.rank),
+        # Towards a team that borrows, one that claims its own is of high priority: behind the
+        # other, it would evict again and again what had just been placed.
+        not claims,
+        request.klass,
+        not request.front,
+        request.order,
+        -slots_of(request.need),
+        request.place,
+        request.job,
     )
 
 
+def _by_class(turns: _Turns, requests: list[Request]) -> None:
+    """Place what is of several priority classes.
+
+    A claim goes before higher classes for as much as its team's guarantee covers when its turn
+    comes, and no further: one task within it took a whole array of hundreds to the front.
+    """
+    bench = turns.bench
+    queue = [(_turn(request, bench.claims(request)), request) for request in requests]
+    heapq.heapify(queue)
+    while queue:
+        turn, request = heapq.heappop(queue)
+        if turn[1]:
+            turns.place(request)
+            continue
+        team = bench.teams[request.team]
+        count = min(request.count, request.need.times_in(team.guarantee.minus(team.used)))
+        if request.gang and count > 0:
+            count = request.count
+        if count <= 0:
+            heapq.heappush(queue, (_turn(request, False), request))
+            continue
+        before = len(bench.result.starts)
+        placed = turns.place(replace(request, count=count))
+        if placed < count:
+            if request.job in bench.result.waiting:
+                bench.result.waiting[request.job] = request.count - placed
+        elif placed < request.count:
+            zones = dict(request.zones)
+            zone_of = {node.index: node.zone for node in bench.nodes}
+            for start in bench.result.starts[before:]:
+                zone = zone_of[start.node]
+                zones[zone] = zones.get(zone, 0) + 1
+            rest = replace(request, count=request.count - placed, zones=zones)
+            heapq.heappush(queue, (_turn(rest, False), rest))
+
+
 Look = Callable[[dict[str, int], int], None]
 """Is shown the zones of a job's tasks, and how many of the request are placed, where the next one
 found no room; before a gang is taken back."""
--- /dev/null
+++ b/tests/test_classes.py
@@ -0,0 +1,381 @@
+"""Priority classes: who belongs where, and every queue in which they order the work."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import math
+from collections import deque
+from random import Random
+from typing import Any
+
+import pytest
+
+from badgerseam.classes.bounds import Kept, keep
+from badgerseam.classes.jumps import jumps
+from badgerseam.classes.rules import MOST_HELD_S, PAUSE_S, Rules
+from badgerseam.classes.table import Table, digest_of, to_options, to_record
+from badgerseam.fleet import policy
+from badgerseam.fleet.demand import Offer, Option, in_turn
+from badgerseam.fleet.vacancies import Vacancies
+from badgerseam.model.job import Job, Stage
+from badgerseam.model.keys import CLASSES_KEY
+from badgerseam.model.machine import Machine
+from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.model.state import Arrival
+from badgerseam.node import Node
+from badgerseam.options.classes import ClassesOptions, ClassOptions, check
+from badgerseam.sched import pts
+from badgerseam.settings import SettingsError, Team, Tunables, check_tunables, load_tunables
+from badgerseam.store.committer import Urgency
+from badgerseam.store.pages import compose
+from badgerseam.wire import state as wire
+from tests.stand_ins import Rig, seeded, settings, submission
+from tests.test_pts import node, request, snapshot
+
+OPTIONS = ClassesOptions(
+    [ClassOptions("signing", jobs=["sign"], teams=["blue"]), ClassOptions("reports")]
+)
+AGE_S = OPTIONS.age_s
+NO_CLAIMS = [Team("red", 0, 1000), Team("blue", 0, 1000)]
+
+
+def site(
+    shares: int = 1, teams: list[Team] = NO_CLAIMS, options: ClassesOptions = OPTIONS
+) -> tuple[Rig, Rules, Machine]:
+    """A rig that keeps classes and owns the share of red, with a machine that may be used."""
+    rig = Rig(teams, shares=shares)
+    rules = Rules(rig.model, rig.planner)
+    rig.set(CLASSES_KEY, to_record(options, "n-0", 0.0, digest_of(options)))
+    rig.own(shares - 1)
+    machine = rig.machine(share=shares - 1)
+    machine.session, machine.heard_at = 1, rig.clock.now()
+    return rig, rules, machine
+
+
+def later(rig: Rig, seconds: float) -> None:
+    rig.clock.time += seconds
+    for machine in rig.model.machines.values():
+        machine.heard_at = rig.clock.now()
+
+
+def free(rig: Rig, *jobs: Job) -> None:
+    for entry in jobs:
+        for attempt in list(entry.attempts.values()):
+            rig.model.unplace(attempt)
+
+
+def job(rig: Rig, number: int, **changes: Any) -> Job:
+    return rig.job(job_id=f"job-{number:06}", **changes)
+
+
+def on(machine: Machine) -> list[str]:
+    return sorted(attempt.job.id[-1] for attempt in machine.attempts.values())
+
+
+def test_bad_classes_are_told_with_field_and_remedy(tmp_path: Any) -> None:
+    path = tmp_path / "options.json"
+    path.write_text(
+        '{"classes":{"order":[{"name":"a","jobs":["x"],"teams":["nobody"]},'
+        '{"name":"a","jobs":["x"]}],"default":"z"}}'
+    )
+    with pytest.raises(SettingsError) as found:
+        check_tunables(load_tunables(str(path)), settings(), str(path))
+    text = str(found.value)
+    for part in (
+        "classes.order[1].name: 'a' is the name of order[0] already: give each class a name",
+        "classes.order[1].jobs: 'x' belongs to 'a' already: leave it in one place",
+        "classes.order[0].teams: no team 'nobody' in the settings: name one of blue, red",
+        "classes.default: no class 'z' in order: name one of a",
+    ):
+        assert part in text
+    assert check(OPTIONS, ["red", "blue"]) == []
+
+
+def test_a_class_of_jobs_goes_before_the_team_and_the_default_is_the_last() -> None:
+    order = [ClassOptions("signing", ["sign"], ["blue"]), ClassOptions("reports", ["bulk"])]
+    assert Table(to_record(ClassesOptions(order), "", 0.0, "")).own("bulk", "blue") == 1
+    table = Table(to_record(OPTIONS, "", 0.0, ""))
+    pairs = (("sign", "red"), ("train", "blue"), ("train", "red"))
+    assert [table.own(*pair) for pair in pairs] == [0, 0, 1]
+    assert to_options(to_record(OPTIONS, "", 0.0, "")) == OPTIONS
+    turned = ClassesOptions([ClassOptions("signing", ["sign"], ["blue"]), ClassOptions("reports")])
+    assert digest_of(turned) == digest_of(OPTIONS) != digest_of(ClassesOptions())
+
+
+def test_what_waits_ages_until_half_of_it_was_started_and_what_is_requeued_does_not() -> None:
+    rig, rules, machine = site()
+    report = job(rig, 1)
+    assert rules.of(report) == 1
+    rig.clock.time += OPTIONS.age_s
+    assert rules.of(report) == 0
+    for task in (0, 1):
+        attempt = rig.model.place(report, task, 1, machine, Stage.PLACED)
+    assert rules.of(report) == 1
+    report.release(attempt)
+    assert rules.of(report) == 1
+    # A new owner finds the same in the pages.
+    rig.page(0, rig.rows(report.id, (0, 1, "m-1"), (1, 1, None)))
+    rig.model.disown(rig.model.shares[0])
+    assert rules.of(report) == 1
+
+
+def test_class_orders_within_a_rank_and_behind_claims_and_place_decides_among_equals() -> None:
+    rig, _, machine = site(teams=[Team("blue", 0, 1000), Team("red", 4, 1000)])
+    job(rig, 1, pieces=1, rank="best_effort")
+    job(rig, 2, pieces=3, dueS=99.0)
+    job(rig, 3, pieces=1, dueS=90.0, jobclass="sign", owner="blue")
+    job(rig, 4, pieces=1, dueS=95.0, jobclass="sign", owner="blue")
+    job(rig, 5, pieces=1, rank="high")
+    job(rig, 6, pieces=1, dueS=10.0, owner="blue", jobclass="else")
+    # Beside the fifth, one task of the second is within the guarantee, and goes first alone. The
+    # sixth is of the first class too, by its team: deadlines order within it.
+    rig.plan()
+    assert on(machine) == ["2", "3", "5", "6"]
+    rig, _, machine = site()
+    report = job(rig, 1, dueS=10.0)
+    signing = [job(rig, n, pieces=2, jobclass="sign", dueS=900.0) for n in (4, 3)]
+    rig.plan()
+    assert on(machine) == ["3", "3", "4", "4"] and not report.attempts
+    # One that a process reads later, since it was written again, keeps its place before others.
+    spec = submission("job-000005", pieces=2, jobclass="sign", dueS=900.0)
+    rig.set("bs/j/job-000005", wire.StoredJob("open", 2, signing[0].submitted, spec, None, 1))
+    for _ in range(2):
+        free(rig, *signing)
+        rig.plan()
+        assert on(machine) == ["4", "4", "5", "5"]
+
+
+def test_lower_classes_do_not_take_the_room_of_the_rest_of_a_large_job() -> None:
+    """Only some hundred tasks of a job are planned at once; reports took what was left for it."""
+    rig, rules, _ = site()
+    large = job(rig, 1, jobclass="sign", pieces=450, cpus=0.016, memGb=0.01)
+    report = job(rig, 2, jobclass="train", pieces=4, cpus=0.5)
+    rig.plan()
+    assert large.live == 400 and report.live == 0 and rules.held == 1
+    rig.plan()
+    assert large.live == 450 and report.live == 1 and rules.jumps == 0
+
+
+def scattered(random: Random) -> pts.Snapshot:
+    """A share with work of three classes, with all the rules that may keep it from machines."""
+    pick, part = random.choice, random.random
+    nodes = [
+        node(n, total=pick([4, 8, 16]), used=pick([0, 1, 2, 4]), zone=pick("ab"), spot=part() < 0.3)
+        for n in range(5)
+    ]
+    asked = [
+        request(
+            number,
+            count=random.randint(1, 4),
+            cpus=pick([1, 2, 4]),
+            high=part() < 0.3,
+            team=random.randint(0, 2),
+            spot=part() < 0.7,
+            zone=pick([None, None, "a"]),
+            zone_limit=pick([None, None, 2]),
+            gang=part() < 0.2,
+            order=part(),
+            klass=random.randint(0, 2),
+            place=number + 1,
+        )
+        for number in range(8)
+    ]
+    room = Resources(math.inf, math.inf, math.inf)
+    teams = {
+        0: pts.TeamUse(NOTHING, NOTHING, room),
+        1: pts.TeamUse(NOTHING, Resources(4, 0, 64), Resources(8, 0, 64)),
+        2: pts.TeamUse(NOTHING, NOTHING, Resources(10, 0, 64)),
+    }
+    return snapshot(nodes, *asked, teams=teams)
+
+
+def test_no_plan_has_a_jump_and_the_checker_finds_those_of_a_plan_without_classes() -> None:
+    random = Random(5)
+    found = 0
+    for _ in range(300):
+        given = scattered(random)
+        result = pts.plan(copy.deepcopy(given))
+        assert jumps(given, result) == []
+        where = {entry.index: entry.zone for entry in given.nodes}
+        for ask in given.requests:
+            # A job may be placed in two goes: what a claim covers, and the rest.
+            zones = [where[start.node] for start in result.starts if start.job == ask.job]
+            assert result.waiting.get(ask.job, 0) in (0, ask.count - len(zones))
+            assert max(zones.count("a"), zones.count("b")) <= (ask.zone_limit or ask.count)
+        blind = copy.deepcopy(given)
+        for entry in blind.requests:
+            entry.klass = 0
+        found += bool(jumps(given, pts.plan(blind)))
+    assert found > 30
+
+
+def test_the_first_class_is_written_and_launched_first_when_not_all_goes_at_once() -> None:
+    rig, _, machine = site()
+    # The report was planned before the other one came, and has not been written yet.
+    report = job(rig, 1, jobclass="train", pieces=700, cpus=0.01, memGb=0.01)
+    rig.plan()
+    rig.plan()
+    urgent = job(rig, 2, jobclass="sign", pieces=1, cpus=0.01, memGb=0.01)
+    rig.plan()
+    share = rig.model.shares[0]
+    assert [attempt.job for attempt in share.planned][-1] is urgent
+    draft = compose(rig.model, share)
+    assert draft.planned[0].job is urgent and share.planned
+    for attempt in machine.attempts.values():
+        attempt.stage = Stage.PLACED
+    commands = rig.control._commands(machine, direct=True)
+    assert commands[0].task == f"{urgent.id}/0" and report.attempts
+
+
+def test_submissions_of_the_first_class_go_first_and_the_others_in_time() -> None:
+    rig, rules, _ = site()
+    rig.ledger.class_of = rules.of_submission
+    order: list[str] = []
+
+    async def accept(number: int, job_class: str) -> None:
+        name = f"job-{number:06}"
+        await rig.ledger.accept(submission(name, jobclass=job_class))
+        order.append(job_class)
+
+    async def story() -> None:
+        rig.state.writes.take(1000.0)
+        waiting = [asyncio.ensure_future(accept(n, "train")) for n in range(13)]
+        await asyncio.sleep(0)
+        waiting += [asyncio.ensure_future(accept(50 + n, "sign")) for n in range(2)]
+        await asyncio.sleep(0)
+        rig.clock.time += 1.0
+        await asyncio.wait_for(asyncio.gather(*waiting), 3.0)
+        assert order[:2] == ["sign", "sign"] and len(order) == 15
+        # Behind a stream that leaves no change for it, one of the others still gets its turn.
+        rig.state.writes.take(rig.state.writes.available())
+        put = [wire.Write(put="bs/x")]
+        late = asyncio.ensure_future(rig.committer.commit(Urgency.USER, {}, put, 0.02, turn=1))
+        await asyncio.sleep(0)
+        [entry] = [item[3] for item in rig.committer._queue if not item[3].future.done()]
+        assert entry.turn == 1
+        await asyncio.sleep(0.05)
+        assert entry.turn == 0
+        late.cancel()
+
+    asyncio.run(story())
+
+
+def test_machines_go_first_to_the_share_in_which_the_first_class_waits() -> None:
+    def waits(number: int, klass: int, rank: int = 1, team: int = 0) -> pts.Request:
+        return request(number, count=4, high=False, rank=rank, klass=klass, team=team)
+
+    def moved(*shares: pts.Snapshot, cautious: int | None = None) -> list[tuple[int, int]]:
+        empty = {entry.index for given in shares for entry in given.nodes}
+        return policy.decide(list(shares), empty, set(), [], [], 10, cautious=cautious).moves
+
+    room = Resources(math.inf, math.inf, math.inf)
+    borrowing = {0: pts.TeamUse(NOTHING, NOTHING, room)}
+    spare = snapshot([node(7)])
+    reports = snapshot([], waits(1, 1), teams=borrowing)
+    signing = snapshot([], waits(2, 0))
+    assert moved(reports, signing, spare) == [(7, 1)]
+    # Its own reports do not go before it either: the class decides before the share.
+    mixed = snapshot([], waits(1, 1), waits(3, 0))
+    both = snapshot([node(7), node(8)])
+    assert moved(mixed, signing, both) == [(7, 0), (8, 1)]
+    # A new leader leaves the rest where it is for a while.
+    assert moved(reports, spare, cautious=0) == []
+    assert moved(snapshot([], waits(1, 1)), spare, cautious=0) == [(7, 0)]
+    offered = Option(Offer("c8", "a", False), Resources(8, 0, 64), 1.0)
+    rents = policy.decide([reports, signing], set(), set(), [], [offered], 10).rents
+    assert [share for _, share in rents] == [1, 0]
+    # Across ranks the rank decides.
+    assert moved(signing, snapshot([], waits(1, 1, rank=2)), spare) == [(7, 1)]
+    # Without classes, the order of shares is as it was.
+    assert moved(snapshot([], waits(1, 0)), signing, spare) == [(7, 0)]
+
+
+def test_empty_machines_are_kept_for_the_first_class_of_another_share_but_not_for_ever() -> None:
+    rig, rules, machine = site(shares=2)
+    shares, planner = rig.model.shares, rig.planner
+    signing = job(rig, 1, jobclass="sign", owner="blue", pieces=2)
+    report = job(rig, 2, cpus=2.0)
+    rig.plan(1)
+    assert report.live == 4, "its own share may be about to place the other"
+    free(rig, report)
+    later(rig, 1.0)
+    rig.plan(1)
+    assert not report.attempts and rules.held == 1
+    # The leader sees the same, and passes it on.
+    given = planner.snapshot(shares[1], planner.nodes(shares[1]), planner.requests(shares[1]))
+    rules.bound(shares[1], given, leading=True)
+    needy = planner.snapshot(shares[0], [], planner.requests(shares[0]))
+    moves = policy.decide([needy, given], {machine.index}, set(), [], [], 10).moves
+    assert moves == [(machine.index, 0)]
+    # What cannot be moved is not left empty for long.
+    later(rig, MOST_HELD_S + 0.1)
+    rig.plan(1)
+    assert report.live == 4
+    free(rig, report)
+    later(rig, PAUSE_S)
+    rig.plan(1)
+    assert not report.attempts and signing.waiting() == 2
+
+
+def test_room_is_kept_from_what_is_behind_only() -> None:
+    def shunned(entry: Kept, own: float = 0, **fields: Any) -> set[int]:
+        asked = request(1, high=False, **{"klass": 1, "rank": 1, **fields})
+        teams = {0: pts.TeamUse(NOTHING, Resources(own, 0, 99), Resources(99, 99, 99))}
+        given = snapshot([node(7), node(8, used=4)], asked, teams=teams)
+        keep(given, [entry])
+        return given.requests[0].shunned
+
+    two = Resources(2, 0, 1)
+    three = Kept(0, 1, two, True, 3)
+    assert shunned(Kept(0, 1, two, True, 2)) == {8}
+    assert shunned(three) == shunned(three, rank=0) == {7, 8}
+    assert shunned(Kept(0, 1, two, True, 3, whole=True)) == {7}
+    assert shunned(three, own=2) == shunned(three, rank=2) == shunned(three, klass=0) == set()
+    # What can evict needs no room kept from those that it evicts.
+    assert shunned(Kept(0, 2, two, True, 3), rank=1) == set()
+    assert shunned(Kept(0, 2, two, True, 3), rank=2) == {7, 8}
+
+
+def test_the_reserve_and_vacated_machines_go_to_the_first_class_first() -> None:
+    came = [
+        Arrival(0.0, name, 0, 4, Resources(cpus, 0, 4), 2, True, 0)
+        for name, cpus in (("train", 2), ("sign", 3))
+    ]
+    waits: dict[str | None, float] = {"sign": 1.0, "train": 1.0}
+    kept = policy.reserves(
+        deque(came), waits, 30.0, 1.0, 60.0, (2.0, 2.0), lambda a: int(a.job_class == "train")
+    )
+    assert [entry.need.cpus for entry in kept] == [3, 2]
+    rig, _, _ = site(shares=2)
+    for number, (name, where) in enumerate((("train", "a"), ("sign", "b"))):
+        job(rig, number, jobclass=name, owner="red", rank="high", sett=where, pieces=1)
+        machine = rig.machine(f"m-{where}{where}", where)
+        guest = job(rig, 10 + number, owner="blue", rank="best_effort", pieces=1)
+        rig.model.place(guest, 0, 1, machine, Stage.RUNNING)
+    rig.clock.time += 4.0
+    snapshots = [
+        rig.planner.snapshot(share, [], rig.planner.requests(share)) for share in rig.model.shares
+    ]
+    waiting = {entry.job: 1 for entry in snapshots[1].requests}
+    found = Vacancies(rig.model, rig.planner).look(
+        snapshots, policy.Decisions(waiting=[{}, waiting]), set(), rig.clock.now()
+    )
+    assert [machine.name for machine in found[1]] == ["m-bb"]
+    mixed = [request(1, klass=1), request(2), request(3, rank=3)]
+    assert [entry.job for entry in in_turn(mixed)] == [3, 2, 1]
+    untouched = [request(1, rank=0), request(2, rank=2)]
+    assert in_turn(untouched) is untouched
+
+
+def test_without_the_section_nothing_is_asked_and_nothing_told() -> None:
+    rig = Rig(NO_CLAIMS)
+    rig.set(CLASSES_KEY, to_record(OPTIONS, "n-1", 0.0, "of-others"))
+    late = job(rig, 2, jobclass="sign")
+    assert rig.planner.request(late, 1).klass == 0 == rig.model.klass(late)
+    plain = Node(settings(), Tunables(), rig.clock, seeded())
+    assert plain.planner.classes is None and plain.member.classes_digest == ""
+    assert plain.classes is None and plain.ledger.class_of is None and plain.fleet.class_of is None
+    keeping = Node(settings(), Tunables(classes=OPTIONS), rig.clock, seeded())
+    assert keeping.planner.classes is not None
+    assert keeping.member.classes_digest == digest_of(OPTIONS)
