--- a/badgerseam/api/rollout.py
+++ b/badgerseam/api/rollout.py
@@ -14,7 +14,7 @@
 from badgerseam.rollout.refresh import Refresh
 from badgerseam.store.client import Refused
 from badgerseam.wire import rollout as wire
-from badgerseam.workers.control import RECENT_REPORTS
+from badgerseam.workers.silence import RECENT_REPORTS
 
 ROLLOUT = "/rollout"
 RETRY_S = 1
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -15,26 +15,20 @@
 from badgerseam.model.job import Attempt, Phase, Stage
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
-from badgerseam.model.resources import NOTHING
 from badgerseam.settings import Tunables
 from badgerseam.wire import workers as wire
-from badgerseam.workers import blame
 from badgerseam.workers.hearing import Hearing
 from badgerseam.workers.inspection import inspect
+from badgerseam.workers.reports import Reports
+from badgerseam.workers.silence import Silence
 
 log = logging.getLogger("badgerseam.workers")
 
 DIRECT_S = 2.0
 INSPECT_S = 1.0
-PROBE_S = 1.5
 RETRY_S = 1.0
 MOST_COMMANDS = 300
 """Commands in one response; some 90 bytes each, well within a line of 64 KiB."""
-SILENT_REPORTS = 3
-"""Report intervals without a report after which a machine is asked."""
-RECENT_REPORTS = 1.5
-"""Report intervals within which any machine that can reach us has reported."""
-_STAGES = {"fetching": Stage.FETCHING, "running": Stage.RUNNING, "saving": Stage.SAVING}
 
 
 class Control:
@@ -60,10 +54,16 @@
         self._tunables = tunables
         self._changed = changed
         self._tasks: set[asyncio.Task[None]] = set()
-        workers = model.settings.params.workers
-        # Steady clocks differ by up to 0.05 %; the rest of the margin is for slow code.
-        self.lease_bound_s = workers.lease_s * 1.001 + tunables.margin_s
-        self._report_s = workers.report_s
+        self._reports = Reports(model, tunables)
+        self.silence = Silence(model, member, http, tunables, changed, deputies, self._reports)
+
+    def watch(self) -> list[Machine]:
+        """Give up machines whose leases have certainly ended; returned are those newly lost."""
+        return self.silence.watch()
+
+    def suspect(self) -> None:
+        """Ask machines that fell silent, and give those up that do not answer."""
+        self.silence.suspect()
 
     # ---- reports ----
 
@@ -106,7 +106,7 @@
             # the response before it were either executed or given up.
             if (report.session, report.seq) > (machine.session, machine.seq):
                 machine.response_open = False
-            fresh = self._apply(machine, report, direct=False)
+            fresh = self._reports.apply(machine, report, direct=False)
             machine.answered_at = max(machine.answered_at, self._clock.now())
             commands = self._commands(machine, direct=False) if fresh else []
             reply = Reply(200, wire.encode(wire.Orders(machine.token, commands)))
@@ -127,130 +127,6 @@
             node = None
         return Reply(421, wire.encode(wire.Redirect(node)))
 
-    def _apply(self, machine: Machine, report: wire.Report, direct: bool) -> bool:
-        """Take over a report; False if it is older than what is known.
-
-        `direct`: it came as the response to a direct command, perhaps while the response to a
-        report is still on its way to the worker with launches in it.
-        """
-        mark = (report.session, report.seq)
-        if mark <= (machine.session, machine.seq):
-            # Held back on its way: its task list is as old as it is.
-            return False
-        model = self._model
-        now = self._clock.now()
-        if report.session > machine.session:
-            # The lease of a session runs from its begin. Where we hear of it by a direct answer,
-            # no report of it may have been answered yet, and the machine came up long after it
-            # was recorded: it is not to be counted as silent since then.
-            machine.answered_at = max(machine.answered_at, now)
-        machine.session, machine.seq = mark
-        machine.heard_at = now
-        machine.shown_token = max(machine.shown_token, report.token)
-        machine.addr = report.addr
-        if report.notice_s is None:
-            machine.recall_at = None
-        else:
-            machine.recall_at = now + report.notice_s
-            machine.draining = True
-        current = report.token > machine.doubt
-        shown: dict[str, wire.TaskReport] = {}
-        strays = NOTHING
-        seen: set[tuple[int, int]] = set()
-        for item in report.tasks:
-            shown[item.task] = item
-            found = model.find(item.task)
-            if found is None:
-                continue
-            job, task = found
-            attempt = machine.attempts.get((job.index, task))
-            if attempt is None or attempt.number != item.attempt or attempt.finishing:
-                if item.state != "exited":
-                    strays = strays.plus(job.need)
-                continue
-            seen.add((job.index, task))
-            self._progress(machine, attempt, item, now)
-        machine.shown = shown
-        if strays != machine.strays:
-            machine.strays = strays
-            machine.node = None
-        for key, attempt in list(machine.attempts.items()):
-            if key in seen or attempt.finishing or attempt.stage == Stage.PLANNED:
-                continue
-            if attempt.sending or mark <= attempt.sent_mark:
-                continue
-            if direct and machine.response_open:
-                continue
-            # Not on the machine, in a report that is newer than every launch of it.
-            attempt.sent = False
-            # Whatever it did before, it would begin anew.
-            attempt.started_at = 0.0
-            if not current:
-                # A launch with an older token may still be in flight.
-                continue
-            if attempt.stage >= Stage.FETCHING:
-                # It was there and is gone without a word: its session has ended.
-                attempt.stage = Stage.PLACED
-                machine.node = None
-            if attempt.stopping or machine.draining:
-                model.unplace(attempt)
-        return True
-
-    def _progress(
-        self, machine: Machine, attempt: Attempt, item: wire.TaskReport, now: float
-    ) -> None:
-        model = self._model
-        job = attempt.job
-        if attempt.stage == Stage.PLANNED:
-            return
-        if item.state != "exited":
-            stage = _STAGES.get(item.state, Stage.RUNNING)
-            if stage == Stage.FETCHING:
-                # Given once more after its session had ended: what was known of its start is past.
-                attempt.started_at = 0.0
-            if stage == Stage.RUNNING and attempt.stage < Stage.RUNNING:
-                # An owner before us may have seen it begin, and kept that with its row.
-                attempt.started_at = attempt.started_at or now
-                attempt.unseen = False
-                log.debug(
-                    "%s (%s) runs on %s: seen %.2f s ago, planned %.2f s ago",
-                    attempt.name,
-                    job.spec.job_class,
-                    machine.name,
-                    now - job.seen_at,
-                    now - attempt.planned_at,
-                )
-                machine.images.add(job.spec.image)
-            elif stage == Stage.RUNNING:
-                blame.runs_on(attempt, now)
-            if attempt.stage != stage:
-                attempt.stage = stage
-                machine.node = None
-            attempt.sent = True
-            return
-        model.kicks.add(machine.share)
-        share = model.shares[machine.share]
-        if item.why == "done":
-            if job.phase != Phase.OPEN:
-                model.unplace(attempt)
-                return
-            if job.rank < 2 and not attempt.finishing:
-                share.finished += 1
-            machine.images.add(job.spec.image)
-            blame.completed(machine, job)
-            model.finish(attempt, now + self._tunables.done_delay_s)
-            return
-        if item.why in ("error", "no_such", "full", "in_use"):
-            log.debug("%s failed on %s: %s", attempt.name, machine.name, item.why)
-            if item.why != "error":
-                job.failed(now, None)
-            else:
-                attempt.error = True
-                if blame.failed(machine, attempt, now) and not machine.draining:
-                    log.info("%s fails the tasks of many jobs: drained", machine.name)
-                    machine.draining = True
-        model.unplace(attempt)
-
     # ---- commands ----
 
     def _commands(self, machine: Machine, direct: bool) -> list[wire.Command]:
@@ -350,7 +226,7 @@
             if report is None or report.machine != machine.name:
                 machine.push_after = self._clock.now() + RETRY_S
             else:
-                self._apply(machine, report, direct=True)
+                self._reports.apply(machine, report, direct=True)
                 self._model.kicks.add(machine.share)
                 self._model.pushes.add(machine.index)
         self._changed()
@@ -400,92 +276,7 @@
                 for command in commands:
                     if command.op == "reap":
                         machine.shown.pop(command.task, None)
-                self._apply(machine, report, direct=True)
+                self._reports.apply(machine, report, direct=True)
                 if mark >= (machine.session, machine.seq):
                     model.pushes.add(machine.index)
         self._changed()
-
-    # ---- silence ----
-
-    def watch(self) -> list[Machine]:
-        """Give up machines whose leases have certainly ended; returned are those newly lost."""
-        model = self._model
-        lost = []
-        now = self._clock.now()
-        self.deputies.look()
-        others: dict[str, float] = {}
-        entitled = [share.owned and self._member.entitled(share) for share in model.shares]
-        for machine in model.machines.values():
-            if machine.lost or not entitled[machine.share]:
-                continue
-            other = others.get(machine.zone)
-            if other is None:
-                other = others[machine.zone] = self.deputies.renewed_until(machine.zone)
-            ends = max(machine.answered_at, other) + self.lease_bound_s
-            if now <= ends or (machine.session == 0 and not machine.attempts):
-                continue
-            if not self.deputies.certain_since(ends):
-                continue
-            log.info("%s is lost with %d tasks", machine.name, len(machine.attempts))
-            machine.lost = True
-            lost.append(machine)
-            for attempt in list(machine.attempts.values()):
-                if attempt.stage != Stage.PLANNED and not attempt.finishing:
-                    model.unplace(attempt)
-        return lost
-
-    def suspect(self) -> None:
-        """Ask machines that fell silent, and give those up that do not answer.
-
-        Their release makes certain that their tasks are gone, sooner than the end of their lease.
-        If many are silent at once, or a whole zone is, the trouble lies between us and them, and
-        nothing is given up.
-        """
-        model = self._model
-        now = self._clock.now()
-        silent: list[Machine] = []
-        heard: dict[str, int] = {}
-        for machine in model.machines.values():
-            share = model.shares[machine.share]
-            if machine.lost or machine.dropped or not share.owned:
-                continue
-            # One that has not been heard since a takeover is missed as well, if it held work.
-            heard_at = max(machine.heard_at, machine.taken_at)
-            if now - heard_at > SILENT_REPORTS * self._report_s:
-                if machine.session > 0 or machine.attempts:
-                    silent.append(machine)
-            elif machine.session > 0 and now - machine.heard_at <= RECENT_REPORTS * self._report_s:
-                # Only what was heard since the others fell silent tells that it lies with them:
-                # when a zone is cut off, all of its machines fall silent within one interval, and
-                # the first to be missed were given up since the last seemed to be heard still.
-                heard[machine.zone] = heard.get(machine.zone, 0) + 1
-        if len(silent) > max(1, sum(heard.values()) // 2):
-            return
-        for machine in silent:
-            if not machine.addr:
-                # Its address is still to be learnt: nothing can be said about it.
-                continue
-            if heard.get(machine.zone) and not machine.probing and not machine.given_up:
-                machine.probing = True
-                self._spawn(self._probe(machine))
-
-    async def _probe(self, machine: Machine) -> None:
-        term, heard_at = machine.term, machine.heard_at
-        report = await inspect(self._http, machine.addr, PROBE_S)
-        with self._model.lock:
-            machine.probing = False
-            if machine.term != term or machine.heard_at != heard_at:
-                return
-            if report is not None and report.machine == machine.name:
-                # It lives, and finds no way to us by itself: what it says counts all the same.
-                machine.heard_at = self._clock.now()
-                self._apply(machine, report, direct=True)
-                self._model.kicks.add(machine.share)
-                self._model.pushes.add(machine.index)
-            elif self._member.fresh(2 * self._report_s):
-                log.info(
-                    "%s is silent with %d tasks: given up", machine.name, len(machine.attempts)
-                )
-                machine.given_up = True
-                machine.draining = True
-        self._changed()
--- /dev/null
+++ b/badgerseam/workers/reports.py
@@ -0,0 +1,149 @@
+"""Taking over what workers report."""
+
+from __future__ import annotations
+
+import logging
+
+from badgerseam.model.job import Attempt, Phase, Stage
+from badgerseam.model.machine import Machine
+from badgerseam.model.model import Model
+from badgerseam.model.resources import NOTHING
+from badgerseam.settings import Tunables
+from badgerseam.wire import workers as wire
+from badgerseam.workers import blame
+
+log = logging.getLogger("badgerseam.workers")
+
+_STAGES = {"fetching": Stage.FETCHING, "running": Stage.RUNNING, "saving": Stage.SAVING}
+
+
+class Reports:
+    """Makes machines and their tasks what reports say of them."""
+
+    def __init__(self, model: Model, tunables: Tunables) -> None:
+        self._model = model
+        self._tunables = tunables
+
+    def apply(self, machine: Machine, report: wire.Report, direct: bool) -> bool:
+        """Take over a report; False if it is older than what is known.
+
+        `direct`: it came as the response to a direct command, perhaps while the response to a
+        report is still on its way to the worker with launches in it.
+        """
+        mark = (report.session, report.seq)
+        if mark <= (machine.session, machine.seq):
+            # Held back on its way: its task list is as old as it is.
+            return False
+        model = self._model
+        now = self._model.clock.now()
+        if report.session > machine.session:
+            # The lease of a session runs from its begin. Where we hear of it by a direct answer,
+            # no report of it may have been answered yet, and the machine came up long after it
+            # was recorded: it is not to be counted as silent since then.
+            machine.answered_at = max(machine.answered_at, now)
+        machine.session, machine.seq = mark
+        machine.heard_at = now
+        machine.shown_token = max(machine.shown_token, report.token)
+        machine.addr = report.addr
+        if report.notice_s is None:
+            machine.recall_at = None
+        else:
+            machine.recall_at = now + report.notice_s
+            machine.draining = True
+        current = report.token > machine.doubt
+        shown: dict[str, wire.TaskReport] = {}
+        strays = NOTHING
+        seen: set[tuple[int, int]] = set()
+        for item in report.tasks:
+            shown[item.task] = item
+            found = model.find(item.task)
+            if found is None:
+                continue
+            job, task = found
+            attempt = machine.attempts.get((job.index, task))
+            if attempt is None or attempt.number != item.attempt or attempt.finishing:
+                if item.state != "exited":
+                    strays = strays.plus(job.need)
+                continue
+            seen.add((job.index, task))
+            self._progress(machine, attempt, item, now)
+        machine.shown = shown
+        if strays != machine.strays:
+            machine.strays = strays
+            machine.node = None
+        for key, attempt in list(machine.attempts.items()):
+            if key in seen or attempt.finishing or attempt.stage == Stage.PLANNED:
+                continue
+            if attempt.sending or mark <= attempt.sent_mark:
+                continue
+            if direct and machine.response_open:
+                continue
+            # Not on the machine, in a report that is newer than every launch of it.
+            attempt.sent = False
+            # Whatever it did before, it would begin anew.
+            attempt.started_at = 0.0
+            if not current:
+                # A launch with an older token may still be in flight.
+                continue
+            if attempt.stage >= Stage.FETCHING:
+                # It was there and is gone without a word: its session has ended.
+                attempt.stage = Stage.PLACED
+                machine.node = None
+            if attempt.stopping or machine.draining:
+                model.unplace(attempt)
+        return True
+
+    def _progress(
+        self, machine: Machine, attempt: Attempt, item: wire.TaskReport, now: float
+    ) -> None:
+        model = self._model
+        job = attempt.job
+        if attempt.stage == Stage.PLANNED:
+            return
+        if item.state != "exited":
+            stage = _STAGES.get(item.state, Stage.RUNNING)
+            if stage == Stage.FETCHING:
+                # Given once more after its session had ended: what was known of its start is past.
+                attempt.started_at = 0.0
+            if stage == Stage.RUNNING and attempt.stage < Stage.RUNNING:
+                # An owner before us may have seen it begin, and kept that with its row.
+                attempt.started_at = attempt.started_at or now
+                attempt.unseen = False
+                log.debug(
+                    "%s (%s) runs on %s: seen %.2f s ago, planned %.2f s ago",
+                    attempt.name,
+                    job.spec.job_class,
+                    machine.name,
+                    now - job.seen_at,
+                    now - attempt.planned_at,
+                )
+                machine.images.add(job.spec.image)
+            elif stage == Stage.RUNNING:
+                blame.runs_on(attempt, now)
+            if attempt.stage != stage:
+                attempt.stage = stage
+                machine.node = None
+            attempt.sent = True
+            return
+        model.kicks.add(machine.share)
+        share = model.shares[machine.share]
+        if item.why == "done":
+            if job.phase != Phase.OPEN:
+                model.unplace(attempt)
+                return
+            if job.rank < 2 and not attempt.finishing:
+                share.finished += 1
+            machine.images.add(job.spec.image)
+            blame.completed(machine, job)
+            model.finish(attempt, now + self._tunables.done_delay_s)
+            return
+        if item.why in ("error", "no_such", "full", "in_use"):
+            log.debug("%s failed on %s: %s", attempt.name, machine.name, item.why)
+            if item.why != "error":
+                job.failed(now, None)
+            else:
+                attempt.error = True
+                if blame.failed(machine, attempt, now) and not machine.draining:
+                    log.info("%s fails the tasks of many jobs: drained", machine.name)
+                    machine.draining = True
+        model.unplace(attempt)
--- /dev/null
+++ b/badgerseam/workers/silence.py
@@ -0,0 +1,140 @@
+"""Machines that are not heard any more: lost by the end of their leases, or asked and given up."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+
+from badgerseam.cluster.deputies import Deputies
+from badgerseam.cluster.member import Member
+from badgerseam.http.client import Client
+from badgerseam.model.job import Stage
+from badgerseam.model.machine import Machine
+from badgerseam.model.model import Model
+from badgerseam.settings import Tunables
+from badgerseam.workers.inspection import inspect
+from badgerseam.workers.reports import Reports
+
+log = logging.getLogger("badgerseam.workers")
+
+PROBE_S = 1.5
+SILENT_REPORTS = 3
+"""Report intervals without a report after which a machine is asked."""
+RECENT_REPORTS = 1.5
+"""Report intervals within which any machine that can reach us has reported."""
+
+
+class Silence:
+    """Looks for machines that fell silent."""
+
+    def __init__(
+        self,
+        model: Model,
+        member: Member,
+        http: Client,
+        tunables: Tunables,
+        changed: Callable[[], None],
+        deputies: Deputies,
+        reports: Reports,
+    ) -> None:
+        self._model = model
+        self._member = member
+        self._http = http
+        self._clock = model.clock
+        self._changed = changed
+        self._deputies = deputies
+        self._reports = reports
+        self._tasks: set[asyncio.Task[None]] = set()
+        workers = model.settings.params.workers
+        # Steady clocks differ by up to 0.05 %; the rest of the margin is for slow code.
+        self._lease_bound_s = workers.lease_s * 1.001 + tunables.margin_s
+        self._report_s = workers.report_s
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def watch(self) -> list[Machine]:
+        """Give up machines whose leases have certainly ended; returned are those newly lost."""
+        model = self._model
+        lost = []
+        now = self._clock.now()
+        self._deputies.look()
+        others: dict[str, float] = {}
+        entitled = [share.owned and self._member.entitled(share) for share in model.shares]
+        for machine in model.machines.values():
+            if machine.lost or not entitled[machine.share]:
+                continue
+            other = others.get(machine.zone)
+            if other is None:
+                other = others[machine.zone] = self._deputies.renewed_until(machine.zone)
+            ends = max(machine.answered_at, other) + self._lease_bound_s
+            if now <= ends or (machine.session == 0 and not machine.attempts):
+                continue
+            if not self._deputies.certain_since(ends):
+                continue
+            log.info("%s is lost with %d tasks", machine.name, len(machine.attempts))
+            machine.lost = True
+            lost.append(machine)
+            for attempt in list(machine.attempts.values()):
+                if attempt.stage != Stage.PLANNED and not attempt.finishing:
+                    model.unplace(attempt)
+        return lost
+
+    def suspect(self) -> None:
+        """Ask machines that fell silent, and give those up that do not answer.
+
+        Their release makes certain that their tasks are gone, sooner than the end of their lease.
+        If many are silent at once, or a whole zone is, the trouble lies between us and them, and
+        nothing is given up.
+        """
+        model = self._model
+        now = self._clock.now()
+        silent: list[Machine] = []
+        heard: dict[str, int] = {}
+        for machine in model.machines.values():
+            share = model.shares[machine.share]
+            if machine.lost or machine.dropped or not share.owned:
+                continue
+            # One that has not been heard since a takeover is missed as well, if it held work.
+            heard_at = max(machine.heard_at, machine.taken_at)
+            if now - heard_at > SILENT_REPORTS * self._report_s:
+                if machine.session > 0 or machine.attempts:
+                    silent.append(machine)
+            elif machine.session > 0 and now - machine.heard_at <= RECENT_REPORTS * self._report_s:
+                # Only what was heard since the others fell silent tells that it lies with them:
+                # when a zone is cut off, all of its machines fall silent within one interval, and
+                # the first to be missed were given up since the last seemed to be heard still.
+                heard[machine.zone] = heard.get(machine.zone, 0) + 1
+        if len(silent) > max(1, sum(heard.values()) // 2):
+            return
+        for machine in silent:
+            if not machine.addr:
+                # Its address is still to be learnt: nothing can be said about it.
+                continue
+            if heard.get(machine.zone) and not machine.probing and not machine.given_up:
+                machine.probing = True
+                self._spawn(self._probe(machine))
+
+    async def _probe(self, machine: Machine) -> None:
+        term, heard_at = machine.term, machine.heard_at
+        report = await inspect(self._http, machine.addr, PROBE_S)
+        with self._model.lock:
+            machine.probing = False
+            if machine.term != term or machine.heard_at != heard_at:
+                return
+            if report is not None and report.machine == machine.name:
+                # It lives, and finds no way to us by itself: what it says counts all the same.
+                machine.heard_at = self._clock.now()
+                self._reports.apply(machine, report, direct=True)
+                self._model.kicks.add(machine.share)
+                self._model.pushes.add(machine.index)
+            elif self._member.fresh(2 * self._report_s):
+                log.info(
+                    "%s is silent with %d tasks: given up", machine.name, len(machine.attempts)
+                )
+                machine.given_up = True
+                machine.draining = True
+        self._changed()
