Late copies of reports change nothing; machines that hear no answer are told and given up

Cause: after a takeover any report counted as the first word of a machine, so that a copy in which a task had exited had it placed elsewhere though it had been launched again; copies set when a machine was heard and its lease renewed. A machine that no answer reaches looked alive for as long as it reported. Change: a report counts once it is proven to be sent since the takeover; tokens raised in answers tell which answers were heard.

--- a/badgerseam/explain/reasons.py
+++ b/badgerseam/explain/reasons.py
@@ -367,7 +367,7 @@
     report_s = context.model.settings.params.workers.report_s
     if context.now - max(machine.heard_at, machine.taken_at) > 3 * report_s:
         return "launching", "worker_silent"
-    if machine.failures > 0:
+    if machine.failures > 0 or machine.unheard > 0:
         return "launching", "worker_unconfirmed"
     return "launching", "launching"
 
--- a/badgerseam/explain/supply.py
+++ b/badgerseam/explain/supply.py
@@ -31,6 +31,7 @@
     "draining": "being emptied",
     "silent": "silent",
     "unreachable": "not to be reached",
+    "deaf": "hearing no answer to its reports",
     "unknown_type": "of a type that the cloud does not list",
 }
 
--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -187,6 +187,8 @@
             await asyncio.sleep(min(max(ROUND_S, took_s / ROUND_PART), MOST_ROUND_S))
             if not self._member.is_leader or not self._model.loaded:
                 self.boots.forget()
+                # What answered a former leadership of ours may have been released since.
+                self._model.unknown.clear()
                 continue
             began = self._clock.now()
             try:
--- a/badgerseam/model/machine.py
+++ b/badgerseam/model/machine.py
@@ -48,6 +48,10 @@
     shown_token: int = 0
     doubt: int = -1
     """Highest token of a command that may still be in flight on `/do`."""
+    doubt_session: int | None = None
+    """The latest session for which such commands were sent, where that is known of all of them."""
+    spoke_at: float | None = None
+    """When a report came first of which it cannot be told whether it is a late copy."""
     heard_at: float = -1e9
     """When the latest report came."""
     taken_at: float = -1e9
@@ -80,6 +84,21 @@
     """Its lease has certainly ended; reports are not answered any more."""
     response_open: bool = False
     """A response with launches may still be on its way to the worker."""
+    told: int = 0
+    """The token of the latest answer to a report, if nothing else has told the worker so much:
+    its next report shows it if the answer was heard."""
+    told_at: float = -1e9
+    """When that answer was given."""
+    told_directly: int = 0
+    """Highest token of direct commands, answered or not."""
+    unheard: int = 0
+    """Answers that certainly, or very likely, have not reached the worker since one that has."""
+    unheard_at: float = 0.0
+    """When the first of these was given."""
+    unheard_asked: int = 0
+    """How many these were when it was last asked directly."""
+    deaf: bool = False
+    """It reports and does not obey: not answered any more, and to be released."""
 
     def take_over(self, term: int, now: float, safe_at: float) -> None:
         """Start anew as the owner's machine under a term.
@@ -91,6 +110,7 @@
         self.bump = 0
         self.forget()
         self.doubt = (self.term << BUMP_BITS) - 1
+        self.doubt_session = None
         self.taken_at = now
         self.answered_at = safe_at
 
@@ -115,6 +135,11 @@
         self.given_up = False
         self.lost = False
         self.response_open = False
+        self.spoke_at = None
+        self.told = self.told_directly = 0
+        self.told_at = -1e9
+        self.unheard = self.unheard_asked = 0
+        self.deaf = False
 
     @property
     def token(self) -> int:
@@ -128,7 +153,25 @@
     @property
     def clear(self) -> bool:
         """No earlier direct command can still be executed."""
-        return self.shown_token > self.doubt
+        return self.settled(self.shown_token, self.session)
+
+    def settled(self, token: int, session: int) -> bool:
+        """Whether a worker that shows this token and session executes no earlier direct command.
+
+        It refuses those of an earlier session whatever their token: without that, nothing was ever
+        concluded from what a machine reports that no token reaches. Which sessions the owners
+        before us have seen is not known, so that only a token of ours settles what they sent.
+        """
+        if token > self.doubt:
+            return True
+        ours = token >= self.term << BUMP_BITS
+        return ours and self.doubt_session is not None and session > self.doubt_session
+
+    def proven(self, token: int) -> bool:
+        """Whether a report with this token, newer than what is known, was sent since this owner
+        began to act: it shows a token of ours, or is newer than one that did, or than an answer
+        to a question of ours. Any other one may be a copy of a report to an owner before us."""
+        return self.session > 0 or token >= self.term << BUMP_BITS
 
     def planned_use(self) -> Resources:
         """What the attempts take that are to stay."""
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -112,6 +112,8 @@
             return "not_heard"
         if machine.draining:
             return "draining"
+        if machine.unheard or machine.deaf:
+            return "deaf"
         if now - machine.heard_at >= 3 * self._model.settings.params.workers.report_s + 0.5:
             return "silent"
         if machine.failures >= 3:
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -19,6 +19,7 @@
 from badgerseam.wire import workers as wire
 from badgerseam.workers.hearing import Hearing
 from badgerseam.workers.inspection import inspect
+from badgerseam.workers.obeying import Obedience, obeys
 from badgerseam.workers.reports import Reports
 from badgerseam.workers.silence import Silence
 
@@ -27,6 +28,8 @@
 DIRECT_S = 2.0
 INSPECT_S = 1.0
 RETRY_S = 1.0
+DROPPED = b'{"orders":[]}'
+"""An answer that a worker drops, and stays with us."""
 MOST_COMMANDS = 300
 """Commands in one response; some 90 bytes each, well within a line of 64 KiB."""
 
@@ -54,6 +57,9 @@
         self._tunables = tunables
         self._changed = changed
         self._tasks: set[asyncio.Task[None]] = set()
+        self._met: set[str] = set()
+        """Machines without a record that are being asked."""
+        self._obedience = Obedience(model)
         self._reports = Reports(model, tunables)
         self.silence = Silence(model, member, http, tunables, changed, deputies, self._reports)
 
@@ -73,14 +79,13 @@
             report = wire.report_decoder.decode(body)
         except msgspec.DecodeError:
             return error_reply(400, "not a report")
-        self.hearing.heard()
         model = self._model
         with model.lock:
             if not model.loaded:
                 return error_reply(503, "starting", 1)
             machine = model.machine(report.machine)
             if machine is None:
-                model.unknown[report.machine] = report
+                self._stranger(report)
                 leader = model.leader
                 return self._redirect(None if leader is None else leader.claim.node)
             share = model.shares[machine.share]
@@ -89,6 +94,11 @@
                 if self.deputies.stands_in(share, machine.zone):
                     return self._stand_in(report)
                 return self._redirect(None if share.held is None else share.held.claim.node)
+            proven = machine.proven(report.token)
+            newer = proven and (report.session, report.seq) > (machine.session, machine.seq)
+            if newer:
+                # What may be a late copy tells nothing of the way from the workers to us.
+                self.hearing.heard()
             if not self._member.entitled(share):
                 return error_reply(503, "not entitled", 1)
             served = self._alone()
@@ -102,17 +112,78 @@
             if machine.lost:
                 # Its tasks count as gone already; its lease must not be renewed.
                 return error_reply(503, "given up", 1)
-            # A worker sends one report at a time, so that a newer one tells that the commands of
-            # the response before it were either executed or given up.
-            if (report.session, report.seq) > (machine.session, machine.seq):
-                machine.response_open = False
-            fresh = self._reports.apply(machine, report, direct=False)
-            machine.answered_at = max(machine.answered_at, self._clock.now())
-            commands = self._commands(machine, direct=False) if fresh else []
-            reply = Reply(200, wire.encode(wire.Orders(machine.token, commands)))
+            if not proven:
+                reply = self._unproven(machine, report)
+            elif not newer:
+                # A copy, or overtaken by an answer to us: it was sent before the newest message
+                # that we know came, and its lease goes on no longer than that one's would.
+                machine.answered_at = max(machine.answered_at, machine.heard_at)
+                reply = Reply(200, wire.encode(wire.Orders(machine.token, [])))
+            else:
+                reply = self._newer(machine, report)
         self._changed()
         return reply
 
+    def _newer(self, machine: Machine, report: wire.Report) -> Reply:
+        """Take over a report, and answer it with what there is to do."""
+        now = self._clock.now()
+        self._obedience.reported(machine, report, now)
+        # A worker sends one report at a time, so that a newer one tells that the commands of
+        # the response before it were either executed or given up.
+        machine.response_open = False
+        self._reports.apply(machine, report, direct=False)
+        if machine.deaf:
+            # An answer that got through after all would renew the lease whose end is waited for.
+            return error_reply(503, "given up", 1)
+        machine.answered_at = max(machine.answered_at, now)
+        self._obedience.answered(machine, now)
+        commands = self._commands(machine, direct=False)
+        return Reply(200, wire.encode(wire.Orders(machine.token, commands)))
+
+    def _unproven(self, machine: Machine, report: wire.Report) -> Reply:
+        """Answer the first word since we took over, sent to us or, long ago, to an owner before.
+
+        It tells where to ask. Taken for new, a copy in which a task had exited had it placed
+        elsewhere, although it had been launched again and ran.
+        """
+        now = self._clock.now()
+        machine.addr = report.addr
+        if machine.spoke_at is None:
+            machine.spoke_at = now
+        self._reports.testify(machine, report)
+        self._model.pushes.add(machine.index)
+        if machine.attempts and now > machine.answered_at:
+            # What may be a copy must not renew its lease: that would have to count. An answer
+            # without a token is dropped; until its next report the worker has been asked.
+            return Reply(200, DROPPED)
+        halts = []
+        for item in report.tasks:
+            # Only the worker itself can receive this, and then it is no copy.
+            found = self._model.find(item.task)
+            attempt = None
+            if found is not None:
+                attempt = machine.attempts.get((found[0].index, found[1]))
+            ours = attempt is not None and attempt.number == item.attempt and not attempt.stopping
+            if item.state != "exited" and not ours:
+                halts.append(wire.Command("halt", item.task, item.attempt, 0.0))
+        return Reply(200, wire.encode(wire.Orders(machine.token, halts[:MOST_COMMANDS])))
+
+    def _stranger(self, report: wire.Report) -> None:
+        """A machine without a record: it is adopted when it has answered itself. Late copies of a
+        released one's reports came to a leader that had not seen its record go, which recorded it
+        and looked for it in vain."""
+        name = report.machine
+        if name not in self._model.gone and name not in self._met and self._member.is_leader:
+            self._met.add(name)
+            self._spawn(self._meet(name, report.addr))
+
+    async def _meet(self, name: str, address: str) -> None:
+        report = await inspect(self._http, address, INSPECT_S)
+        with self._model.lock:
+            self._met.discard(name)
+            if report is not None and report.machine == name and self._member.is_leader:
+                self._model.unknown[name] = report
+
     def _stand_in(self, report: wire.Report) -> Reply:
         """Let the worker's lease go on; what was cancelled is halted, nothing else is ordered."""
         halts = []
@@ -203,7 +274,8 @@
                 self._spawn(self._inspect(machine))
             return
         commands = self._commands(machine, direct=True)
-        if not commands and (machine.greeted or machine.shown_token >= machine.token):
+        greeted = machine.greeted and not machine.deaf
+        if not commands and (greeted or machine.shown_token >= machine.token):
             return
         # Without commands it shows the worker our token: from then on it drops what an owner
         # before may still send, and leaves that one for us.
@@ -235,6 +307,7 @@
         model = self._model
         token, term, session = machine.token, machine.term, machine.session
         body = wire.encode(wire.DirectOrders(token, session, commands))
+        machine.told_directly = max(machine.told_directly, token)
         report: wire.Report | None = None
         unanswered = sent = True
         try:
@@ -259,6 +332,7 @@
                 # The command may be executed at any later time. A higher token fences it as soon
                 # as the worker has shown it.
                 machine.doubt = max(machine.doubt, token)
+                machine.doubt_session = max(machine.doubt_session or 0, session)
                 machine.bump += 1
                 for attempt in launched:
                     attempt.sent = False
@@ -277,6 +351,8 @@
                     if command.op == "reap":
                         machine.shown.pop(command.task, None)
                 self._reports.apply(machine, report, direct=True)
+                if machine.deaf and report.token >= machine.token:
+                    obeys(machine)
                 if mark >= (machine.session, machine.seq):
                     model.pushes.add(machine.index)
         self._changed()
--- a/badgerseam/workers/reports.py
+++ b/badgerseam/workers/reports.py
@@ -28,7 +28,8 @@
         """Take over a report; False if it is older than what is known.
 
         `direct`: it came as the response to a direct command, perhaps while the response to a
-        report is still on its way to the worker with launches in it.
+        report is still on its way to the worker with launches in it. Any other report is one that
+        `Machine.proven` vouches for.
         """
         mark = (report.session, report.seq)
         if mark <= (machine.session, machine.seq):
@@ -50,7 +51,7 @@
         else:
             machine.recall_at = now + report.notice_s
             machine.draining = True
-        current = report.token > machine.doubt
+        current = machine.settled(report.token, report.session)
         shown: dict[str, wire.TaskReport] = {}
         strays = NOTHING
         seen: set[tuple[int, int]] = set()
@@ -89,10 +90,22 @@
                 # It was there and is gone without a word: its session has ended.
                 attempt.stage = Stage.PLACED
                 machine.node = None
-            if attempt.stopping or machine.draining:
+            if attempt.stopping or machine.draining or machine.deaf:
                 model.unplace(attempt)
         return True
 
+    def testify(self, machine: Machine, report: wire.Report) -> None:
+        """Take over what stays true however late a report comes: that tasks are done."""
+        for item in report.tasks:
+            found = self._model.find(item.task)
+            if found is None or item.state != "exited" or item.why != "done":
+                continue
+            attempt = machine.attempts.get((found[0].index, found[1]))
+            if attempt is None or attempt.number != item.attempt or attempt.finishing:
+                continue
+            if attempt.stage != Stage.PLANNED and attempt.job.phase == Phase.OPEN:
+                self._progress(machine, attempt, item, self._model.clock.now())
+
     def _progress(
         self, machine: Machine, attempt: Attempt, item: wire.TaskReport, now: float
     ) -> None:
--- a/badgerseam/workers/silence.py
+++ b/badgerseam/workers/silence.py
@@ -14,6 +14,7 @@
 from badgerseam.model.model import Model
 from badgerseam.settings import Tunables
 from badgerseam.workers.inspection import inspect
+from badgerseam.workers.obeying import CERTAIN, disobeys
 from badgerseam.workers.reports import Reports
 
 log = logging.getLogger("badgerseam.workers")
@@ -93,30 +94,71 @@
         model = self._model
         now = self._clock.now()
         silent: list[Machine] = []
+        mute: list[Machine] = []
         heard: dict[str, int] = {}
         for machine in model.machines.values():
             share = model.shares[machine.share]
             if machine.lost or machine.dropped or not share.owned:
                 continue
-            # One that has not been heard since a takeover is missed as well, if it held work.
-            heard_at = max(machine.heard_at, machine.taken_at)
+            # One that has not been heard since a takeover is missed as well, if it held work, or
+            # has sent what might be late copies since.
+            heard_at = max(machine.heard_at, machine.taken_at, machine.spoke_at or machine.taken_at)
             if now - heard_at > SILENT_REPORTS * self._report_s:
-                if machine.session > 0 or machine.attempts:
+                if machine.session > 0 or machine.attempts or machine.spoke_at is not None:
                     silent.append(machine)
+            elif machine.unheard:
+                if disobeys(machine, now):
+                    mute.append(machine)
             elif machine.session > 0 and now - machine.heard_at <= RECENT_REPORTS * self._report_s:
                 # Only what was heard since the others fell silent tells that it lies with them:
                 # when a zone is cut off, all of its machines fall silent within one interval, and
                 # the first to be missed were given up since the last seemed to be heard still.
                 heard[machine.zone] = heard.get(machine.zone, 0) + 1
+        silent += mute
         if len(silent) > max(1, sum(heard.values()) // 2):
             return
         for machine in silent:
             if not machine.addr:
                 # Its address is still to be learnt: nothing can be said about it.
                 continue
-            if heard.get(machine.zone) and not machine.probing and not machine.given_up:
+            if not heard.get(machine.zone) or machine.probing or machine.given_up:
+                continue
+            if machine not in mute:
                 machine.probing = True
                 self._spawn(self._probe(machine))
+            elif machine.unheard > machine.unheard_asked:
+                machine.probing = True
+                machine.unheard_asked = machine.unheard
+                self._spawn(self._try(machine))
+
+    async def _try(self, machine: Machine) -> None:
+        """Ask a machine that reports and has shown to hear no answer; one that answers is left a
+        few answers more, since what it loses may come to an end."""
+        term = machine.term
+        report = await inspect(self._http, machine.addr, PROBE_S)
+        with self._model.lock:
+            machine.probing = False
+            share = self._model.shares[machine.share]
+            if machine.term != term or not share.owned or machine.given_up:
+                return
+            if not disobeys(machine, self._clock.now()) or not self._member.fresh(
+                2 * self._report_s
+            ):
+                return
+            if report is not None and report.machine == machine.name:
+                self._reports.apply(machine, report, direct=True)
+                if machine.unheard < CERTAIN:
+                    return
+            log.info(
+                "%s reports and does not obey, with %d tasks: given up",
+                machine.name,
+                len(machine.attempts),
+            )
+            machine.deaf = machine.given_up = True
+            # Shown, this token tells that it hears again.
+            machine.bump += 1
+            machine.node = None
+        self._changed()
 
     async def _probe(self, machine: Machine) -> None:
         term, heard_at = machine.term, machine.heard_at
