--- a/badgerseam/model/machine.py
+++ b/badgerseam/model/machine.py
@@ -50,6 +50,9 @@
     """Highest token of a command that may still be in flight on `/do`."""
     doubt_session: int | None = None
     """The latest session for which such commands were sent, where that is known of all of them."""
+    reported: tuple[int, int] = (0, 0)
+    """(session, seq) of the newest report that was answered; `session` and `seq` may be of an
+    answer to a question or command."""
     spoke_at: float | None = None
     """When a report came first of which it cannot be told whether it is a late copy."""
     heard_at: float = -1e9
@@ -136,6 +139,7 @@
         self.lost = False
         self.response_open = False
         self.spoke_at = None
+        self.reported = (0, 0)
         self.told = self.told_directly = 0
         self.told_at = -1e9
         self.unheard = self.unheard_asked = 0
@@ -150,6 +154,12 @@
         """It has not answered yet what has to be asked or said again until it does."""
         return self.session == 0 or self.failures > 0 or self.shown_token < self.token
 
+    @property
+    def hard_of_hearing(self) -> bool:
+        """Commands would probably not reach it: an answer has not, and a direct command neither, or
+        several answers have not. One answer alone may be a lost packet, or our own delay."""
+        return self.deaf or self.unheard > 1 or (self.unheard > 0 and self.failures > 0)
+
     @property
     def clear(self) -> bool:
         """No earlier direct command can still be executed."""
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -112,7 +112,7 @@
             return "not_heard"
         if machine.draining:
             return "draining"
-        if machine.unheard or machine.deaf:
+        if machine.hard_of_hearing:
             return "deaf"
         if now - machine.heard_at >= 3 * self._model.settings.params.workers.report_s + 0.5:
             return "silent"
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -19,7 +19,7 @@
 from badgerseam.wire import workers as wire
 from badgerseam.workers.hearing import Hearing
 from badgerseam.workers.inspection import inspect
-from badgerseam.workers.obeying import Obedience, obeys
+from badgerseam.workers.obeying import Obedience, taken_back
 from badgerseam.workers.reports import Reports
 from badgerseam.workers.silence import Silence
 
@@ -115,9 +115,11 @@
             if not proven:
                 reply = self._unproven(machine, report)
             elif not newer:
-                # A copy, or overtaken by an answer to us: it was sent before the newest message
-                # that we know came, and its lease goes on no longer than that one's would.
-                machine.answered_at = max(machine.answered_at, machine.heard_at)
+                # A copy, or overtaken by an answer to us: sent before that answer came, the lease
+                # goes on no longer than from then on.
+                if (report.session, report.seq) > machine.reported:
+                    machine.reported = report.session, report.seq
+                    machine.answered_at = max(machine.answered_at, machine.heard_at)
                 reply = Reply(200, wire.encode(wire.Orders(machine.token, [])))
             else:
                 reply = self._newer(machine, report)
@@ -136,6 +138,7 @@
             # An answer that got through after all would renew the lease whose end is waited for.
             return error_reply(503, "given up", 1)
         machine.answered_at = max(machine.answered_at, now)
+        machine.reported = report.session, report.seq
         self._obedience.answered(machine, now)
         commands = self._commands(machine, direct=False)
         return Reply(200, wire.encode(wire.Orders(machine.token, commands)))
@@ -351,8 +354,7 @@
                     if command.op == "reap":
                         machine.shown.pop(command.task, None)
                 self._reports.apply(machine, report, direct=True)
-                if machine.deaf and report.token >= machine.token:
-                    obeys(machine)
+                taken_back(machine, report)
                 if mark >= (machine.session, machine.seq):
                     model.pushes.add(machine.index)
         self._changed()
--- a/badgerseam/workers/obeying.py
+++ b/badgerseam/workers/obeying.py
@@ -45,8 +45,7 @@
         """A report has come that is newer than what is known, and is not taken over yet."""
         passed_s = now - machine.told_at
         if machine.deaf:
-            if report.token >= machine.token:
-                obeys(machine)
+            taken_back(machine, report)
             return
         if machine.told > machine.told_directly:
             missed = report.token < machine.told
@@ -78,9 +77,28 @@
     return machine.unheard >= ENOUGH and now - machine.unheard_at > PATIENCE_S
 
 
+def excuse(machine: Machine, now: float) -> None:
+    """What a machine has missed is no fault of its own: it is counted anew, from one answer on."""
+    machine.unheard, machine.unheard_at, machine.unheard_asked = 1, now, 0
+
+
 def obeys(machine: Machine) -> None:
-    """A machine has shown what only an answer, or a command, can have told it."""
+    """A machine has shown what only an answer can have told it."""
     machine.unheard = machine.unheard_asked = 0
-    if machine.deaf and not machine.dropped and not machine.returning:
+
+
+def taken_back(machine: Machine, report: wire.Report) -> None:
+    """A machine that was given up may be used again if a direct command has reached it after all,
+    and its release has not been asked for. Where direct commands reached it all the time, that
+    tells nothing of answers."""
+    if (
+        machine.deaf
+        and report.token >= machine.token
+        and machine.unheard < CERTAIN
+        and not machine.dropped
+        and not machine.returning
+    ):
         log.info("%s obeys again", machine.name)
         machine.deaf = machine.given_up = False
+        machine.node = None
+        obeys(machine)
--- a/badgerseam/workers/silence.py
+++ b/badgerseam/workers/silence.py
@@ -14,7 +14,7 @@
 from badgerseam.model.model import Model
 from badgerseam.settings import Tunables
 from badgerseam.workers.inspection import inspect
-from badgerseam.workers.obeying import CERTAIN, disobeys
+from badgerseam.workers.obeying import CERTAIN, disobeys, excuse
 from badgerseam.workers.reports import Reports
 
 log = logging.getLogger("badgerseam.workers")
@@ -107,29 +107,32 @@
                 if machine.session > 0 or machine.attempts or machine.spoke_at is not None:
                     silent.append(machine)
             elif machine.unheard:
-                if disobeys(machine, now):
+                if disobeys(machine, now) and not machine.given_up:
                     mute.append(machine)
             elif machine.session > 0 and now - machine.heard_at <= RECENT_REPORTS * self._report_s:
                 # Only what was heard since the others fell silent tells that it lies with them:
                 # when a zone is cut off, all of its machines fall silent within one interval, and
                 # the first to be missed were given up since the last seemed to be heard still.
                 heard[machine.zone] = heard.get(machine.zone, 0) + 1
-        silent += mute
-        if len(silent) > max(1, sum(heard.values()) // 2):
+        many = len(silent) + len(mute) > max(1, sum(heard.values()) // 2)
+        for machine in mute:
+            if many or not heard.get(machine.zone):
+                # Nor does what it missed count when that is over: of a zone that heals, the first
+                # to be heard had the others given up.
+                excuse(machine, now)
+            elif machine.unheard > machine.unheard_asked and not machine.probing:
+                machine.probing = True
+                machine.unheard_asked = machine.unheard
+                self._spawn(self._try(machine))
+        if many:
             return
         for machine in silent:
             if not machine.addr:
                 # Its address is still to be learnt: nothing can be said about it.
                 continue
-            if not heard.get(machine.zone) or machine.probing or machine.given_up:
-                continue
-            if machine not in mute:
+            if heard.get(machine.zone) and not machine.probing and not machine.given_up:
                 machine.probing = True
                 self._spawn(self._probe(machine))
-            elif machine.unheard > machine.unheard_asked:
-                machine.probing = True
-                machine.unheard_asked = machine.unheard
-                self._spawn(self._try(machine))
 
     async def _try(self, machine: Machine) -> None:
         """Ask a machine that reports and has shown to hear no answer; one that answers is left a
--- /dev/null
+++ b/tests/roads.py
@@ -0,0 +1,124 @@
+"""Workers that report by the protocol's times, over ways that can lose either direction."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import msgspec
+
+from badgerseam.http.client import NoResponse, Response
+from badgerseam.http.server import Reply
+from badgerseam.model.machine import Machine
+from badgerseam.wire import workers as wire
+from tests.stand_ins import FakeHttp, Rig, Worker
+
+STEP_S = 0.25
+WALK_S = 5.25
+"""A report without an answer: 4 s, one more, and a redirect back by the next controller."""
+
+
+class Seat(Worker):
+    """A worker with a clock, and what is lost between it and the controllers."""
+
+    def __init__(self, rig: Rig, name: str, zone: str = "a") -> None:
+        super().__init__(name, zone=zone)
+        self.who.addr = f"{name}:9000"
+        self._clock = rig.clock
+        self._at = self._renewed = rig.clock.now()
+        self.hears = True
+        """Answers reach it."""
+        self.obeys = True
+        """Direct requests do."""
+        self.speaks = True
+        """Its reports arrive."""
+        self.due_at = rig.clock.now()
+        self.statuses: list[int] = []
+
+    def step(self, rig: Rig) -> None:
+        self.advance()
+        now = rig.clock.now()
+        if now < self.due_at:
+            return
+        self.changed = False
+        body, session = self.body(), self.session
+        self.due_at = now + WALK_S
+        if not self.speaks:
+            return
+        reply = rig.control.checkin(body)
+        self.statuses.append(reply.status)
+        if not self.hears:
+            return
+        self.due_at = now + 1.5
+        if reply.status == 200:
+            self.take(reply, now, session)
+            self.due_at = now + (0.5 if self.changed else 2.0)
+
+    def take(self, reply: Reply, sent_at: float, session: int) -> None:
+        message: dict[str, Any] = msgspec.json.decode(reply.body)
+        if "warrant" in message:
+            self.answered(sent_at, session, msgspec.convert(message, wire.Orders))
+
+
+class Roads(FakeHttp):
+    """Direct requests find the seat at an address."""
+
+    def __init__(self, seats: dict[str, Seat]) -> None:
+        super().__init__()
+        self.seats = seats
+
+    async def request(
+        self, address: str, method: str, path: str, body: bytes | None, deadline_s: float
+    ) -> Response:
+        await asyncio.sleep(0)
+        seat = self.seats.get(address.partition(":")[0])
+        if seat is None or not seat.obeys:
+            raise NoResponse("nobody there")
+        if body is None:
+            return Response(200, seat.body())
+        return seat.do(msgspec.json.decode(body))
+
+
+class Field:
+    """One owner and its machines."""
+
+    def __init__(self, names: list[str], zones: str = "a", rig: Rig | None = None) -> None:
+        """`zones`: of the machines, in turn."""
+        self.rig = Rig() if rig is None else rig
+        if rig is None:
+            self.rig.own()
+        self.seats: dict[str, Seat] = {}
+        self.roads = Roads(self.seats)
+        for place, name in enumerate(names):
+            zone = zones[place % len(zones)]
+            self.seats[name] = Seat(self.rig, name, zone)
+            self.rig.machine(name, zone).addr = f"{name}:9000"
+            # They do not report all at once.
+            self.seats[name].due_at += 2.0 * place / len(names)
+        self.join(self.rig)
+
+    def join(self, rig: Rig) -> None:
+        """Have a controller's direct requests reach the machines."""
+        rig.control._http = rig.control.silence._http = self.roads  # type: ignore[assignment]
+
+    def machine(self, name: str) -> Machine:
+        machine = self.rig.model.machine(name)
+        assert machine is not None
+        return machine
+
+    def go_on(self, seconds: float) -> None:
+        asyncio.run(self._go_on(seconds))
+
+    async def _go_on(self, seconds: float) -> None:
+        rig = self.rig
+        for _ in range(round(seconds / STEP_S)):
+            rig.clock.time += STEP_S
+            rig.lease()
+            rig.deputies.look()
+            for seat in self.seats.values():
+                seat.step(rig)
+            rig.control.watch()
+            rig.control.suspect()
+            for machine in list(rig.model.machines.values()):
+                rig.control.push(machine)
+            await rig.settle(6)
--- /dev/null
+++ b/tests/test_copies.py
@@ -0,0 +1,323 @@
+"""Copies of reports that come late, to whomever: they change nothing but what stays true."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from badgerseam.http.client import Response
+from badgerseam.model.job import IDLE, Job, Stage
+from badgerseam.model.keys import LEADER_KEY
+from badgerseam.model.machine import Machine
+from badgerseam.wire import state as wire
+from tests.roads import Field, Seat
+from tests.stand_ins import Rig, Worker, silent, submission
+
+TASK = "job-000001/0"
+
+
+def known(machine: Machine) -> tuple[Any, ...]:
+    """What no copy may touch."""
+    return (
+        (machine.session, machine.seq, machine.heard_at, machine.answered_at, machine.recall_at),
+        (machine.doubt, machine.doubt_session, machine.shown_token, machine.draining),
+        (machine.unheard, machine.told, machine.given_up, machine.response_open),
+        len(machine.failed_jobs),
+        [(a.name, a.number, a.stage, a.stopping, a.sent) for a in machine.attempts.values()],
+    )
+
+
+def errors(job: Job) -> tuple[int, int, float]:
+    return job.errors, len(job.failed_on), job.retry_at
+
+
+def taken_over(number: int = 1) -> tuple[Rig, Machine, Job, Worker]:
+    """A share with a task on a machine, taken over from n-1, which gave it tokens like 5."""
+    rig = Rig()
+    machine = rig.machine()
+    job = rig.job(pieces=1)
+    rig.page(0, rig.rows(job.id, (0, number, "m-1")))
+    rig.claim(node="n-1", lease=9)
+    rig.own()
+    return rig, machine, job, Worker(token=5)
+
+
+@pytest.mark.parametrize("cause", ["halted", "error", "full"])
+def test_a_first_word_from_before_a_takeover_is_no_end(cause: str) -> None:
+    # The session had ended since, and the owner before launched the same attempt again.
+    rig, machine, job, worker = taken_over()
+    worker.hold(TASK)
+    worker.finish(TASK, cause)
+    copy = worker.body()
+    worker.end_session()
+    worker.hold(TASK)
+    before = known(machine), errors(job)
+    rig.checkin(copy)
+    assert (known(machine), errors(job)) == before
+    assert job.attempts[0].machine is machine
+    rig.report(worker)
+    assert job.attempts[0].stage == Stage.RUNNING
+
+
+def test_a_first_word_that_a_task_is_done_stays_true() -> None:
+    rig, machine, job, worker = taken_over()
+    worker.hold(TASK)
+    worker.finish(TASK)
+    rig.checkin(worker.body())
+    assert job.finished == 1
+    assert machine.session == 0
+
+
+def test_a_first_word_shows_where_to_ask() -> None:
+    rig, machine, job, worker = taken_over()
+    worker.hold(TASK)
+    machine.addr = ""
+    rig.checkin(worker.body())
+    assert machine.index in rig.model.pushes
+    rig.http.script = [lambda _: Response(200, worker.body())]
+    asyncio.run(rig.push(machine))
+    assert job.attempts[0].stage == Stage.RUNNING
+    assert machine.session == 1
+
+
+def test_a_first_word_does_not_let_a_lease_seem_longer() -> None:
+    rig, machine, _, worker = taken_over()
+    rig.go_on(rig.model.cut_bound_s + 10.0)
+    until = machine.answered_at
+    # Unanswered it would walk on; without a token the answer renews nothing.
+    assert "warrant" not in rig.checkin(worker.body())
+    assert machine.answered_at == until
+    rig.go_on(7.2)
+    assert rig.watch() == [machine]
+
+
+def test_a_copy_from_before_a_reap_brings_nothing_back() -> None:
+    rig = Rig()
+    rig.own()
+    machine = rig.machine()
+    worker = Worker()
+    rig.report(worker)
+    job = rig.job(pieces=2)
+    rig.running(job, 0, machine, worker)
+    rig.report(worker)
+    worker.finish(TASK, "error")
+    copy = worker.body()
+    rig.checkin(copy)
+    rig.report(worker)
+    rig.report(worker)
+    assert TASK not in worker.tasks
+    before = known(machine), errors(job)
+    assert errors(job)[0] == 1
+    assert rig.checkin(copy)["orders"] == []
+    assert (known(machine), errors(job)) == before
+    assert job.status[0] == IDLE
+
+
+def test_a_recall_does_not_come_back() -> None:
+    rig, machine, _, worker = taken_over()
+    worker.notice_at = worker._clock.now() + 20.0
+    copy = worker.body()
+    worker.notice_at = None
+    rig.checkin(copy)
+    assert machine.recall_at is None
+    assert not machine.draining
+    rig.report(worker)
+    rig.checkin(copy)
+    assert machine.recall_at is None
+
+
+def test_an_overtaken_report_counts_as_renewed_no_longer_than_what_overtook_it() -> None:
+    rig = Rig()
+    rig.own()
+    machine = rig.machine()
+    worker = Worker()
+    rig.report(worker)
+    late = worker.body()
+    rig.clock.time += 1.0
+    machine.shown_token = 0
+    machine.greeted = False
+    machine.bump += 1
+    rig.http.script = [worker.do]
+    asyncio.run(rig.push(machine))
+    asked_at = machine.heard_at
+    assert asked_at == rig.clock.now()
+    rig.clock.time += 9.0
+    rig.lease()
+    rig.checkin(late)
+    assert machine.answered_at == asked_at, "sent before that answer, it can have been answered"
+    machine.heard_at += 1.0
+    rig.checkin(late)
+    assert machine.answered_at == asked_at, "a copy of what was answered"
+
+
+def leader() -> Rig:
+    rig = Rig()
+    rig.set(LEADER_KEY, wire.Claim("n-0", 1))
+    rig.own()
+    return rig
+
+
+async def strange(rig: Rig, worker: Worker) -> None:
+    assert rig.control.checkin(worker.body()).status == 421
+    await rig.settle(6)
+
+
+def test_a_released_machine_is_no_ghost_to_one_that_did_not_see_it_go() -> None:
+    rig = leader()
+    rig.http.script = [silent, lambda _: Response(200, Worker("m-8").body())]
+    asyncio.run(strange(rig, Worker("m-9")))
+    assert not rig.model.unknown
+    asyncio.run(strange(rig, Worker("m-9")))
+    assert not rig.model.unknown, "another has its address now"
+    worker = Worker("m-9")
+    rig.http.script = [lambda _: Response(200, worker.body())]
+    asyncio.run(strange(rig, worker))
+    assert list(rig.model.unknown) == ["m-9"]
+
+
+def test_only_a_leader_asks_machines_without_a_record() -> None:
+    rig = Rig()
+    asyncio.run(strange(rig, Worker("m-9")))
+    assert not rig.http.sent
+
+
+# ---- histories ----
+
+
+class Worlds:
+    """A machine beside another, two controllers that take the share from each other, and copies of
+    all that the machines have ever reported."""
+
+    def __init__(self) -> None:
+        first = Rig()
+        self.rigs = [first, Rig(beside=first, node="n-1")]
+        self.owner = 0
+        first.own()
+        self.field = Field(["m-1", "m-2"], rig=first)
+        self.rigs[1].sync()
+        self.field.join(self.rigs[1])
+        job_id = "job-000001"
+        spec = submission(pieces=2)
+        first.set(f"bs/j/{job_id}", wire.StoredJob("open", 2, first.clock.wall(), spec))
+        self.on: dict[str, set[str]] = {}
+        self.copies: list[tuple[str, bytes, bool]] = []
+        """Machine, report, and whether it has reached an owner."""
+        for seat in self.field.seats.values():
+            seat._watch = self.watch
+
+    def watch(self, event: str, machine: str, task: str, attempt: int) -> None:
+        where = self.on.setdefault(task, set())
+        if event == "on":
+            where.add(machine)
+            assert len(where) == 1, f"{task} runs on {where}"
+        else:
+            where.discard(machine)
+
+    @property
+    def rig(self) -> Rig:
+        return self.rigs[self.owner]
+
+    async def step(self, seconds: float = 0.5) -> None:
+        """Time passes, the owner plans, writes and asks."""
+        rig = self.rig
+        rig.clock.time += seconds
+        for each in self.rigs:
+            each.sync()
+            each.lease()
+            each.member.review()
+            each.deputies.look()
+        rig.plan()
+        await rig.settle(6)
+        rig.control.watch()
+        for machine in list(rig.model.machines.values()):
+            rig.control.push(machine)
+        await rig.settle(6)
+        for seat in self.field.seats.values():
+            seat.advance()
+
+    async def report(self, seat: Seat, arrives: bool, heard: bool, right: bool = True) -> None:
+        """To the owner, or first to the other one; it, or its answer, may be lost."""
+        body, session = seat.body(), seat.session
+        self.copies.append((seat.who.name, body, arrives and right))
+        if not arrives:
+            return
+        rig = self.rig if right else self.rigs[1 - self.owner]
+        reply = rig.control.checkin(body)
+        if heard and reply.status == 200:
+            seat.take(reply, rig.clock.now(), session)
+        await self.step(0.0)
+
+    async def copy(self, number: int, to: int) -> None:
+        name, body, reached = self.copies[number % len(self.copies)]
+        rig = self.rigs[to]
+        machine = rig.model.machine(name)
+        if machine is None:
+            rig.control.checkin(body)
+            return
+        tick: dict[str, int] = msgspec.json.decode(body)
+        late = (tick["tenure"], tick["tick"]) > (machine.session, machine.seq)
+        if rig.model.shares[0].owned and late and not reached and machine.proven(tick["warrant"]):
+            # Newer than all that has reached this owner: a report that is late, not a copy.
+            return
+        jobs = [job for job in rig.model.jobs if job is not None]
+        done = sum(job.finished for job in jobs)
+        before = known(machine), [errors(job) for job in jobs]
+        rig.control.checkin(body)
+        if sum(job.finished for job in jobs) == done:
+            assert (known(machine), [errors(job) for job in jobs]) == before
+
+    async def take_over(self) -> None:
+        self.owner = 1 - self.owner
+        rig = self.rig
+        rig.sync()
+        rig.claim(0, rig.member.node)
+        await self.step(0.0)
+        assert rig.model.shares[0].owned
+
+    async def act(self, op: int, which: int, number: int) -> None:
+        seat = list(self.field.seats.values())[which]
+        if op <= 2:
+            await self.step(0.5 + number % 4)
+            await self.report(seat, True, True)
+        elif op == 3:
+            await self.report(seat, number % 2 == 0, False, number % 3 > 0)
+        elif op == 4:
+            seat.obeys = not seat.obeys
+        elif op == 5:
+            await self.take_over()
+        elif op == 6:
+            seat.end_session()
+        elif op == 7:
+            live = [held for held in seat.tasks.values() if held.phase != "exited"]
+            if live:
+                seat.finish(live[0].task, ["done", "error", "error"][number % 3])
+        elif op == 8:
+            # Long enough for a lease, and for the bounds of owners before.
+            await self.step(6.0)
+        elif self.copies:
+            await self.copy(number, which)
+
+
+OPS = st.tuples(st.integers(0, 14), st.integers(0, 1), st.integers(0, 60))
+
+
+@settings(derandomize=True, deadline=None, max_examples=60, database=None)
+@given(st.lists(OPS, min_size=20, max_size=60))
+def test_no_history_of_copies_has_a_task_twice_or_changes_what_is_known(
+    history: list[tuple[int, int, int]],
+) -> None:
+    async def play() -> None:
+        world = Worlds()
+        for seat in world.field.seats.values():
+            await world.report(seat, True, True)
+            await world.report(seat, True, True)
+        await world.step()
+        for op, which, number in history:
+            await world.act(op, which, number)
+
+    asyncio.run(play())
--- /dev/null
+++ b/tests/test_obeying.py
@@ -0,0 +1,177 @@
+"""Machines that report and obey nothing: told from their own reports, and given up in time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from badgerseam.model.job import IDLE, Phase, Stage
+from tests.roads import WALK_S, Field
+from tests.stand_ins import Rig, Worker, silent
+
+TASK = "job-000001/0"
+NAMES = [f"m-{number}" for number in range(1, 7)]
+
+
+def field(zones: str = "a") -> Field:
+    """Six machines that run well."""
+    found = Field(NAMES, zones)
+    found.go_on(6.0)
+    assert all(found.machine(name).session == 1 for name in NAMES)
+    return found
+
+
+def given_up(found: Field) -> list[str]:
+    return [m.name for m in found.rig.model.machines.values() if m.given_up]
+
+
+def test_a_machine_that_hears_nothing_gets_no_work_and_is_given_up() -> None:
+    found = field()
+    rig, seat, machine = found.rig, found.seats["m-3"], found.machine("m-3")
+    seat.hears = seat.obeys = False
+    found.go_on(2 * WALK_S - 2.0)
+    assert machine.unheard == 1
+    rig.model.place(rig.job(pieces=1), 0, 1, machine, Stage.PLACED)
+    found.go_on(0.5)
+    assert rig.planner.out_of_use(machine, rig.clock.now()) == "deaf"
+    assert not machine.given_up, "its tasks may still live"
+    found.go_on(2.5)
+    assert given_up(found) == ["m-3"]
+    assert machine in rig.returns.finished()
+    answered = machine.answered_at
+    found.go_on(WALK_S)
+    assert seat.statuses[-1] == 503, "an answer that gets through would renew its lease"
+    assert machine.answered_at in (answered, machine.heard_at)
+
+
+def test_a_walk_through_all_controllers_is_told_as_silence() -> None:
+    found = field()
+    seat = found.seats["m-3"]
+    seat.hears = seat.obeys = False
+    for _ in range(3):
+        # Two of three reports go to the others.
+        found.go_on(1.0)
+        seat.due_at = max(seat.due_at, found.rig.clock.now() + 3 * WALK_S - 1.0)
+        found.go_on(4.0)
+    assert given_up(found) == ["m-3"]
+
+
+@pytest.mark.parametrize("lost", ["answer", "report", "both", "direct"])
+def test_what_drops_once_is_no_reason(lost: str) -> None:
+    found = field()
+    seat, machine = found.seats["m-3"], found.machine("m-3")
+    for _ in range(4):
+        seat.hears = lost not in ("answer", "both")
+        seat.speaks = lost not in ("report", "both")
+        seat.obeys = lost != "direct"
+        found.go_on(2.25)
+        seat.hears = seat.speaks = seat.obeys = True
+        found.go_on(9.0)
+        assert not machine.unheard
+    assert given_up(found) == []
+    assert seat.session == 1
+
+
+def test_a_zone_that_hears_nothing_is_not_given_up_machine_by_machine() -> None:
+    found = field("ab")
+    for name in NAMES[::2]:
+        found.seats[name].hears = found.seats[name].obeys = False
+    found.go_on(40.0)
+    assert given_up(found) == []
+    for name in NAMES[::2]:
+        found.seats[name].hears = found.seats[name].obeys = True
+    found.go_on(8.0)
+    now = found.rig.clock.now()
+    assert all(found.rig.planner.usable(found.machine(name), now) for name in NAMES)
+
+
+def test_direct_commands_alone_do_not_keep_a_machine() -> None:
+    # They renew no lease: its tasks were killed every fourteen seconds.
+    found = field()
+    found.seats["m-3"].hears = False
+    found.go_on(4.5 * WALK_S)
+    assert given_up(found) == ["m-3"]
+
+
+def test_one_that_obeys_again_before_its_release_is_asked_for_is_taken_back() -> None:
+    found = field()
+    rig, seat, machine = found.rig, found.seats["m-3"], found.machine("m-3")
+    seat.hears = seat.obeys = False
+    found.go_on(2 * WALK_S + 1.0)
+    assert machine.deaf
+    machine.returning = True
+    seat.hears = seat.obeys = True
+    found.go_on(2.0)
+    assert machine.deaf, "its release may have been asked for"
+    machine.returning = False
+    found.go_on(8.0)
+    assert given_up(found) == []
+    assert rig.planner.usable(machine, rig.clock.now())
+
+
+def test_work_goes_elsewhere_when_its_session_has_ended_and_not_before() -> None:
+    found = field()
+    rig, seat, machine = found.rig, found.seats["m-3"], found.machine("m-3")
+    job = rig.job(pieces=1, shape="standing")
+    rig.running(job, 0, machine, seat)
+    found.go_on(2.5)
+    assert job.attempts[0].stage == Stage.RUNNING
+    seat.hears = seat.obeys = False
+    while TASK in seat.tasks:
+        assert job.attempts[0].machine is machine, "it runs there"
+        found.go_on(0.25)
+    found.go_on(WALK_S)
+    assert not job.attempts, "a replica that is gone counted as running for ever"
+    assert job.status[0] == IDLE
+
+
+def test_a_direct_command_of_an_earlier_session_is_in_doubt_no_longer() -> None:
+    # No token reaches such a machine: its doubt stayed for ever, and cancelled tasks with it.
+    rig = Rig()
+    rig.own()
+    machine = rig.machine()
+    worker = Worker()
+    rig.report(worker)
+    rig.report(worker)
+    job = rig.job(pieces=1)
+    rig.model.place(job, 0, 1, machine, Stage.PLACED)
+    rig.http.script = [silent]
+    asyncio.run(rig.push(machine))
+    late = rig.http.sent[-1][2]
+    assert asyncio.run(rig.ledger.cancel(job.id)) == Phase.WITHDRAWN
+    rig.checkin(worker.body())
+    assert job.attempts, "the launch may still arrive"
+    worker.end_session()
+    assert worker.do(late).status == 409
+    rig.checkin(worker.body())
+    assert not job.attempts
+    assert machine.shown_token < machine.token
+
+
+def test_what_owners_before_us_sent_is_settled_by_our_token_alone() -> None:
+    # Which sessions they have seen is not known.
+    rig = Rig()
+    machine = rig.machine()
+    job = rig.job(pieces=1)
+    rig.page(0, rig.rows(job.id, (0, 1, "m-1")))
+    rig.claim(node="n-1", lease=9)
+    rig.own()
+    machine.doubt_session = 1
+    machine.session, machine.seq = 1, 7
+    job.attempts[0].stopping = True
+    worker = Worker(token=5)
+    worker.end_session()
+    rig.checkin(worker.body())
+    assert job.attempts
+
+
+def test_a_machine_deaf_since_before_a_takeover_is_given_up() -> None:
+    found = field()
+    rig, seat = found.rig, found.seats["m-3"]
+    rig.own()
+    rig.member.review()
+    seat.hears = seat.obeys = False
+    found.go_on(9.0)
+    assert found.machine("m-3").session == 0
+    assert given_up(found) == ["m-3"]
