--- a/badgerseam/workers/obeying.py
+++ b/badgerseam/workers/obeying.py
@@ -64,11 +64,10 @@
 
     def answered(self, machine: Machine, now: float) -> None:
         """The report is about to be answered with 200; the token may be raised for that."""
-        known = max(machine.shown_token, machine.told_directly)
-        if machine.unheard and machine.token <= known and not machine.busy:
+        if machine.unheard and machine.token <= machine.shown_token and not machine.busy:
             # Whatever carries a lower token is refused from then on: it is as if unanswered.
             machine.bump += 1
-        machine.told = machine.token if machine.token > known else 0
+        machine.told = machine.token if machine.token > machine.shown_token else 0
         machine.told_at = now
 
 
--- a/tests/roads.py
+++ b/tests/roads.py
@@ -14,6 +14,8 @@
 from tests.stand_ins import FakeHttp, Rig, Worker
 
 STEP_S = 0.25
+RESET_S = 1.25
+"""The same with a connection that breaks."""
 WALK_S = 5.25
 """A report without an answer: 4 s, one more, and a redirect back by the next controller."""
 
@@ -32,6 +34,7 @@
         """Direct requests do."""
         self.speaks = True
         """Its reports arrive."""
+        self.walk_s = WALK_S
         self.due_at = rig.clock.now()
         self.statuses: list[int] = []
 
@@ -42,7 +45,7 @@
             return
         self.changed = False
         body, session = self.body(), self.session
-        self.due_at = now + WALK_S
+        self.due_at = now + self.walk_s
         if not self.speaks:
             return
         reply = rig.control.checkin(body)
--- a/tests/test_obeying.py
+++ b/tests/test_obeying.py
@@ -7,7 +7,8 @@
 import pytest
 
 from badgerseam.model.job import IDLE, Phase, Stage
-from tests.roads import WALK_S, Field
+from badgerseam.model.machine import BUMP_BITS
+from tests.roads import RESET_S, WALK_S, Field
 from tests.stand_ins import Rig, Worker, silent
 
 TASK = "job-000001/0"
@@ -57,15 +58,22 @@
     assert given_up(found) == ["m-3"]
 
 
-@pytest.mark.parametrize("lost", ["answer", "report", "both", "direct"])
+@pytest.mark.parametrize("lost", ["answer", "report", "both", "direct", "resets"])
 def test_what_drops_once_is_no_reason(lost: str) -> None:
     found = field()
     seat, machine = found.seats["m-3"], found.machine("m-3")
     for _ in range(4):
-        seat.hears = lost not in ("answer", "both")
+        seat.hears = lost not in ("answer", "both", "resets")
         seat.speaks = lost not in ("report", "both")
-        seat.obeys = lost != "direct"
-        found.go_on(2.25)
+        seat.obeys = lost not in ("direct", "resets")
+        if lost == "resets":
+            # Three answers, but within the time that a single lost packet takes.
+            seat.walk_s = RESET_S
+            seat.due_at = found.rig.clock.now()
+            machine.bump += 1
+        found.go_on(3.25 if lost == "resets" else 2.25)
+        assert not machine.given_up
+        seat.walk_s = WALK_S
         seat.hears = seat.speaks = seat.obeys = True
         found.go_on(9.0)
         assert not machine.unheard
@@ -90,7 +98,22 @@
     # They renew no lease: its tasks were killed every fourteen seconds.
     found = field()
     found.seats["m-3"].hears = False
-    found.go_on(4.5 * WALK_S)
+    machine = found.machine("m-3")
+    for _ in range(round(4.5 * WALK_S / 0.25)):
+        # There is always something to command, so that tokens reach it that way.
+        machine.greeted = False
+        found.go_on(0.25)
+    assert machine.shown_token > machine.term << BUMP_BITS
+    assert given_up(found) == ["m-3"]
+
+
+def test_a_session_that_ends_although_its_reports_were_answered_tells_as_well() -> None:
+    # Where connections break it is back within a second, and its reports seem to come in time.
+    found = field()
+    seat = found.seats["m-3"]
+    seat.hears = seat.obeys = False
+    seat.walk_s = RESET_S
+    found.go_on(14.0 + 5.0)
     assert given_up(found) == ["m-3"]
 
 
