--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -154,6 +154,7 @@
         if machine.spoke_at is None:
             machine.spoke_at = now
         self._reports.testify(machine, report)
+        machine.push_after = 0.0
         self._model.pushes.add(machine.index)
         if machine.attempts and now > machine.answered_at:
             # What may be a copy must not renew its lease: that would have to count. An answer
--- a/badgerseam/workers/obeying.py
+++ b/badgerseam/workers/obeying.py
@@ -77,8 +77,9 @@
 
 
 def excuse(machine: Machine, now: float) -> None:
-    """What a machine has missed is no fault of its own: it is counted anew, from one answer on."""
-    machine.unheard, machine.unheard_at, machine.unheard_asked = 1, now, 0
+    """What a machine has missed is no fault of its own. It goes on being unfit for work, and more
+    has to be missed before it is asked."""
+    machine.unheard, machine.unheard_at, machine.unheard_asked = ENOUGH, now, ENOUGH
 
 
 def obeys(machine: Machine) -> None:
--- a/badgerseam/workers/reports.py
+++ b/badgerseam/workers/reports.py
@@ -90,7 +90,8 @@
                 # It was there and is gone without a word: its session has ended.
                 attempt.stage = Stage.PLACED
                 machine.node = None
-            if attempt.stopping or machine.draining or machine.deaf:
+            if attempt.stopping or machine.draining or machine.hard_of_hearing:
+                # Launches went there with each answer for ever, and were taken back each time.
                 model.unplace(attempt)
         return True
 
--- a/tests/test_obeying.py
+++ b/tests/test_obeying.py
@@ -83,10 +83,14 @@
 
 def test_a_zone_that_hears_nothing_is_not_given_up_machine_by_machine() -> None:
     found = field("ab")
+    job = found.rig.job(pieces=1)
+    found.rig.running(job, 0, found.machine("m-3"), found.seats["m-3"])
+    found.go_on(2.5)
     for name in NAMES[::2]:
         found.seats[name].hears = found.seats[name].obeys = False
     found.go_on(40.0)
     assert given_up(found) == []
+    assert not job.attempts, "its session has ended, and nothing launched there is heard of"
     for name in NAMES[::2]:
         found.seats[name].hears = found.seats[name].obeys = True
     found.go_on(8.0)
