--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -28,8 +28,6 @@
 DIRECT_S = 2.0
 INSPECT_S = 1.0
 RETRY_S = 1.0
-DROPPED = b'{"orders":[]}'
-"""An answer that a worker drops, and stays with us."""
 MOST_COMMANDS = 300
 """Commands in one response; some 90 bytes each, well within a line of 64 KiB."""
 
@@ -114,6 +112,8 @@
                 return error_reply(503, "given up", 1)
             if not proven:
                 reply = self._unproven(machine, report)
+            elif not newer and machine.deaf:
+                return error_reply(503, "given up", 1)
             elif not newer:
                 # A copy, or overtaken by an answer to us: sent before that answer came, the lease
                 # goes on no longer than from then on.
@@ -157,9 +157,11 @@
         machine.push_after = 0.0
         self._model.pushes.add(machine.index)
         if machine.attempts and now > machine.answered_at:
-            # What may be a copy must not renew its lease: that would have to count. An answer
-            # without a token is dropped; until its next report the worker has been asked.
-            return Reply(200, DROPPED)
+            # What may be a copy must not renew its lease: that would have to count. A worker drops
+            # an answer with a lower token, and stays; until its next report it has been asked.
+            if report.token == 0:
+                return error_reply(503, "not known yet", 1)
+            return Reply(200, wire.encode(wire.Orders(report.token - 1, [])))
         halts = []
         for item in report.tasks:
             # Only the worker itself can receive this, and then it is no copy.
--- a/tests/roads.py
+++ b/tests/roads.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
 
 import msgspec
 
@@ -58,9 +57,7 @@
             self.due_at = now + (0.5 if self.changed else 2.0)
 
     def take(self, reply: Reply, sent_at: float, session: int) -> None:
-        message: dict[str, Any] = msgspec.json.decode(reply.body)
-        if "warrant" in message:
-            self.answered(sent_at, session, msgspec.convert(message, wire.Orders))
+        self.answered(sent_at, session, msgspec.json.decode(reply.body, type=wire.Orders))
 
 
 class Roads(FakeHttp):
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -89,8 +89,8 @@
     rig, machine, _, worker = taken_over()
     rig.go_on(rig.model.cut_bound_s + 10.0)
     until = machine.answered_at
-    # Unanswered it would walk on; without a token the answer renews nothing.
-    assert "warrant" not in rig.checkin(worker.body())
+    # Unanswered it would walk on; with a lower token the answer renews nothing.
+    assert not worker.obey(rig.checkin(worker.body()))
     assert machine.answered_at == until
     rig.go_on(7.2)
     assert rig.watch() == [machine]
--- a/tests/test_obeying.py
+++ b/tests/test_obeying.py
@@ -43,6 +43,9 @@
     answered = machine.answered_at
     found.go_on(WALK_S)
     assert seat.statuses[-1] == 503, "an answer that gets through would renew its lease"
+    overtaken = seat.body()
+    machine.seq = seat.seq
+    assert rig.control.checkin(overtaken).status == 503
     assert machine.answered_at in (answered, machine.heard_at)
 
 
