--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -12,8 +12,9 @@
 
 from badgerseam.http.client import Response
 from badgerseam.model.job import IDLE, Job, Stage
-from badgerseam.model.keys import LEADER_KEY
+from badgerseam.model.keys import LEADER_KEY, group_key
 from badgerseam.model.machine import Machine
+from badgerseam.model.resources import NOTHING
 from badgerseam.wire import state as wire
 from tests.roads import Field, Seat
 from tests.stand_ins import Rig, Worker, silent, submission
@@ -155,6 +156,26 @@
     assert machine.answered_at == asked_at, "a copy of what was answered"
 
 
+def test_a_copy_from_before_a_move_is_no_word_of_the_share_that_got_the_machine() -> None:
+    rig = Rig(shares=2)
+    rig.own(0)
+    rig.own(1)
+    machine = rig.machine()
+    worker = Worker()
+    rig.report(worker)
+    worker.hold(TASK)
+    copy = worker.body()
+    rig.checkin(copy)
+    worker.end_session()
+    rig.set(group_key("g-m-1"), [rig.row(share=1)])
+    before = known(machine)
+    rig.checkin(copy)
+    assert known(machine) == before
+    assert machine.strays == NOTHING
+    rig.report(worker)
+    assert machine.session == 2
+
+
 def leader() -> Rig:
     rig = Rig()
     rig.set(LEADER_KEY, wire.Claim("n-0", 1))
@@ -280,7 +301,7 @@
         assert rig.model.shares[0].owned
 
     async def act(self, op: int, which: int, number: int) -> None:
-        seat = list(self.field.seats.values())[which]
+        seat = list(self.field.seats.values())[-which]
         if op <= 2:
             await self.step(0.5 + number % 4)
             await self.report(seat, True, True)
@@ -296,6 +317,11 @@
             live = [held for held in seat.tasks.values() if held.phase != "exited"]
             if live:
                 seat.finish(live[0].task, ["done", "error", "error"][number % 3])
+        elif op == 8 and number > 45 and which:
+            # Released: by the answer it is gone.
+            seat.end_session()
+            self.field.seats.pop("m-2", None)
+            self.rig.set(group_key("g-m-2"), [])
         elif op == 8:
             # Long enough for a lease, and for the bounds of owners before.
             await self.step(6.0)
