--- a/badgerseam/model/machine.py
+++ b/badgerseam/model/machine.py
@@ -174,14 +174,18 @@
         """
         if token > self.doubt:
             return True
-        ours = token >= self.term << BUMP_BITS
-        return ours and self.doubt_session is not None and session > self.doubt_session
+        known = self.doubt_session
+        return self.ours(token) and known is not None and session > known
+
+    def ours(self, token: int) -> bool:
+        """Whether no worker can have shown the token before this owner began to act."""
+        return token >= self.term << BUMP_BITS
 
     def proven(self, token: int) -> bool:
         """Whether a report with this token, newer than what is known, was sent since this owner
         began to act: it shows a token of ours, or is newer than one that did, or than an answer
         to a question of ours. Any other one may be a copy of a report to an owner before us."""
-        return self.session > 0 or token >= self.term << BUMP_BITS
+        return self.session > 0 or self.ours(token)
 
     def planned_use(self) -> Resources:
         """What the attempts take that are to stay."""
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -112,17 +112,10 @@
                 return error_reply(503, "given up", 1)
             if not proven:
                 reply = self._unproven(machine, report)
-            elif not newer and machine.deaf:
-                return error_reply(503, "given up", 1)
-            elif not newer:
-                # A copy, or overtaken by an answer to us: sent before that answer came, the lease
-                # goes on no longer than from then on.
-                if (report.session, report.seq) > machine.reported:
-                    machine.reported = report.session, report.seq
-                    machine.answered_at = max(machine.answered_at, machine.heard_at)
-                reply = Reply(200, wire.encode(wire.Orders(machine.token, [])))
-            else:
+            elif newer:
                 reply = self._newer(machine, report)
+            else:
+                reply = self._older(machine, report)
         self._changed()
         return reply
 
@@ -143,6 +136,28 @@
         commands = self._commands(machine, direct=False)
         return Reply(200, wire.encode(wire.Orders(machine.token, commands)))
 
+    def _older(self, machine: Machine, report: wire.Report) -> Reply:
+        """Answer a copy, or a report that an answer to us has overtaken."""
+        mark = (report.session, report.seq)
+        if machine.deaf:
+            return error_reply(503, "given up", 1)
+        if mark > machine.reported and report.session == machine.session:
+            if not machine.ours(report.token):
+                return self._dropped(report)
+            # Sent before that answer came, it renews the lease no longer than from then on.
+            machine.reported = mark
+            machine.answered_at = max(machine.answered_at, machine.heard_at)
+        # Otherwise sent before one that was answered, or in an earlier session: it renews nothing.
+        return Reply(200, wire.encode(wire.Orders(machine.token, [])))
+
+    def _dropped(self, report: wire.Report) -> Reply:
+        """Answer so that no lease is renewed: it would have to count, and this may be a copy. A
+        worker drops an answer with a lower token, and stays; until its next report it has been
+        asked."""
+        if report.token == 0:
+            return error_reply(503, "not known yet", 1)
+        return Reply(200, wire.encode(wire.Orders(report.token - 1, [])))
+
     def _unproven(self, machine: Machine, report: wire.Report) -> Reply:
         """Answer the first word since we took over, sent to us or, long ago, to an owner before.
 
@@ -157,11 +172,7 @@
         machine.push_after = 0.0
         self._model.pushes.add(machine.index)
         if machine.attempts and now > machine.answered_at:
-            # What may be a copy must not renew its lease: that would have to count. A worker drops
-            # an answer with a lower token, and stays; until its next report it has been asked.
-            if report.token == 0:
-                return error_reply(503, "not known yet", 1)
-            return Reply(200, wire.encode(wire.Orders(report.token - 1, [])))
+            return self._dropped(report)
         halts = []
         for item in report.tasks:
             # Only the worker itself can receive this, and then it is no copy.
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -119,6 +119,18 @@
     assert job.status[0] == IDLE
 
 
+def test_a_copy_does_not_let_a_lease_seem_longer_than_its_answers_made_it() -> None:
+    # Known by the answer to a question, the machine has not been answered yet.
+    rig, machine, _, worker = taken_over()
+    worker.hold(TASK)
+    copy = worker.body()
+    rig.go_on(rig.model.cut_bound_s + 10.0)
+    until = machine.answered_at = rig.clock.now() - 5.0
+    machine.session, machine.seq, machine.heard_at = 1, 9, rig.clock.now()
+    assert not worker.obey(rig.checkin(copy)), "if it is none, it must not be renewed either"
+    assert machine.answered_at == until
+
+
 def test_a_recall_does_not_come_back() -> None:
     rig, machine, _, worker = taken_over()
     worker.notice_at = worker._clock.now() + 20.0
@@ -281,9 +293,11 @@
             rig.control.checkin(body)
             return
         tick: dict[str, int] = msgspec.json.decode(body)
-        late = (tick["tenure"], tick["tick"]) > (machine.session, machine.seq)
-        if rig.model.shares[0].owned and late and not reached and machine.proven(tick["warrant"]):
-            # Newer than all that has reached this owner: a report that is late, not a copy.
+        mark = (tick["tenure"], tick["tick"])
+        late = mark > machine.reported and machine.ours(tick["warrant"])
+        late = late or (mark > (machine.session, machine.seq) and machine.session > 0)
+        if rig.model.shares[0].owned and late and not reached:
+            # Newer than all reports that have reached this owner: one that is late, not a copy.
             return
         jobs = [job for job in rig.model.jobs if job is not None]
         done = sum(job.finished for job in jobs)
