--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -78,6 +78,7 @@
     rig, machine, job, worker = taken_over()
     worker.hold(TASK)
     machine.addr = ""
+    machine.push_after = rig.clock.now() + 1.0
     rig.checkin(worker.body())
     assert machine.index in rig.model.pushes
     rig.http.script = [lambda _: Response(200, worker.body())]
@@ -166,6 +167,11 @@
     machine.heard_at += 1.0
     rig.checkin(late)
     assert machine.answered_at == asked_at, "a copy of what was answered"
+    ended = worker.body()
+    worker.end_session()
+    machine.session, machine.seq = worker.session, worker.seq
+    rig.checkin(ended)
+    assert machine.answered_at == asked_at, "its worker drops the answer"
 
 
 def test_a_copy_from_before_a_move_is_no_word_of_the_share_that_got_the_machine() -> None:
