--- a/badgerseam/model/machine.py
+++ b/badgerseam/model/machine.py
@@ -48,6 +48,13 @@
     shown_token: int = 0
     doubt: int = -1
     """Highest token of a command that may still be in flight on `/do`."""
+    doubt_session: int | None = None
+    """The latest session for which such commands were sent, where that is known of all of them."""
+    reported: tuple[int, int] = (0, 0)
+    """(session, seq) of the newest report that was answered; `session` and `seq` may be of an
+    answer to a question or command."""
+    spoke_at: float | None = None
+    """When a report came first of which it cannot be told whether it is a late copy."""
     heard_at: float = -1e9
     """When the latest report came."""
     taken_at: float = -1e9
@@ -80,6 +87,21 @@
     """Its lease has certainly ended; reports are not answered any more."""
     response_open: bool = False
     """A response with launches may still be on its way to the worker."""
+    told: int = 0
+    """The token of the latest answer to a report, if nothing else has told the worker so much:
+    its next report shows it if the answer was heard."""
+    told_at: float = -1e9
+    """When that answer was given."""
+    told_directly: int = 0
+    """Highest token of direct commands, answered or not."""
+    unheard: int = 0
+    """Answers that certainly, or very likely, have not reached the worker since one that has."""
+    unheard_at: float = 0.0
+    """When the first of these was given."""
+    unheard_asked: int = 0
+    """How many these were when it was last asked directly."""
+    deaf: bool = False
+    """It reports and does not obey: not answered any more, and to be released."""
 
     def take_over(self, term: int, now: float, safe_at: float) -> None:
         """Start anew as the owner's machine under a term.
@@ -91,6 +113,7 @@
         self.bump = 0
         self.forget()
         self.doubt = (self.term << BUMP_BITS) - 1
+        self.doubt_session = None
         self.taken_at = now
         self.answered_at = safe_at
 
@@ -115,6 +138,12 @@
         self.given_up = False
         self.lost = False
         self.response_open = False
+        self.spoke_at = None
+        self.reported = (0, 0)
+        self.told = self.told_directly = 0
+        self.told_at = -1e9
+        self.unheard = self.unheard_asked = 0
+        self.deaf = False
 
     @property
     def token(self) -> int:
@@ -125,10 +154,38 @@
         """It has not answered yet what has to be asked or said again until it does."""
         return self.session == 0 or self.failures > 0 or self.shown_token < self.token
 
+    @property
+    def hard_of_hearing(self) -> bool:
+        """Commands would probably not reach it: an answer has not, and a direct command neither, or
+        several answers have not. One answer alone may be a lost packet, or our own delay."""
+        return self.deaf or self.unheard > 1 or (self.unheard > 0 and self.failures > 0)
+
     @property
     def clear(self) -> bool:
         """No earlier direct command can still be executed."""
-        return self.shown_token > self.doubt
+        return self.settled(self.shown_token, self.session)
+
+    def settled(self, token: int, session: int) -> bool:
+        """Whether a worker that shows this token and session executes no earlier direct command.
+
+        It refuses those of an earlier session whatever their token: without that, nothing was ever
+        concluded from what a machine reports that no token reaches. Which sessions the owners
+        before us have seen is not known, so that only a token of ours settles what they sent.
+        """
+        if token > self.doubt:
+            return True
+        known = self.doubt_session
+        return self.ours(token) and known is not None and session > known
+
+    def ours(self, token: int) -> bool:
+        """Whether no worker can have shown the token before this owner began to act."""
+        return token >= self.term << BUMP_BITS
+
+    def proven(self, token: int) -> bool:
+        """Whether a report with this token, newer than what is known, was sent since this owner
+        began to act: it shows a token of ours, or is newer than one that did, or than an answer
+        to a question of ours. Any other one may be a copy of a report to an owner before us."""
+        return self.session > 0 or self.ours(token)
 
     def planned_use(self) -> Resources:
         """What the attempts take that are to stay."""
