--- a/tests/test_classes_failover.py
+++ b/tests/test_classes_failover.py
@@ -373,14 +373,14 @@
     reports = [rig.job(job_id=f"job-{n:06}", jobclass="train", pieces=50) for n in range(2)]
     rig.own()
     machines = [rig.machine(f"m-{number}") for number in range(4)]
-    ends: dict[int, float] = {}
+    ends: dict[tuple[str, int], float] = {}
     for number, machine in enumerate(machines):
         machine.session = 1
         # Half of the fleet came free while nobody acted; the rest does so one after the other.
         for task in (2 * number, 2 * number + 1):
             attempt = rig.model.place(reports[0], task, 1, machine, Stage.RUNNING)
             reports[0].idle.remove(task)
-            ends[id(attempt)] = start + 2.0 + 2.5 * task
+            ends[attempt.name, attempt.number] = start + 2.0 + 2.5 * task
     jobs: list[tuple[Job, float]] = []
     empty = 0.0
     for step in range(150):
@@ -388,7 +388,7 @@
         for machine in machines:
             machine.heard_at = now
             for attempt in list(machine.attempts.values()):
-                if now >= ends.setdefault(id(attempt), now + 20.0):
+                if now >= ends.setdefault((attempt.name, attempt.number), now + 20.0):
                     rig.model.finish(attempt, now)
                     rig.model.forget_finished(attempt)
         while len(jobs) < len(came_back_s) and now - start >= came_back_s[len(jobs)]:
