Reckoning runs: plans, standing on the pages, the leader's record of each run

Cause: a night's reckoning has to go on where a failed controller left it, and each night has to have one run.

--- a/badgerseam/accounting/accounts.py
+++ b/badgerseam/accounting/accounts.py
@@ -18,7 +18,7 @@
 from badgerseam.accounting.meter import Meter, cause_of
 from badgerseam.sched.snapshot import slots_of
 from badgerseam.wire.accounting import AttemptRecord, Usage, usage_of
-from badgerseam.wire.state import StoredJob
+from badgerseam.wire.state import StoredJob, StoredMember
 
 if TYPE_CHECKING:
     from badgerseam.accounting.attempts import AttemptLog
@@ -88,7 +88,10 @@
             # Its owner ended before it wrote this: what was measured is lost, and said to be.
             usage = usage_of(spec, entry.stored.at, None, self._model.clock.wall())
             usage = msgspec.structs.replace(usage, complete=False)
-        return StoredJob("withdrawn", entry.stored.tasks, entry.stored.at, None, usage)
+        stored = entry.stored
+        if isinstance(stored, StoredMember) and stored.plan:
+            return msgspec.structs.replace(stored, spec=None, usage=usage)
+        return StoredJob("withdrawn", stored.tasks, stored.at, None, usage)
 
     # ---- what happens to jobs ----
 
--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -14,6 +14,7 @@
 from badgerseam.api.batch import MACHINES, NUMBERS, BatchApi
 from badgerseam.api.questions import Questions
 from badgerseam.api.rollout import ROLLOUT, RolloutApi
+from badgerseam.api.runs import RUNS, RunsApi
 from badgerseam.cluster.member import Away, Member
 from badgerseam.http.server import Reply, error_reply
 from badgerseam.model.job import Job, Phase
@@ -111,6 +112,7 @@
         batch: BatchApi | None = None,
         accounting: AccountingApi | None = None,
         rollout: RolloutApi | None = None,
+        runs: RunsApi | None = None,
     ) -> None:
         self._model = model
         self._rollout = rollout
@@ -122,6 +124,9 @@
         self._member = member
         self._control = control
         self._confirm = Confirmations(state)
+        self._runs = runs
+        if runs is not None:
+            runs.confirm_with(self._confirm.unchanged)
 
     async def handle(self, method: str, path: str, body: bytes) -> Reply:
         """One request of a user or a health check."""
@@ -132,6 +137,8 @@
         try:
             if self._rollout is not None and path.startswith(ROLLOUT + "/"):
                 return await self._rollout.handle(method, path, body)
+            if self._runs is not None and path.partition("?")[0].split("/")[1:2] == [RUNS[1:]]:
+                return await self._runs.handle(method, path, body)
             return await self._route(method, path, body)
         except Unavailable:
             return error_reply(503, "the state service cannot be asked", RETRY_S)
--- a/badgerseam/cli/__init__.py
+++ b/badgerseam/cli/__init__.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 
 from badgerseam import __version__, logs
-from badgerseam.cli import client, lab, rollout
+from badgerseam.cli import client, lab, rollout, runs
 from badgerseam.cli.exits import EXIT_FAILED, EXIT_OK, EXIT_USAGE, fail
 from badgerseam.settings import (
     SettingsError,
@@ -46,6 +46,7 @@
     commands.add_parser("schema", help="print the JSON Schema of the operators' settings")
     client.add_commands(commands)
     rollout.add_commands(commands)
+    runs.add_commands(commands)
     lab.add_commands(commands)
     slurm = commands.add_parser("slurm", help="Slurm-style commands", add_help=False)
     slurm.add_argument("order", choices=["batch", "queue", "cancel", "info", "control", "acct"])
@@ -75,6 +76,8 @@
             return lab.run(options)
         if options.command == "rollout":
             return asyncio.run(rollout.run(options))
+        if options.command == "runs":
+            return asyncio.run(runs.run(options))
         return asyncio.run(client.run(options))
     except SettingsError as error:
         return fail(str(error), EXIT_USAGE)
--- a/badgerseam/explain/reasons.py
+++ b/badgerseam/explain/reasons.py
@@ -27,6 +27,22 @@
     "throttle": "throttle",
 }
 """What the terms' rules answer, as codes."""
+RUNS = {
+    "run_not_open": ("has not been opened.", "The run opens (badgerseam runs list)."),
+    "run_closing": (
+        "is closing, and starts no more members.",
+        "The run is closed: what is left of the job goes on as other work does.",
+    ),
+    "run_full": (
+        "has as many members on machines as its plan allows at once, or others of it go first.",
+        "Members of it end, or the plan's most_at_once is raised.",
+    ),
+    "run_aside": (
+        "has set them aside, since they have failed as often as its plan tries them at first.",
+        "The other members are through, and the second round begins.",
+    ),
+}
+"""What the rules of reckoning runs answer: what a job's run does, and what changes it."""
 MOST_NAMED = 5
 SLOW_S = 2.0
 """The state service is asked several times a second."""
@@ -161,6 +177,17 @@
     job = context.job
     if why in TERMS:
         return _term(context, why)
+    if why in RUNS:
+        watch = context.model.watch
+        name = "" if watch is None else watch.held_name(job)
+        text, change = RUNS[why]
+        return Reason(
+            "reckoning_run",
+            f"Its tasks are members of the reckoning run {name}, which {text}",
+            binding=True,
+            change=change,
+            who=[name],
+        )
     if why == "backoff":
         machines = [context.model.machines.get(index) for index in sorted(job.shunned)]
         return Reason(
--- a/badgerseam/model/job.py
+++ b/badgerseam/model/job.py
@@ -22,6 +22,13 @@
 """The kind of a note and the number it is about."""
 
 
+@dataclass(slots=True)
+class Tally:
+    """Attempts of many jobs together."""
+
+    live: int = 0
+
+
 class Phase(IntEnum):
     OPEN = 0
     DONE = 1
@@ -146,6 +153,10 @@
     """The page that holds the durable one."""
     notes_changed: set[NoteKey] = field(default_factory=set)
     """Those that are not durable yet."""
+    aside: set[int] = field(default_factory=set)
+    """Idle tasks that are passed over until the second round of their run; its owner knows."""
+    tally: Tally | None = None
+    """Where its attempts are counted with those of other jobs of its plan and share."""
     seen_at: float = 0.0
     meter: Meter | None = None
     """Only where accounts are kept."""
@@ -181,6 +192,7 @@
         self.notes.clear()
         self.notes_page.clear()
         self.notes_changed.clear()
+        self.aside.clear()
         self.status = bytearray(self.spec.tasks)
         self.idle = list(range(self.spec.tasks - 1, -1, -1))
         self.finished = 0
@@ -224,6 +236,14 @@
         """How many tasks are not placed and not done."""
         return self.spec.tasks - self.finished - self.live
 
+    def startable(self) -> int:
+        """How many of these are not passed over for now."""
+        return self.waiting() - len(self.aside)
+
+    def durably_done(self) -> int:
+        """Tasks whose end is in the records, as far as known."""
+        return self.finished - sum(attempt.finishing for attempt in self.attempts.values())
+
     def attach(self, attempt: Attempt) -> None:
         """The attempt is, or may be, on its machine from now on."""
         machine = attempt.machine
@@ -250,6 +270,8 @@
 
     def _count(self, attempt: Attempt, sign: int) -> None:
         self.live += sign
+        if self.tally is not None:
+            self.tally.live += sign
         zone = attempt.machine.zone
         count = self.zones.get(zone, 0) + sign
         if count:
@@ -266,11 +288,22 @@
         """A task to place, lowest number first, or None."""
         while self.idle:
             task = self.idle[-1]
-            if self.status[task] == IDLE:
+            if self.status[task] == IDLE and task not in self.aside:
                 return task
             self.idle.pop()
         return None
 
+    def pass_over(self, task: int) -> None:
+        """Have an idle task wait until `recall`."""
+        if self.status[task] == IDLE:
+            self.aside.add(task)
+
+    def recall(self) -> None:
+        """Tasks that were passed over are to be placed, behind the others."""
+        if self.aside:
+            self.idle = sorted(self.aside, reverse=True) + self.idle
+            self.aside.clear()
+
     def release(self, attempt: Attempt) -> None:
         """The attempt is certainly over, and its task is to be placed anew."""
         current = self.attempts.get(attempt.task) is attempt
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -89,6 +89,8 @@
                 if value is not None:
                     run: wire.StoredRun = msgspec.json.decode(value, type=wire.StoredRun)
                     self.runs.setdefault(plan, {})[int(number)] = (run, version)
+                    if self.watch is not None:
+                        self.watch.run_changed(plan)
                     self.kicks.update(range(len(self.shares)))
             elif kind == "g" and value is not None:
                 share = self.shares[int(name)]
@@ -100,7 +102,7 @@
     def _apply_job(self, job_id: str, value: msgspec.Raw, version: int) -> None:
         if job_id in self.ended and self.accounts is None:
             return
-        stored: wire.StoredJob = msgspec.json.decode(value, type=wire.StoredJob)
+        stored: wire.StoredMember = msgspec.json.decode(value, type=wire.StoredMember)
         if self.accounts is not None and stored.state != "open":
             self.accounts.seen(job_id, stored, version)
         if job_id in self.ended:
@@ -120,6 +122,8 @@
                 self.kicks.add(job.share)
             return
         self.ended[job_id] = (phase, stored.tasks)
+        if self.watch is not None:
+            self.watch.ended(job_id, stored, job)
         if job is None and stored.spec is not None and self.loading:
             # Its tasks may still be on machines: kept until its chunks, read later, tell.
             self._open_job(job_id, stored, version)
@@ -168,6 +172,8 @@
         self.open_jobs[share][index] = job
         if self.accounts is not None:
             self.accounts.opened(job)
+        if self.watch is not None:
+            self.watch.opened(job)
         key = name_key(job)
         if key is not None:
             self.named.setdefault(key, set()).add(index)
@@ -400,6 +406,7 @@
         share.planned.clear()
         share.bits_due.clear()
         share.notes_due.clear()
+        share.notes_ride.clear()
         if self.accounts is not None:
             self.accounts.loading = True
         jobs = list(self.open_jobs[share.index].values())
@@ -414,6 +421,9 @@
             self.accounts.loading = False
             for job in jobs:
                 self.accounts.opened(job)
+        if self.watch is not None and share.owned:
+            for job in jobs:
+                self.watch.reread(job)
         for job in jobs:
             if job.finished == job.tasks and job.phase == Phase.OPEN and not job.service:
                 job.ending = True
--- a/badgerseam/model/records.py
+++ b/badgerseam/model/records.py
@@ -39,6 +39,7 @@
 
 if TYPE_CHECKING:
     from badgerseam.accounting.accounts import Accounts
+    from badgerseam.model.watch import JobWatch
 
 
 MOST_ARRIVALS = 20_000
@@ -110,6 +111,8 @@
     """Reports of machines without a record."""
     accounts: Accounts | None = None
     """Where they are kept."""
+    watch: JobWatch | None = None
+    """Where reckoning runs are kept."""
     named: dict[tuple[int, str, str], set[int]] = field(default_factory=dict)
     """Open jobs with a name, by team, user and name."""
     gone: set[str] = field(default_factory=set)
@@ -219,6 +222,8 @@
         if self.accounts is not None and attempt.stage != Stage.PLANNED and not attempt.finishing:
             self.accounts.ended(attempt, done=False)
         attempt.job.release(attempt)
+        if self.watch is not None:
+            self.watch.over(attempt)
         self.kicks.add(attempt.job.share)
         if not machine.attempts:
             machine.idle_since = self.clock.now()
@@ -244,6 +249,23 @@
         if len(attempt.machine.attempts) == 1:
             attempt.machine.idle_since = self.clock.now()
 
+    def noted(self, job: Job, task: int, attempt: int) -> bool:
+        """Whether nothing that is still to be written would be lost with what a worker shows of
+        an attempt that has failed: reaped before its failure is durable, the next owner would
+        count one less."""
+        key = (wire.Failures, task)
+        note = job.notes.get(key)
+        if (
+            not isinstance(note, wire.Failures)
+            or note.attempt != attempt
+            or job.phase != Phase.OPEN
+            or not self.active(Behaviour.NOTES)
+        ):
+            return True
+        page = self.pages[job.share].get(job.notes_page.get(key, -1))
+        entry = None if page is None else page.jobs.get(job.id)
+        return entry is not None and note in entry.notes
+
     def forget_finished(self, attempt: Attempt) -> None:
         """The finished task is durable: its machine may be told to reap it."""
         attempt.job.detach(attempt)
@@ -269,6 +291,8 @@
             return
         if self.accounts is not None:
             self.accounts.settled(job)
+        if self.watch is not None:
+            self.watch.settled(job)
         self.shares[job.share].bits_due.pop(job.index, None)
         key = name_key(job)
         if key is not None and key in self.named:
--- a/badgerseam/model/state.py
+++ b/badgerseam/model/state.py
@@ -102,6 +102,8 @@
     """Jobs with finished tasks to be made durable, and by when."""
     notes_due: set[int] = field(default_factory=set)
     """Jobs with notes to be made durable, with the next write of the share or before."""
+    notes_ride: dict[int, float] = field(default_factory=dict)
+    """Jobs with notes that go with whatever is written next, and by when they go alone."""
     committing: bool = False
     """A transaction with tasks of the share is on its way; there is one at a time."""
     last_holder: str | None = None
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -14,6 +14,7 @@
 from badgerseam.api.batch import BatchApi
 from badgerseam.api.questions import Questions
 from badgerseam.api.rollout import RolloutApi
+from badgerseam.api.runs import RunsApi
 from badgerseam.api.users import Api
 from badgerseam.batch.numbers import Numbers
 from badgerseam.clock import Clock
@@ -32,6 +33,9 @@
 from badgerseam.rollout.handover import Handover
 from badgerseam.rollout.raising import Raising
 from badgerseam.rollout.refresh import Refresh
+from badgerseam.runs.book import Book
+from badgerseam.runs.keeper import Keeper
+from badgerseam.runs.rules import RunRules
 from badgerseam.sched.planner import Planner
 from badgerseam.settings import Settings, Tunables
 from badgerseam.store.allotment import Allotment
@@ -171,6 +175,14 @@
             rollout = RolloutApi(
                 self.model, self.member, self.raising, handover, self.refresh, self.carrying
             )
+        self.keeper: Keeper | None = None
+        runs: RunsApi | None = None
+        if tunables.runs is not None:
+            book = Book(self.model, tunables.runs)
+            self.model.watch = book
+            self.planner.runs = RunRules(book)
+            self.keeper = Keeper(self.model, self.member, self.committer, book)
+            runs = RunsApi(self.model, self.state, book, self.keeper)
         self.api = Api(
             self.model,
             self.state,
@@ -182,6 +194,7 @@
             batch,
             accounting,
             rollout,
+            runs,
         )
         self._pulse_at: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -301,6 +314,8 @@
                 group.create_task(self.explainer.keep_samples())
             if self.carrying is not None:
                 group.create_task(self.carrying.keep())
+            if self.keeper is not None:
+                group.create_task(self.keeper.keep())
             accounts = self.model.accounts
             if accounts is not None and accounts.log is not None:
                 group.create_task(accounts.log.keep())
--- /dev/null
+++ b/badgerseam/runs/__init__.py
@@ -0,0 +1,1 @@
+"""Reckoning runs: members' standing in shared state, so that whoever takes over goes on."""
--- /dev/null
+++ b/badgerseam/runs/book.py
@@ -0,0 +1,263 @@
+"""Which run a job belongs to, how its members stand, and what a plan's jobs use: kept by changes.
+
+Nothing here is stored. Runs and their cuts are records; a member is reckoned by its finished bit,
+placed or running by its row, has failed by its note, is withdrawn by its job's record. So every
+controller that follows the state service tells the same, and a new owner begins with all of it.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from badgerseam.levels.table import Behaviour
+from badgerseam.model.job import FINISHED, PHASE_NAMES, Attempt, Job, Phase, Tally
+from badgerseam.model.model import Model
+from badgerseam.options.runs import Plan, RunsOptions
+from badgerseam.wire import state as wire
+
+NOTE_S = 3.0
+"""How long a failure may wait for a write that goes anyway before it is written alone."""
+FIRST_ROUND = ("open", "reckoning")
+SETTLED = ("closing", "closed")
+
+
+class Standing(Enum):
+    """How a member stands; the value is its name for people."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    RUNNING = "running"
+    ASIDE = "aside"
+    """It has failed too often to be tried before the others are through."""
+    RECKONED = "reckoned"
+    WITHDRAWN = "withdrawn"
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """An ended job of a run that is not closed yet."""
+
+    place: int
+    tasks: int
+    reckoned: int
+
+
+@dataclass(slots=True)
+class PlanJobs:
+    """A plan, its runs and its jobs."""
+
+    plan: Plan
+    shares: list[int]
+    """Those that may hold jobs of it."""
+    tallies: dict[int, Tally] = field(default_factory=dict)
+    """Attempts of its jobs, by share."""
+    jobs: dict[int, dict[int, Job]] = field(default_factory=dict)
+    """Its jobs that are not forgotten, by share and index."""
+    ended: dict[str, Ended] = field(default_factory=dict)
+    cuts: list[int] = field(default_factory=list)
+    """The cuts of its runs, the first one first."""
+    latest: int = 0
+    """The number of its latest run."""
+    record: wire.StoredRun | None = None
+    version: int = 0
+
+    @property
+    def open(self) -> bool:
+        """Whether its latest run is not closed."""
+        return self.record is not None and self.record.phase != "closed"
+
+    def number(self, place: int) -> int:
+        """The run of a job with that place: the first one whose cut comes after it."""
+        return bisect_left(self.cuts, place) + 1
+
+    def part(self, share: int) -> int | None:
+        """Most members at once in a share; None: as many as there is room for.
+
+        In even parts, since owners of other shares start members at the same time and hear of
+        each other's only later.
+        """
+        most = self.plan.most_at_once
+        if most is None or share not in self.shares:
+            return most
+        turn = self.shares.index(share)
+        return most // len(self.shares) + (turn < most % len(self.shares))
+
+    def all_jobs(self) -> Iterator[Job]:
+        """Its open jobs, of all runs."""
+        for jobs in self.jobs.values():
+            for job in jobs.values():
+                if job.phase == Phase.OPEN:
+                    yield job
+
+    def members(self, number: int) -> list[Job]:
+        """The open jobs of a run."""
+        return [job for job in self.all_jobs() if self.number(job.place) == number]
+
+
+class Book:
+    """All plans; told of what changes with the model's lock held."""
+
+    def __init__(self, model: Model, options: RunsOptions) -> None:
+        self._model = model
+        self._clock = model.clock
+        self.plans: dict[str, PlanJobs] = {}
+        for plan in options.plans:
+            teams = [team for team in model.teams if not plan.teams or team.name in plan.teams]
+            self.plans[plan.name] = PlanJobs(plan, sorted({team.share for team in teams}))
+        self._known: dict[tuple[str, str], PlanJobs | None] = {}
+
+    @property
+    def active(self) -> bool:
+        """Whether the site's level has what runs are kept in."""
+        return self._model.active(Behaviour.NOTES)
+
+    # ---- what belongs together ----
+
+    def of(self, job: Job) -> PlanJobs | None:
+        """The plan that a job belongs to. Services end with their cancellation alone, and are no
+        members."""
+        if job.service:
+            return None
+        spec = job.spec
+        key = (spec.job_class, spec.team)
+        if key not in self._known:
+            if len(self._known) > 10_000:
+                self._known.clear()
+            plans = self.plans.values()
+            self._known[key] = next((found for found in plans if found.plan.has(*key)), None)
+        return self._known[key]
+
+    def plan_of(self, job: Job) -> str | None:
+        """The name of a job's plan."""
+        found = self.of(job)
+        return None if found is None else found.plan.name
+
+    def held_name(self, job: Job) -> str:
+        """The run of a job, such as 'renewal 12'."""
+        found = self.of(job)
+        return "" if found is None else f"{found.plan.name} {found.number(job.place)}"
+
+    def phase(self, plan: PlanJobs, job: Job) -> str | None:
+        """The phase of a job's run; None if that has not been opened."""
+        number = plan.number(job.place)
+        if number > plan.latest or plan.record is None:
+            return None
+        return plan.record.phase if number == plan.latest else "closed"
+
+    # ---- how members stand ----
+
+    def failures(self, job: Job, task: int) -> int:
+        """How often a member has failed."""
+        note = job.notes.get((wire.Failures, task))
+        return note.step if isinstance(note, wire.Failures) else 0
+
+    def standing(self, plan: PlanJobs, job: Job, task: int) -> Standing:
+        """How a member of an open job stands, by what the records say."""
+        attempt = job.attempts.get(task)
+        if job.status[task] == FINISHED and (attempt is None or not attempt.finishing):
+            return Standing.RECKONED
+        note = job.notes.get((wire.Failures, task))
+        failed = isinstance(note, wire.Failures)
+        # The row of an attempt that has failed lies in its page until that is written again.
+        if attempt is not None and not (failed and note.attempt >= attempt.number):  # type: ignore[union-attr]
+            began = attempt.started_at > 0 and not attempt.inherited
+            return Standing.RUNNING if began else Standing.PLACED
+        if (
+            failed
+            and self.failures(job, task) >= plan.plan.attempts
+            and self.phase(plan, job) in FIRST_ROUND
+        ):
+            return Standing.ASIDE
+        return Standing.WAITING
+
+    def aside(self, plan: PlanJobs, job: Job) -> int:
+        """How many of a job's members have failed too often for the first round; as many steps as
+        members have failed at all."""
+        return sum(
+            isinstance(note, wire.Failures)
+            and note.step >= plan.plan.attempts
+            and job.status[note.number] != FINISHED
+            and (
+                (attempt := job.attempts.get(note.number)) is None or attempt.number <= note.attempt
+            )
+            for note in job.notes.values()
+        )
+
+    # ---- what the model tells ----
+
+    def opened(self, job: Job) -> None:
+        """A job has become known."""
+        found = self.of(job)
+        if found is not None:
+            found.jobs.setdefault(job.share, {})[job.index] = job
+            job.tally = found.tallies.setdefault(job.share, Tally())
+
+    def settled(self, job: Job) -> None:
+        """A job is forgotten."""
+        found = self.of(job)
+        if found is not None:
+            found.jobs.get(job.share, {}).pop(job.index, None)
+
+    def ended(self, job_id: str, stored: wire.StoredMember, job: Job | None) -> None:
+        """A job's final record was seen."""
+        found = self.plans.get(stored.plan) if job is None else self.of(job)
+        if found is None:
+            return
+        place = stored.place if job is None else job.place
+        if found.cuts and not found.open and place <= found.cuts[-1]:
+            return
+        reckoned = stored.tasks
+        if PHASE_NAMES[stored.state] == Phase.WITHDRAWN:
+            # Who cancelled it may have known less than we do.
+            reckoned = max(stored.reckoned, 0 if job is None else job.durably_done())
+        found.ended[job_id] = Ended(place, stored.tasks, reckoned)
+
+    def over(self, attempt: Attempt) -> None:
+        """An attempt was taken from its machine: counted if it has failed."""
+        job, task = attempt.job, attempt.task
+        found = self.of(job)
+        share = self._model.shares[job.share]
+        if found is None or not share.owned or not self.active:
+            return
+        note = job.notes.get((wire.Failures, task))
+        known = note if isinstance(note, wire.Failures) else wire.Failures(task, 0)
+        if attempt.error and attempt.number > known.attempt and job.phase == Phase.OPEN:
+            known = wire.Failures(task, known.step + 1, attempt.number)
+            job.note(known)
+            share.notes_ride.setdefault(job.index, self._clock.now() + NOTE_S)
+        if known.step >= found.plan.attempts and self.phase(found, job) in FIRST_ROUND:
+            job.pass_over(task)
+
+    def reread(self, job: Job) -> None:
+        """A job of a share that is acted for from now on was read from the records."""
+        found = self.of(job)
+        if found is None or self.phase(found, job) not in FIRST_ROUND:
+            return
+        for note in job.notes.values():
+            if isinstance(note, wire.Failures) and note.step >= found.plan.attempts:
+                job.pass_over(note.number)
+
+    def run_changed(self, plan: str) -> None:
+        """A record of a run was seen: what follows for its members."""
+        found = self.plans.get(plan)
+        if found is None:
+            return
+        runs = self._model.runs[plan]
+        found.latest = max(runs)
+        found.record, found.version = runs[found.latest]
+        found.cuts = [cut for n in sorted(runs) if (cut := _cut(*runs[n])) is not None]
+        if not found.open and found.cuts:
+            last = found.cuts[-1]
+            found.ended = {name: e for name, e in found.ended.items() if e.place > last}
+        for job in found.all_jobs():
+            if job.aside and self.phase(found, job) not in FIRST_ROUND:
+                job.recall()
+
+
+def _cut(record: wire.StoredRun, version: int) -> int | None:
+    if record.phase == "closing":
+        return version
+    return record.cut if record.phase == "closed" else None
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -41,6 +41,15 @@
     def held(self, job: Job) -> str | None:
         """Why no more of the job's tasks start now; None if they may."""
 
+    def begin(self, share: int, now: float) -> None:
+        """A round begins: `most` is asked for jobs of that share."""
+
+    def most(self, job: Job) -> int | None:
+        """How many of the job's tasks may start in this round; None: as many as wait."""
+
+    def order(self, job: Job) -> float | None:
+        """In place of the time of day by which jobs of a rank are ordered, if a plan says so."""
+
 
 class Planner:
     """Plans for the shares that this controller owns."""
@@ -86,6 +95,8 @@
     def requests(self, share: Share) -> list[pts.Request]:
         """The share's waiting work."""
         now = self._clock.now()
+        if self.runs is not None:
+            self.runs.begin(share.index, now)
         found = (self._request(job, now) for job in self._model.open_jobs[share.index].values())
         return [request for request in found if request is not None]
 
@@ -189,6 +200,11 @@
         if job.spec.terms is not None:
             most = self.terms.most(job)
             count = count if most is None else min(count, most)
+        if self.runs is not None:
+            most = self.runs.most(job)
+            count = count if most is None else min(count, most)
+            if count <= 0:
+                return None
         return self.request(job, count)
 
     def held_back(self, job: Job, now: float) -> str | None:
@@ -216,6 +232,8 @@
         spec = job.spec
         deadline = math.inf if spec.deadline_s is None else job.submitted + spec.deadline_s
         order = job.submitted if job.rank >= HIGH_RANK else min(deadline, job.submitted + 1e6)
+        stated = None if self.runs is None else self.runs.order(job)
+        order = order if stated is None else stated
         if deadline < self._clock.wall() + HOPEFUL * spec.estimate_s:
             # Too late whatever is done: it goes behind what can still be in time.
             order += LATE_S
--- a/badgerseam/store/ledger.py
+++ b/badgerseam/store/ledger.py
@@ -17,6 +17,7 @@
 from badgerseam.store.committer import Committer, Dropped, Rejected, Urgency
 from badgerseam.store.pages import Draft, compose, refresh
 from badgerseam.wire import state as wire
+from badgerseam.wire.accounting import Usage
 from badgerseam.wire.users import Submission
 
 log = logging.getLogger("badgerseam.store")
@@ -94,9 +95,7 @@
                 if await self.read(job_id) is None:
                     return None
                 continue
-            value = wire.raw(
-                wire.StoredJob("withdrawn", job.tasks, round(job.submitted, 3), job.spec)
-            )
+            value = wire.raw(self._final(job, "withdrawn", job.spec, None))
             try:
                 revision = await self._committer.commit(
                     Urgency.USER,
@@ -191,7 +190,9 @@
         What has to wait is not queued: it goes with all that has gathered by then.
         """
         planned = bool(share.planned)
-        noted = bool(share.notes_due) and self._model.active(Behaviour.NOTES)
+        noted = self._model.active(Behaviour.NOTES) and (
+            bool(share.notes_due) or any(due <= now for due in share.notes_ride.values())
+        )
         if not planned and not noted and not any(due <= now for due in share.bits_due.values()):
             return
         urgency = Urgency.PLACE if planned else Urgency.DONE
@@ -371,7 +372,7 @@
         term = share.term
         key = job_key(job.id)
         usage = None if model.accounts is None else model.accounts.usage(job)
-        value = wire.raw(wire.StoredJob("done", job.tasks, round(job.submitted, 3), None, usage))
+        value = wire.raw(self._final(job, "done", None, usage))
         try:
             revision = await self._committer.commit(
                 Urgency.DONE if job.rank else Urgency.UPKEEP,
@@ -399,6 +400,18 @@
                 model.apply(key, value, revision)
         self._changed()
 
+    def _final(
+        self, job: Job, state: str, spec: Submission | None, usage: Usage | None
+    ) -> wire.StoredJob:
+        """A job's final record; of one that belongs to a plan of runs, with what tells its run."""
+        watch, at = self._model.watch, round(job.submitted, 3)
+        plan = None if watch is None else watch.plan_of(job)
+        if plan is None:
+            return wire.StoredJob(state, job.tasks, at, spec, usage)
+        return wire.StoredMember(
+            state, job.tasks, at, spec, usage, job.place, plan, job.durably_done()
+        )
+
     def close(self) -> None:
         """Add the summaries of cancelled jobs to their records; called now and then."""
         accounts = self._model.accounts
--- a/badgerseam/store/pages.py
+++ b/badgerseam/store/pages.py
@@ -109,6 +109,8 @@
         draft.finished += [a for a in found.attempts.values() if a.finishing]
     entries = [_entry(*parts) for parts in fresh.values()]
     if model.active(Behaviour.NOTES):
+        share.notes_due.update(share.notes_ride)
+        share.notes_ride.clear()
         entries += _notes(model, share, draft, room)
     _pack(model, share, draft, entries)
     return draft
--- a/badgerseam/wire/explain.py
+++ b/badgerseam/wire/explain.py
@@ -35,6 +35,7 @@
     "dependency_never",
     "singleton",
     "throttle",
+    "reckoning_run",
     "next_plan",
     "recording",
     "victims_leaving",
--- a/badgerseam/wire/state.py
+++ b/badgerseam/wire/state.py
@@ -121,6 +121,15 @@
     again; 0 in that record itself."""
 
 
+class StoredMember(StoredJob, frozen=True, array_like=True):
+    """An ended job of a plan of reckoning runs. With its place it tells its run: it was accepted
+    before the members of that one were settled, and after those of the run before were."""
+
+    plan: str = ""
+    reckoned: int = 0
+    """Of a cancelled one: its tasks that were known to be done."""
+
+
 class TaskRow(Struct, frozen=True, array_like=True):
     """A task that was tried: its number, last attempt, and the machine it may be on."""
 
@@ -136,6 +145,9 @@
     """The task."""
     step: int
     """Its failures. Of two notes on the same task the one with more counts."""
+    attempt: int = 0
+    """The last attempt that has failed: seen again in a report by the next owner, it is not
+    counted twice."""
 
 
 class StoredReplica(Struct, frozen=True, array_like=True, tag="r"):
@@ -216,17 +228,26 @@
 
 
 class StoredRun(Struct, frozen=True, array_like=True):
-    """A reckoning run of a plan; it is never removed."""
+    """A reckoning run of a plan; it is never removed. Each phase is written on the stamp of the
+    one before."""
 
     phase: str
+    """open, reckoning, second (round), closing, closed."""
     opened: float
     """Time of day."""
-    closes: float | None
-    """Time of day by which it must be closed, if its plan says."""
+    slot: float
+    """Time of day at which it was to open."""
+    closes: float
+    """Time of day by which it must be closing."""
     by: str
-    """The leader that wrote it."""
+    """Who wrote it."""
     at: float
     """When the phase began."""
+    cut: int = 0
+    """Of a closed one, the stamp of its closing record: members are those accepted before it. Of
+    one that is closing it is the record's own stamp."""
+    seen: int = 0
+    """Of a closed one, the revision at which its members were counted."""
     counts: list[int] = field(default_factory=list)
     """Of a closed one: members reckoned, withdrawn and unresolved."""
     reasons: dict[str, int] = field(default_factory=dict)
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -277,6 +277,7 @@
                     (attempt is None or not attempt.finishing)
                     and machine.clear
                     and not (direct and machine.response_open)
+                    and (found is None or model.noted(*found, item.attempt))
                 ):
                     commands.append(wire.Command("reap", item.task, item.attempt))
             else:
