--- a/badgerseam/options/runs.py
+++ b/badgerseam/options/runs.py
@@ -48,9 +48,8 @@
         "UTC"
     )
     quiet_s: Annotated[
-        float | None,
+        Annotated[float, Meta(gt=0)] | None,
         Meta(
-            gt=0,
             description="instead of windows: a run opens with the first job that arrives, and "
             "closes when no other has come for so long and all its members are through",
         ),
@@ -62,8 +61,8 @@
         str | None, Meta(description="a plan whose run must be closed before this one opens")
     ] = None
     most_at_once: Annotated[
-        int | None,
-        Meta(ge=1, description="members on machines at a time; in even parts by share of teams"),
+        Annotated[int, Meta(ge=1)] | None,
+        Meta(description="members on machines at a time; in even parts by share of teams"),
     ] = None
     attempts: Annotated[
         int,
--- /dev/null
+++ b/tests/test_runs.py
@@ -0,0 +1,514 @@
+"""Reckoning runs in one controller: who may start, what is counted, what is written when."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import itertools
+import random
+from typing import Any
+from zoneinfo import ZoneInfo
+
+import msgspec
+import pytest
+
+from badgerseam.api.runs import RunsApi
+from badgerseam.cli.runs import describe, member_line
+from badgerseam.model.job import Job, Stage
+from badgerseam.model.keys import LEADER_KEY, LEVEL_KEY, run_key
+from badgerseam.options import runs as options
+from badgerseam.runs.book import Book, Standing
+from badgerseam.runs.counting import count
+from badgerseam.runs.keeper import Keeper
+from badgerseam.runs.rules import RunRules
+from badgerseam.runs.windows import Slot, due
+from badgerseam.store.client import Refused, Unavailable
+from badgerseam.wire import runs as wire_runs
+from badgerseam.wire import state as wire
+from tests.stand_ins import Rig, Worker, submission
+
+ZONE = ZoneInfo("Europe/Zurich")
+
+
+def plan(**changes: Any) -> options.Plan:
+    fields: dict[str, Any] = {"name": "night", "classes": ["train"], "quiet_s": 30.0}
+    return msgspec.convert(fields | changes, options.Plan)
+
+
+class Night(Rig):
+    """A rig that keeps runs of one plan and leads."""
+
+    def __init__(self, beside: Rig | None = None, node: str = "n-0", **changes: Any) -> None:
+        super().__init__(beside=beside, node=node)
+        self.book = Book(self.model, options.RunsOptions([plan(**changes)]))
+        self.model.watch = self.book
+        self.rules = self.planner.runs = RunRules(self.book)
+        self.keeper = Keeper(self.model, self.member, self.committer, self.book)
+        self.api = RunsApi(self.model, self.state, self.book, self.keeper)  # type: ignore[arg-type]
+        self.api.confirm_with(self.same)
+        if beside is None:
+            self.set(LEVEL_KEY, wire.SiteLevel(3, "n-0", 0.0))
+            self.lead()
+            self.own()
+
+    async def same(self, key: str, version: int) -> bool:
+        return self.state.version(key) == version
+
+    def lead(self) -> None:
+        self.set(LEADER_KEY, wire.Holding(self.settings.node, 1))
+        assert self.member.is_leader
+
+    def look(self, seconds: float = 0.0) -> wire.StoredRun | None:
+        """The leader looks, and the replica follows; the latest run."""
+        self.clock.time += seconds
+        self.lease()
+        self.run(self.keeper.step())
+        self.sync()
+        return self.book.plans["night"].record
+
+    def opened(self, **changes: Any) -> Job:
+        """A job whose run is open."""
+        job = self.job(**changes)
+        self.look()
+        return job
+
+    def fail(self, job: Job, task: int, machine: str = "m-1") -> None:
+        """A member is placed, and its attempt ends with an error."""
+        found = self.model.machine(machine) or self.machine(machine)
+        number = job.tries.get(task, 0) + 1
+        attempt = self.model.place(job, task, number, found, Stage.PLACED)
+        attempt.error = True
+        self.model.unplace(attempt)
+
+    def starts(self) -> int:
+        """Plan once; how many members were placed."""
+        share = self.model.shares[0]
+        before = len(share.planned)
+        self.planner.run(share)
+        return len(share.planned) - before
+
+    def written(self) -> None:
+        self.clock.time += 4.0
+        self.lease()
+        self.run(self.settle())
+
+    def heir(self) -> Night:
+        """Another controller that takes the share and the lead over."""
+        other = Night(beside=self, node="n-1")
+        other.book.plans = Book(other.model, options.RunsOptions([self.plan.plan])).plans
+        other.sync()
+        other.lead()
+        other.claim(0, "n-1")
+        other.member.review()
+        return other
+
+    @property
+    def plan(self) -> Any:
+        return self.book.plans["night"]
+
+    def ask(self, path: str, method: str = "GET") -> Any:
+        reply = self.run(self.api.handle(method, path, b""))
+        assert reply.status == 200, reply
+        return reply.body
+
+
+# ---- what is declared ----
+
+
+@pytest.mark.parametrize(
+    ("changes", "words"),
+    [
+        ({"teams": ["green"]}, ["teams", "unknown team green", "blue, red"]),
+        ({"quiet_s": None}, ["windows", "none is given"]),
+        ({"windows": [{"opens": "01:00", "closes": "02:00"}]}, ["both are given"]),
+        ({"most_at_once": 1}, ["most_at_once", "raise it"]),
+        ({"after": "dawn"}, ["after", "no plan dawn"]),
+        ({"after": "night"}, ["after", "a cycle", "night after night"]),
+        (
+            {"quiet_s": None, "windows": [{"opens": "22:00", "closes": "22:00"}]},
+            ["windows[0].closes", "the same as opens"],
+        ),
+        (
+            {
+                "quiet_s": None,
+                "windows": [
+                    {"opens": "22:00", "closes": "05:00"},
+                    {"opens": "04:30", "closes": "06:00"},
+                ],
+            },
+            ["windows[1]", "overlaps windows[0]"],
+        ),
+        (
+            {
+                "quiet_s": None,
+                "windows": [{"opens": "22:00", "closes": "05:00"}],
+                "zone": "Europe/Zuerich",
+            },
+            ["zone", "Europe/Zuerich", "name one"],
+        ),
+    ],
+)
+def test_a_plan_that_cannot_be_kept_names_field_and_remedy(
+    changes: dict[str, Any], words: list[str]
+) -> None:
+    found = options.check(options.RunsOptions([plan(**changes)]), ["red", "blue"])
+    assert len(found) == 1
+    assert all(word in found[0] for word in ["plans[0].", *words]), found
+
+
+def test_two_plans_must_not_share_jobs_nor_wait_for_each_other() -> None:
+    both = options.RunsOptions([plan(after="day"), plan(name="day", after="night")])
+    found = options.check(both, ["red", "blue"])
+    assert "train belongs to night as well" in found[0]
+    assert "night after day after night" in found[1]
+    parted = options.RunsOptions([plan(teams=["red"]), plan(name="day", teams=["blue"])])
+    assert options.check(parted, ["red", "blue"]) == []
+
+
+# ---- nights ----
+
+
+def _slots(first: datetime.datetime, days: int, **window: str) -> list[Slot]:
+    """The runs of some days, looked for every ten minutes."""
+    night = plan(quiet_s=None, zone="Europe/Zurich", windows=[window])
+    found: list[Slot] = []
+    for step in range(days * 144):
+        slot = due(night, first.timestamp() + 600 * step, found[-1] if found else None)
+        if slot is not None:
+            found.append(slot)
+    return found
+
+
+@pytest.mark.parametrize(("month", "day"), [(3, 27), (10, 23)])
+@pytest.mark.parametrize("opens", ["02:30", "22:00", "00:00"])
+def test_a_night_has_one_run_when_the_clocks_change(month: int, day: int, opens: str) -> None:
+    begin = datetime.datetime(2027, month, day, 12, tzinfo=ZONE)
+    found = _slots(begin, 5, opens=opens, closes="12:00")
+    days = [datetime.datetime.fromtimestamp(slot.opens, ZONE).date() for slot in found]
+    # Asked within the window of the night before, at noon it has just closed.
+    assert len(days) == len(set(days)) == 5
+    assert all(earlier.closes <= later.opens for earlier, later in itertools.pairwise(found))
+
+
+def test_nights_that_nobody_was_there_for_come_one_after_the_other() -> None:
+    night = plan(quiet_s=None, windows=[{"opens": "22:00", "closes": "05:00"}])
+    noon = datetime.datetime(2026, 12, 5, 12, tzinfo=datetime.UTC).timestamp()
+    day_s = 86_400.0
+    assert due(night, noon, None) is None
+    assert due(night, noon + 11 * 3600, None) == Slot(noon + 10 * 3600, noon + 17 * 3600)
+    last = Slot(noon - 14 * 3600 - 2 * day_s, noon - 7 * 3600 - 2 * day_s)
+    seen = []
+    while (slot := due(night, noon, last)) is not None:
+        seen.append(round((slot.opens - noon) / 3600))
+        last = slot
+    assert seen == [-38, -14]
+    # The opening was put off by an hour in a night that has had its run.
+    later = plan(quiet_s=None, windows=[{"opens": "23:00", "closes": "05:00"}])
+    assert due(later, noon - 12 * 3600, last) is None
+
+
+# ---- who may start ----
+
+
+def test_before_the_run_opens_nothing_starts_and_late_ones_wait_for_the_next() -> None:
+    rig = Night()
+    rig.machine()
+    job = rig.job()
+    assert rig.planner.held_back(job, rig.clock.now()) == "run_not_open"
+    assert rig.starts() == 0
+    assert rig.look() is not None
+    assert rig.planner.held_back(job, rig.clock.now()) is None
+    rig.ask("/runs/night/1/close", "POST")
+    rig.sync()
+    late = rig.job(id="job-000002")
+    assert rig.rules.held(job) == "run_closing"
+    assert rig.rules.held(late) == "run_not_open"
+    record = rig.look(1.0)
+    assert record is not None
+    assert (record.phase, record.counts, record.reasons) == ("closed", [0, 0, 4], {"waiting": 4})
+    # What is left of a closed run goes on as other work does; the late one opens the next run.
+    assert rig.rules.held(job) is None
+    record = rig.look(1.0)
+    assert (rig.plan.latest, record and record.phase) == (2, "open")
+    assert rig.rules.held(late) is None
+
+
+def test_most_at_once_holds_over_jobs_and_rounds() -> None:
+    rig = Night(most_at_once=5, first="shortest")
+    worker = Worker()
+    rig.machine()
+    rig.report(worker)
+    long = rig.job(pieces=4, cpus=0.5, guessS=900.0)
+    short = rig.job(id="job-000002", pieces=3, cpus=0.5, guessS=10.0)
+    rig.look()
+    assert rig.starts() == 5
+    assert (short.live, long.live) == (3, 2)
+    assert rig.starts() == 0
+    assert rig.planner.held_back(long, rig.clock.now()) == "run_full"
+    rig.model.unplace(long.attempts[0])
+    rig.model.unplace(long.attempts[1])
+    assert rig.starts() == 2
+
+
+def test_members_that_fail_too_often_wait_until_the_others_are_through() -> None:
+    rig = Night(attempts=2)
+    worker = Worker()
+    rig.machine()
+    rig.report(worker)
+    job = rig.opened(pieces=3)
+    rig.fail(job, 2)
+    rig.fail(job, 1)
+    rig.fail(job, 1)
+    assert job.aside == {1}
+    job.worked()
+    job.retry_at = 0.0
+    rig.clock.time += 5
+    rig.report(worker)
+    assert rig.starts() == 2
+    assert sorted(job.attempts) == [0, 2]
+    rig.look()
+    assert rig.plan.record.phase == "reckoning"
+    for task in (0, 2):
+        rig.model.finish(job.attempts[task], rig.clock.now())
+    assert rig.rules.held(job) == "run_aside"
+    rig.look()
+    assert rig.plan.record.phase == "second"
+    assert job.aside == set()
+    rig.written()
+    rig.report(worker)
+    assert rig.starts() == 1
+    assert 1 in job.attempts
+
+
+# ---- what outlives an owner ----
+
+
+def test_a_new_owner_goes_on_with_counters_rounds_and_standing() -> None:
+    rig = Night(attempts=2)
+    rig.machine()
+    job = rig.opened(pieces=4)
+    rig.fail(job, 3)
+    rig.fail(job, 3)
+    rig.fail(job, 0)
+    rig.model.finish(rig.model.place(job, 1, 1, rig.machine("m-2"), Stage.PLACED), 0.0)
+    rig.written()
+    before = {task: rig.book.standing(rig.plan, job, task) for task in range(4)}
+    heir = rig.heir()
+    there = heir.model.job(job.id)
+    assert there is not None
+    assert there.aside == {3}
+    assert heir.book.failures(there, 0) == 1
+    assert {t: heir.book.standing(heir.plan, there, t) for t in range(4)} == before
+    assert before[1] == Standing.RECKONED
+    assert before[3] == Standing.ASIDE
+
+
+def test_a_failure_seen_again_by_the_next_owner_counts_once() -> None:
+    """The worker still shows an attempt that the owner before has counted."""
+    rig = Night(attempts=3)
+    worker = Worker()
+    rig.machine()
+    rig.report(worker)
+    job = rig.opened(pieces=1)
+    assert rig.starts() == 1
+    rig.written()
+    rig.report(worker)
+    worker.finish(f"{job.id}/0", "error")
+    # Nothing is reaped before the failure is durable: the heir may have to count it.
+    assert not any(o["verb"] == "reap" for o in rig.report(worker)["orders"])
+    early = rig.heir()
+    first = early.model.job(job.id)
+    early.report(worker)
+    assert first is not None
+    assert early.book.failures(first, 0) == 1
+    early.written()
+    heir = early.heir()
+    there = heir.model.job(job.id)
+    assert there is not None
+    heir.report(worker)
+    assert heir.book.failures(there, 0) == 1
+    assert any(o["verb"] == "reap" for o in heir.report(worker)["orders"])
+    assert not worker.tasks
+
+
+def test_a_failure_alone_waits_for_other_writes_but_not_for_ever() -> None:
+    rig = Night()
+    rig.machine()
+    job = rig.opened()
+    before = rig.state.transactions
+    rig.fail(job, 0)
+    rig.run(rig.settle())
+    assert rig.state.transactions == before
+    rig.written()
+    assert rig.state.transactions == before + 1
+
+
+# ---- the record ----
+
+
+def test_two_leaders_and_late_writes_open_and_close_a_run_once() -> None:
+    rig = Night()
+    rig.state.script = ["late"]
+    rig.job()
+    rig.look()
+    assert rig.plan.latest == 1
+    heir = rig.heir()
+    # The first sending of the deposed leader's write comes after all.
+    assert rig.state.deliver() == [[LEADER_KEY, run_key("night", 1)]]
+    stale = heir.plan.record
+    rig.state.script = ["late"]
+    closing = rig.keeper.closing(stale)
+    sleeper = rig.run(_sleep(rig, closing))
+    heir.run(heir.keeper.write(heir.plan, 1, heir.keeper.closing(stale)))
+    heir.sync()
+    record = heir.look(100.0)
+    assert record is not None and record.phase == "closed"
+    assert heir.look(100.0) is record
+    assert LEADER_KEY in rig.state.deliver()[0]
+    assert sleeper is False
+    assert heir.state.version(run_key("night", 2)) == 0
+
+
+async def _sleep(rig: Night, record: wire.StoredRun) -> bool:
+    return await rig.keeper.write(rig.plan, 1, record, lambda: not rig.state.late)
+
+
+def test_a_night_that_was_slept_through_is_recorded_and_lets_its_members_go() -> None:
+    rig = Night(quiet_s=None, windows=[{"opens": "22:00", "closes": "05:00"}])
+    wall = datetime.datetime.fromtimestamp(rig.clock.wall(), datetime.UTC)
+    at = wall.replace(hour=22, minute=0, second=1)
+    rig.clock.time += (at - wall).total_seconds() % 86_400
+    job = rig.job()
+    assert rig.look() is not None
+    rig.clock.time += 86_400 + 8 * 3600
+    for _ in range(8):
+        rig.look(0.5)
+    runs = {n: record for n, (record, _) in rig.model.runs["night"].items()}
+    assert [runs[n].phase for n in sorted(runs)] == ["closed", "closed"]
+    assert runs[2].slot - runs[1].slot == 86_400
+    assert (runs[1].counts, runs[2].counts) == ([0, 0, 4], [0, 0, 0])
+    assert rig.rules.held(job) is None
+
+
+def test_counts_of_a_run_go_by_the_records_whoever_counts() -> None:
+    rig = Night()
+    rig.machine()
+    done = rig.opened(pieces=2)
+    cancelled = rig.job(id="job-000002", pieces=3)
+    left = rig.job(id="job-000003", pieces=2)
+    for job, task in ((done, 0), (done, 1), (cancelled, 2)):
+        rig.model.finish(rig.model.place(job, task, 1, rig.machine(f"m-{task}"), Stage.PLACED), 0.0)
+    rig.model.place(left, 0, 1, rig.machine("m-9"), Stage.PLACED)
+    # Seen, but not durable yet: no record says so.
+    counted = rig.run(count(rig.model, rig.book, rig.plan, 1))
+    assert counted.reckoned == 0
+    rig.written()
+    rig.run(rig.ledger.cancel("job-000002"))
+    rig.written()
+    rig.sync()
+    heir = rig.heir()
+    for one in (rig, heir):
+        counted = one.run(count(one.model, one.book, one.plan, 1))
+        assert (counted.reckoned, counted.withdrawn, counted.unresolved) == (3, 2, 2)
+
+
+def test_operators_ask_any_controller_and_get_the_latest() -> None:
+    rig = Night(attempts=1)
+    job = rig.opened(pieces=3)
+    rig.fail(job, 1)
+    rig.written()
+    view = wire_runs.run_decoder.decode(rig.ask("/runs/night/1"))
+    assert (view.members["aside"], view.members["waiting"]) == (1, 2)
+    assert "aside       1" in describe(view)
+    page = wire_runs.page_decoder.decode(rig.ask("/runs/night/1/members?limit=2"))
+    assert [member.member for member in page.members] == [f"{job.id}/0", f"{job.id}/1"]
+    assert "failed 1 times" in member_line(page.members[1])
+    rest = rig.ask(f"/runs/night/1/members?from={page.after}")
+    assert [m.member for m in wire_runs.page_decoder.decode(rest).members] == [f"{job.id}/2"]
+    only = wire_runs.page_decoder.decode(rig.ask("/runs/night/1/members?standing=aside"))
+    assert len(only.members) == 1
+    # A sibling that has not followed that the run is closing reads it before it answers.
+    heir = rig.heir()
+    rig.sync()
+    rig.ask("/runs/night/1/close", "POST")
+    assert wire_runs.run_decoder.decode(heir.ask("/runs/night/1")).phase == "closing"
+    for path in ("/runs/day/1", "/runs/night/7", "/runs/night/x", "/runs/night/1/all"):
+        assert rig.run(rig.api.handle("GET", path, b"")).status == 404
+    assert rig.run(rig.api.handle("GET", "/runs/night/1/members?standing=up", b"")).status == 400
+    assert wire_runs.list_decoder.decode(rig.ask("/runs")).runs[0].phase == "closing"
+
+
+# ---- the record, whoever ends, sleeps or writes late ----
+
+
+class Slow:
+    """Takes what is to be written, and answers nothing."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[list[wire.Condition], list[wire.Write]]] = []
+
+    async def commit(self, urgency: Any, when: dict[str, int], writes: Any, *rest: Any) -> int:
+        self.sent.append(([wire.Condition(*item) for item in when.items()], writes))
+        raise Unavailable("no response")
+
+
+PHASES = ["open", "reckoning", "second", "closing", "closed"]
+WINDOWS = {"quiet_s": None, "windows": [{"opens": "22:00", "closes": "05:00"}]}
+
+
+@pytest.mark.parametrize("changes", [{}, WINDOWS])
+@pytest.mark.parametrize("seed", range(8))
+def test_a_run_goes_its_way_once(seed: int, changes: dict[str, Any]) -> None:
+    """Three controllers that lead in turn and decide by what each has followed; what they write
+    comes at any later time, some of it twice, or never."""
+    choose = random.Random(seed)
+    rig = Night(**changes)
+    nights = [rig, *(Night(beside=rig, node=node, **changes) for node in ("n-1", "n-2"))]
+    slow = Slow()
+    for one in nights:
+        one.keeper._committer = slow  # type: ignore[assignment]
+    history: dict[int, list[wire.StoredRun]] = {}
+    jobs: dict[str, int] = {}
+    steps = [60.0, 600.0, 7200.0] if changes else [0.1, 0.5, 20.0]
+    for _ in range(600):
+        one = choose.choice(nights)
+        act = choose.random()
+        rig.clock.time += choose.choice(steps)
+        one.lease()
+        if act < 0.3:
+            one.sync()
+        elif act < 0.4:
+            # Takes the lead; the one before does not know yet.
+            rig.state.put(LEADER_KEY, wire.Holding(one.settings.node, 1))
+            one.sync()
+        elif act < 0.65:
+            asyncio.run(one.keeper.step())
+        elif act < 0.68:
+            spec = submission(f"job-{len(jobs):06d}")
+            stored = wire.StoredJob("open", spec.tasks, rig.clock.wall(), spec)
+            jobs[spec.id] = rig.state.put(f"bs/j/{spec.id}", stored)
+        elif act < 0.72 and jobs:
+            name = choose.choice(list(jobs))
+            done = wire.StoredMember("done", 4, 0.0, None, None, jobs.pop(name), "night")
+            rig.state.put(f"bs/j/{name}", done)
+        elif slow.sent:
+            sent = choose.choice(slow.sent)
+            if choose.random() < 0.7:
+                slow.sent.remove(sent)
+            try:
+                rig.state.execute(*sent)
+            except Refused:
+                continue
+            record: wire.StoredRun = msgspec.json.decode(
+                sent[1][0].value or b"", type=wire.StoredRun
+            )
+            number = int((sent[1][0].put or "").rpartition("/")[2])
+            history.setdefault(number, []).append(record)
+    assert len(history) > (1 if changes else 0)
+    for number, records in history.items():
+        phases = [record.phase for record in records]
+        assert phases == [phase for phase in PHASES if phase in phases]
+        assert number == 1 or history[number - 1][-1].phase == "closed"
+    days = [round(history[number][0].slot / 86_400 - 0.5) for number in sorted(history)]
+    # Each night once, none left out.
+    assert not changes or days == list(range(days[0], days[0] + len(days)))
