Reckoning runs under three controllers: ends, freezes, an outage, hand-overs in every phase

Cause: members that fail by their own fault made their job shun every machine, so that a run stood still. Change: of a plan's jobs no more than half of a share's machines stay shunned; a night of 40 members is played under a loop whose time is the fake clock's.

--- a/badgerseam/runs/book.py
+++ b/badgerseam/runs/book.py
@@ -228,6 +228,10 @@
             known = wire.Failures(task, known.step + 1, attempt.number)
             job.note(known)
             share.notes_ride.setdefault(job.index, self._clock.now() + NOTE_S)
+            if 2 * len(job.shunned) > len(self._model.fleets[job.share]):
+                # Some failures are the members' own. Shunned for all of the job, one machine after
+                # the other, they left none, and a run of some thousand stood still.
+                job.shunned = {attempt.machine.index}
         if known.step >= found.plan.attempts and self.phase(found, job) in FIRST_ROUND:
             job.pass_over(task)
 
--- /dev/null
+++ b/tests/test_runs_failover.py
@@ -0,0 +1,428 @@
+"""A night of members under three whole controllers that end, freeze, hand over and lose the state
+service, with workers that run members in the clock's own time."""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
+import pytest
+
+from badgerseam.http.client import NoResponse, Response
+from badgerseam.lab.worker import Description, Identity, Results, WorkerCore
+from badgerseam.levels.table import Program
+from badgerseam.model.keys import LEADER_KEY, LEVEL_KEY, claim_key, group_key, run_key
+from badgerseam.model.model import Model
+from badgerseam.model.resources import Resources
+from badgerseam.options import runs as options
+from badgerseam.runs.book import Book, Standing
+from badgerseam.runs.counting import count
+from badgerseam.runs.keeper import LOOK_S, Keeper
+from badgerseam.runs.rules import RunRules
+from badgerseam.wire import state as wire
+from badgerseam.wire import workers as worker_wire
+from tests.stand_ins import FakeClock, settings, submission
+from tests.trio import Controller, Trio, Way
+
+PLAN = msgspec.convert(
+    {
+        "name": "night",
+        "classes": ["train"],
+        "teams": ["red"],
+        "quiet_s": 4.0,
+        "most_at_once": 8,
+        "attempts": 2,
+    },
+    options.Plan,
+)
+SHARE = 1
+"""That of the team; n-1 is its home."""
+MEMBERS = 40
+RUN_S = 2.5
+BROKEN = {5: 1, 7: 2, 11: 3}
+"""Members that fail at first, and how often: once, and as often as sets them aside, and more."""
+FOLLOW_S = 0.02
+
+
+class SimLoop(asyncio.SelectorEventLoop):
+    """A loop whose time is the fake clock's, which goes on only when nothing is left to do."""
+
+    def __init__(self, clock: FakeClock) -> None:
+        selector = selectors.DefaultSelector()
+        poll = selector.select
+
+        def select(timeout: float | None = None) -> Any:
+            clock.time += timeout or 0.0
+            return poll(0)
+
+        selector.select = select  # type: ignore[method-assign]
+        super().__init__(selector)
+        self._fake = clock
+
+    def time(self) -> float:
+        return self._fake.time
+
+
+class SlowWay(Way):
+    """Looks for changes at an interval of the fake clock."""
+
+    async def _open(self) -> None:
+        while self.frozen:
+            await asyncio.sleep(FOLLOW_S)
+        await super()._open()
+
+    async def follow(self, prefix: str, revision: int, wait_s: float) -> wire.Changes:
+        until = self.clock.now() + wait_s
+        while True:
+            await asyncio.sleep(FOLLOW_S)
+            if self.frozen or self.down:
+                continue
+            changes = self.core.changes(prefix, revision)
+            if changes.events or self.clock.now() >= until:
+                return changes
+
+    async def pause(self, failures: int) -> None:
+        await asyncio.sleep(0.05)
+
+
+class Machine(WorkerCore):
+    """A worker with the times of its members' work."""
+
+    def __init__(self, name: str, night: Night) -> None:
+        super().__init__(
+            Identity(name, f"10.1.0.{name[2:]}:9000", "c8", "a", False),
+            night.clock,
+            14.0,
+            Resources(8.0, 0.0, 64.0),
+            night.describe,
+            night.results,
+            night.seen,
+        )
+        self.node = "n-0"
+        self.next_at = 0.0
+
+
+class NightController(Controller):
+    """A controller that keeps runs, plans, and reaches its workers."""
+
+    def __init__(self, node: str, way: Way, night: Night) -> None:
+        super().__init__(node, way, Program(), night)
+        self.book = Book(self.model, options.RunsOptions([PLAN]))
+        self.model.watch = self.book
+        self.planner.runs = RunRules(self.book)
+        self.keeper = Keeper(self.model, self.member, self.committer, self.book)
+        self.night = night
+        self.http.request = self._reach  # type: ignore[method-assign]
+        self.keeping: asyncio.Future[None] | None = None
+        self.look_at = 0.0
+
+    async def _reach(
+        self, address: str, method: str, path: str, body: bytes | None, deadline_s: float
+    ) -> Response:
+        await asyncio.sleep(0.002)
+        if self.way.frozen:
+            raise NoResponse("frozen")
+        worker = self.night.machines[f"m-{address.split(':')[0].rpartition('.')[2]}"]
+        if path == "/inspect":
+            return Response(200, msgspec.json.encode(worker.report()))
+        done = worker.direct(msgspec.json.decode(body or b"", type=worker_wire.DirectOrders))
+        return Response(200 if done else 409, msgspec.json.encode(worker.report()))
+
+    def step(self) -> None:
+        super().step()
+        if self.way.frozen:
+            return
+        with self.model.lock:
+            self.control.watch()
+            for share in self.model.shares:
+                if share.owned and not share.releasing and self.member.fresh(5.0):
+                    self.planner.run(share)
+        self.ledger.flush()
+        with self.model.lock:
+            for machine in self.model.machines.values():
+                if self.model.shares[machine.share].owned:
+                    self.control.push(machine)
+        if self.clock.now() >= self.look_at and (self.keeping is None or self.keeping.done()):
+            self.look_at = self.clock.now() + LOOK_S
+            self.keeping = asyncio.ensure_future(self.keeper.step())
+
+
+class Night(Trio):
+    """The site, its workers, and somebody who only follows the records."""
+
+    def __init__(self) -> None:
+        super().__init__(SlowWay)
+        self.results = Results()
+        self.on: dict[tuple[str, int], float] = {}
+        self.fails: Counter[str] = Counter()
+        self.starts: list[float] = []
+        self.lost_s = 0.0
+        """Seconds that members worked for nothing, failures aside."""
+        self.most = 0
+        self.twice: list[str] = []
+        self.machines = {f"m-{n}": Machine(f"m-{n}", self) for n in range(1, 5)}
+        self.model = Model(settings(shares=3), self.clock)
+        self.book = Book(self.model, options.RunsOptions([PLAN]))
+        self.model.watch = self.book
+        self.before: dict[int, tuple[Standing, int]] = {}
+        self.back: list[str] = []
+        self.phases: list[str] = []
+
+    def start(self, node: str, program: Program) -> NightController:
+        way = SlowWay(self.clock, self.params, self.core)
+        self.ways.append(way)
+        controller = NightController(node, way, self)
+        self.alive[node] = controller
+        return controller
+
+    # ---- workers ----
+
+    def describe(self, task: str) -> Description:
+        number = int(task.rpartition("/")[2])
+        broken = self.fails[task] < BROKEN.get(number, 0)
+        return Description(Resources(2.0, 0.0, 4.0), "img", 0.0, RUN_S, broken=broken)
+
+    def seen(self, event: str, machine: str, task: str, attempt: int) -> None:
+        now = self.clock.now()
+        if event == "on":
+            self.starts.append(now)
+            if any(name == task for name, _ in self.on):
+                self.twice.append(task)
+            self.on[task, attempt] = now
+            self.most = max(self.most, len(self.on))
+            return
+        began = self.on.pop((task, attempt))
+        broken = self.describe(task).broken
+        self.fails[task] += broken
+        if event == "off" and not broken:
+            self.lost_s += now - began
+
+    def _report(self, worker: Machine) -> None:
+        worker.next_at = self.clock.now() + 2.0
+        worker.changed = False
+        controller = self.alive.get(worker.node)
+        names = sorted(self.alive) or ["n-0"]
+        turn = (names.index(worker.node) + 1) % len(names) if worker.node in names else 0
+        if controller is None or controller.way.frozen:
+            worker.node, worker.next_at = names[turn], self.clock.now() + 1.0
+            return
+        sent, session = self.clock.now(), worker.session
+        reply = controller.control.checkin(msgspec.json.encode(worker.report()))
+        if reply.status == 200:
+            orders = msgspec.json.decode(reply.body, type=worker_wire.Orders)
+            worker.answered(sent, session, orders)
+            return
+        named = msgspec.json.decode(reply.body).get("overseer") if reply.status == 421 else None
+        known = named is not None and named != worker.node
+        worker.node = named if known else names[turn]
+        worker.next_at = self.clock.now() + (0.3 if known else 1.0)
+
+    # ---- time ----
+
+    async def go_on(self, seconds: float) -> None:
+        until = self.clock.now() + seconds
+        while self.clock.now() < until - 1e-6:
+            await asyncio.sleep(0.05)
+            self.core.expire()
+            for controller in list(self.alive.values()):
+                controller.step()
+            for worker in self.machines.values():
+                worker.advance()
+                if self.clock.now() >= worker.next_at or worker.changed:
+                    self._report(worker)
+            self._look()
+
+    def _look(self) -> None:
+        """Follow the records, and compare how each member stands with how it stood."""
+        for event in self.core.changes("bs/", self.model.revision).events:
+            value = event.value if event.put else None
+            self.model.apply(event.put or event.delete or "", value, event.version)
+            self.model.revision = event.version
+        plan = self.book.plans["night"]
+        if plan.record is not None and self.phases[-1:] != [plan.record.phase]:
+            self.phases.append(plan.record.phase)
+        job = self.model.job("job-000001")
+        if job is None:
+            return
+        for task in range(job.tasks):
+            now = self.book.standing(plan, job, task), self.book.failures(job, task)
+            stood, failed = self.before.get(task, now)
+            if (stood == Standing.RECKONED and now[0] != stood) or now[1] < failed:
+                self.back.append(f"{task}: {stood} {failed}, then {now}")
+            self.before[task] = now
+
+    async def until(self, met: Callable[[], bool], seconds: float = 90.0) -> None:
+        end = self.clock.now() + seconds
+        while not met():
+            assert self.clock.now() < end, (self.phases, self.before)
+            await self.go_on(0.05)
+
+    async def begin(self) -> None:
+        """A site at the newest level with its machines; three controllers that act."""
+        level = wire.SiteLevel(3, "n-0", 0.0, 3)
+        rows = [
+            wire.StoredMachine(name, SHARE, "c8", "a", False, worker.who.addr, 0.0)
+            for name, worker in self.machines.items()
+        ]
+        for key, record in ((LEVEL_KEY, level), (group_key("g"), rows)):
+            self.core.execute([], [wire.Write(put=key, value=wire.raw(record))])
+        self.start_all(Program())
+        await self.until(lambda: all(self.actors()) and self.holder(LEADER_KEY) is not None)
+        spec = submission(pieces=MEMBERS, guessS=RUN_S)
+        stored = wire.StoredJob("open", MEMBERS, self.clock.wall(), spec)
+        self.core.execute([], [wire.Write(put=f"bs/j/{spec.id}", value=wire.raw(stored))])
+
+    def record(self) -> wire.StoredRun | None:
+        entry = self.core.get(run_key("night", 1))
+        if entry is None:
+            return None
+        found: wire.StoredRun = msgspec.json.decode(entry.value, type=wire.StoredRun)
+        return found
+
+    async def end_well(self) -> None:
+        """Until the run is closed; then what must hold of any night."""
+        await self.until(lambda: (r := self.record()) is not None and r.phase == "closed", 120.0)
+        await self.go_on(10.0)
+        record = self.record()
+        assert record is not None
+        assert record.counts == [MEMBERS, 0, 0], record
+        assert self.core.get(run_key("night", 2)) is None
+        assert self.twice == self.back == []
+        assert self.lost_s == 0.0
+        assert self.most <= PLAN.most_at_once
+        assert self.phases == ["open", "reckoning", "second", "closing", "closed"]
+        # None is tried again that was done, and each failure counts once.
+        assert len(self.starts) == MEMBERS + sum(BROKEN.values())
+        counted = {task: failed for task, (_, failed) in self.before.items() if failed}
+        assert all(counted.get(task, failed) == failed for task, failed in BROKEN.items())
+        await self.stop()
+
+
+async def _over(tasks: set[asyncio.Task[Any]]) -> None:
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def play(work: Callable[[Night], Coroutine[Any, Any, None]]) -> Night:
+    """Play a night in no time."""
+    night = Night()
+    loop = SimLoop(night.clock)
+    try:
+        loop.run_until_complete(work(night))
+    finally:
+        left = asyncio.all_tasks(loop)
+        for task in left:
+            task.cancel()
+        loop.run_until_complete(_over(left))
+        loop.close()
+    return night
+
+
+def _gap(night: Night, at: float) -> float:
+    """Seconds from a moment to the next start of a member."""
+    return min((start - at for start in night.starts if start > at), default=0.0)
+
+
+@pytest.mark.parametrize("victims", [("n-1",), ("n-0",), ("n-0", "n-1"), ("n-0", "n-1", "n-2")])
+@pytest.mark.parametrize("phase", ["accepted", "open", "reckoning", "half", "second", "closing"])
+def test_a_night_goes_on_after_the_end_of_controllers(
+    phase: str, victims: tuple[str, ...], record_property: Callable[[str, object], None]
+) -> None:
+    async def work(night: Night) -> None:
+        await night.begin()
+        if phase == "half":
+            await night.until(lambda: len(night.results.done) >= MEMBERS // 2)
+        elif phase != "accepted":
+            await night.until(lambda: phase in night.phases)
+        at = night.clock.now()
+        for node in victims:
+            await night.end(node)
+        await night.go_on(6.0 if len(victims) < 3 else 1.0)
+        for node in victims:
+            night.start(node, Program())
+        await night.end_well()
+        record_property("gap_s", round(_gap(night, at), 2))
+        record_property("worked_twice_s", night.lost_s)
+
+    play(work)
+
+
+@pytest.mark.parametrize("node", ["n-1", "n-0"])
+def test_a_controller_that_stood_still_resumes_into_a_run_that_went_on(node: str) -> None:
+    async def work(night: Night) -> None:
+        await night.begin()
+        await night.until(lambda: len(night.results.done) >= 10)
+        sleeper = night.alive[node]
+        # What it has on its way comes when it wakes, or later: its stamps are past by then.
+        sleeper.way.frozen = True
+        await night.go_on(9.0)
+        assert night.holder(claim_key(SHARE)) != "n-1" or node != "n-1"
+        sleeper.way.frozen = False
+        await night.end_well()
+
+    play(work)
+
+
+def test_a_controller_asleep_over_the_close_does_not_open_it_again() -> None:
+    async def work(night: Night) -> None:
+        await night.begin()
+        await night.until(lambda: "second" in night.phases)
+        sleeper = night.alive["n-0"]
+        sleeper.way.frozen = True
+        await night.until(lambda: night.phases[-1:] == ["closed"])
+        sleeper.way.frozen = False
+        await night.go_on(3.0)
+        await night.end_well()
+
+    play(work)
+
+
+def test_an_outage_in_the_middle_costs_no_member_its_work() -> None:
+    async def work(night: Night) -> None:
+        await night.begin()
+        await night.until(lambda: len(night.results.done) >= 10)
+        for way in night.ways:
+            way.down = True
+        for _ in range(6):
+            # Leases have their full time once it is over.
+            await night.go_on(1.0)
+            for lease in night.core.leases.values():
+                lease.until = night.clock.now() + 4.0
+        for way in night.ways:
+            way.down = False
+        await night.end_well()
+
+    play(work)
+
+
+def test_a_run_goes_on_through_a_hand_over() -> None:
+    async def work(night: Night) -> None:
+        await night.begin()
+        await night.until(lambda: len(night.results.done) >= 10)
+        for node in ("n-1", "n-0"):
+            assert night.alive[node].handover.leave() is None
+            await night.go_on(2.0)
+            at = night.clock.now()
+            night.alive[node].handover.come_back()
+            await night.go_on(3.0)
+            assert _gap(night, at) < RUN_S + 2.0
+        await night.end_well()
+
+    play(work)
+
+
+def test_every_controller_counts_the_same() -> None:
+    async def work(night: Night) -> None:
+        await night.begin()
+        await night.until(lambda: len(night.results.done) >= 10)
+        await night.go_on(0.05)
+        for one in night.alive.values():
+            counts = await count(one.model, one.book, one.book.plans["night"], 1)
+            assert counts.total == MEMBERS
+            assert counts.reckoned <= len(night.results.done)
+        await night.end_well()
+
+    play(work)
