--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -331,6 +331,41 @@
     assert not worker.tasks
 
 
+def test_a_row_of_an_attempt_that_has_failed_is_neither_placed_nor_counted_again() -> None:
+    """Its page was not written again since; the worker shows it as it ended."""
+    rig = Night(attempts=2)
+    worker = Worker()
+    rig.machine()
+    job = rig.opened(pieces=1)
+    rig.page(0, rig.rows(job.id, (0, 1, "m-1")))
+    rig.page(1, wire.JobRows(job.id, [], [], [], [wire.Failures(0, 1, 1)]))
+    heir = rig.heir()
+    there = heir.model.job(job.id)
+    assert there is not None
+    assert heir.book.standing(heir.plan, there, 0) == Standing.WAITING
+    worker.hold(f"{job.id}/0")
+    worker.finish(f"{job.id}/0", "error")
+    heir.report(worker)
+    assert heir.book.failures(there, 0) == 1
+    assert not there.attempts
+
+
+def test_a_run_is_counted_when_all_before_its_cut_is_known() -> None:
+    rig = Night()
+    rig.opened()
+    heir = rig.heir()
+    rig.sync()
+    late = rig.job(id="job-000002")
+    rig.ask("/runs/night/1/close", "POST")
+    # Read ahead of the replica, as an operator's question has it.
+    heir.ask("/runs/night/1")
+    assert heir.plan.record.phase == "closing"
+    assert heir.keeper._due(heir.plan) is None
+    assert heir.model.job(late.id) is None
+    record = heir.look(1.0) and heir.look(1.0)
+    assert record is not None and record.counts == [0, 0, 8]
+
+
 def test_a_failure_alone_waits_for_other_writes_but_not_for_ever() -> None:
     rig = Night()
     rig.machine()
--- a/tests/test_runs_failover.py
+++ b/tests/test_runs_failover.py
@@ -28,13 +28,14 @@
 from tests.stand_ins import FakeClock, settings, submission
 from tests.trio import Controller, Trio, Way
 
+MOST = 8
 PLAN = msgspec.convert(
     {
         "name": "night",
         "classes": ["train"],
         "teams": ["red"],
         "quiet_s": 4.0,
-        "most_at_once": 8,
+        "most_at_once": MOST,
         "attempts": 2,
     },
     options.Plan,
@@ -213,12 +214,14 @@
         sent, session = self.clock.now(), worker.session
         reply = controller.control.checkin(msgspec.json.encode(worker.report()))
         if reply.status == 200:
-            orders = msgspec.json.decode(reply.body, type=worker_wire.Orders)
+            orders: worker_wire.Orders = msgspec.json.decode(reply.body, type=worker_wire.Orders)
             worker.answered(sent, session, orders)
             return
-        named = msgspec.json.decode(reply.body).get("overseer") if reply.status == 421 else None
+        named: str | None = None
+        if reply.status == 421:
+            named = msgspec.json.decode(reply.body).get("overseer")
         known = named is not None and named != worker.node
-        worker.node = named if known else names[turn]
+        worker.node = named if named is not None and known else names[turn]
         worker.next_at = self.clock.now() + (0.3 if known else 1.0)
 
     # ---- time ----
@@ -293,7 +296,7 @@
         assert self.core.get(run_key("night", 2)) is None
         assert self.twice == self.back == []
         assert self.lost_s == 0.0
-        assert self.most <= PLAN.most_at_once
+        assert self.most <= MOST
         assert self.phases == ["open", "reckoning", "second", "closing", "closed"]
         # None is tried again that was done, and each failure counts once.
         assert len(self.starts) == MEMBERS + sum(BROKEN.values())
@@ -420,6 +423,7 @@
         await night.until(lambda: len(night.results.done) >= 10)
         await night.go_on(0.05)
         for one in night.alive.values():
+            assert isinstance(one, NightController)
             counts = await count(one.model, one.book, one.book.plans["night"], 1)
             assert counts.total == MEMBERS
             assert counts.reckoned <= len(night.results.done)
