--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -6,6 +6,7 @@
 import datetime
 import itertools
 import random
+from pathlib import Path
 from typing import Any
 from zoneinfo import ZoneInfo
 
@@ -14,18 +15,21 @@
 
 from badgerseam.api.runs import RunsApi
 from badgerseam.cli.runs import describe, member_line
+from badgerseam.explain.explainer import Explainer
 from badgerseam.model.job import Job, Stage
 from badgerseam.model.keys import LEADER_KEY, LEVEL_KEY, run_key
+from badgerseam.node import Node
 from badgerseam.options import runs as options
 from badgerseam.runs.book import Book, Standing
 from badgerseam.runs.counting import count
 from badgerseam.runs.keeper import Keeper
 from badgerseam.runs.rules import RunRules
 from badgerseam.runs.windows import Slot, due
+from badgerseam.settings import ExplainOptions, SettingsError, Tunables, load_tunables
 from badgerseam.store.client import Refused, Unavailable
 from badgerseam.wire import runs as wire_runs
 from badgerseam.wire import state as wire
-from tests.stand_ins import Rig, Worker, submission
+from tests.stand_ins import FakeClock, Rig, Worker, settings, submission
 
 ZONE = ZoneInfo("Europe/Zurich")
 
@@ -165,6 +169,23 @@
     assert options.check(parted, ["red", "blue"]) == []
 
 
+def test_the_section_is_read_from_the_operators_file(tmp_path: Path) -> None:
+    path = tmp_path / "options.json"
+    path.write_text('{"runs": {"plans": [{"name": "night", "classes": ["train"], "quiet_s": 60}]}}')
+    tunables = load_tunables(str(path))
+    assert tunables.runs is not None
+    assert tunables.runs.plans[0].attempts == 3
+    node = Node(settings(), tunables, FakeClock(), random.Random(1))
+    assert node.keeper is not None
+    assert node.planner.runs is not None
+    off = Node(settings(), Tunables(), FakeClock(), random.Random(1))
+    assert [off.keeper, off.planner.runs, off.model.watch] == [None, None, None]
+    for bad in ('"plans": []', '"plans": [{"name": "A b", "classes": ["x"]}]', '"planz": []'):
+        path.write_text(f'{{"runs": {{{bad}}}}}')
+        with pytest.raises(SettingsError, match="runs"):
+            load_tunables(str(path))
+
+
 # ---- nights ----
 
 
@@ -250,6 +271,41 @@
     assert rig.starts() == 2
 
 
+def test_a_gang_starts_whole_within_the_limit_or_alone() -> None:
+    rig = Night(most_at_once=5)
+    worker = Worker()
+    rig.machine()
+    rig.report(worker)
+    gang = rig.job(pieces=4, cpus=0.5, shape="group")
+    array = rig.job(id="job-000002", pieces=3, cpus=0.5, rank="high")
+    large = rig.job(id="job-000003", pieces=6, cpus=0.5, shape="group")
+    rig.look()
+    assert rig.starts() == 3
+    assert (array.live, gang.live) == (3, 0)
+    for task in range(3):
+        rig.model.finish(array.attempts[task], rig.clock.now())
+    assert rig.starts() == 4
+    assert (gang.live, large.live) == (4, 0)
+    for task in range(4):
+        rig.model.finish(gang.attempts[task], rig.clock.now())
+    assert rig.starts() == 6
+
+
+def test_why_names_the_run_that_holds_a_job_back() -> None:
+    rig = Night(most_at_once=2)
+    rig.machine()
+    job = rig.job()
+
+    async def ask(*_: Any) -> None:
+        return None
+
+    explainer = Explainer(rig.model, rig.planner, rig.member, ExplainOptions(), ask, ask)
+    (why,) = rig.run(explainer.local(0, [job.id]))
+    (reason,) = why.groups[0].reasons
+    assert (reason.code, reason.who) == ("reckoning_run", ["night 1"])
+    assert "night 1, which has not been opened" in reason.text
+
+
 def test_members_that_fail_too_often_wait_until_the_others_are_through() -> None:
     rig = Night(attempts=2)
     worker = Worker()
