--- a/badgerseam/runs/book.py
+++ b/badgerseam/runs/book.py
@@ -108,6 +108,8 @@
             teams = [team for team in model.teams if not plan.teams or team.name in plan.teams]
             self.plans[plan.name] = PlanJobs(plan, sorted({team.share for team in teams}))
         self._known: dict[tuple[str, str], PlanJobs | None] = {}
+        self._aside: dict[int, tuple[tuple[int, int, int, int], int]] = {}
+        """Of jobs of others' shares how many members are set aside, as long as nothing changes."""
 
     @property
     def active(self) -> bool:
@@ -173,6 +175,19 @@
             return Standing.ASIDE
         return Standing.WAITING
 
+    def startable(self, plan: PlanJobs, job: Job) -> int:
+        """How many of a job's members wait and are not set aside. Of another owner's job as far as
+        its records tell: machines were rented for members that wait for the second round."""
+        if self._model.shares[job.share].owned or not job.notes:
+            return job.startable()
+        if self.phase(plan, job) not in FIRST_ROUND:
+            return job.waiting()
+        mark = (job.place, len(job.notes), job.finished, job.live)
+        known = self._aside.get(job.index)
+        if known is None or known[0] != mark:
+            known = self._aside[job.index] = mark, self.aside(plan, job)
+        return max(0, job.waiting() - known[1])
+
     def aside(self, plan: PlanJobs, job: Job) -> int:
         """How many of a job's members have failed too often for the first round; as many steps as
         members have failed at all."""
@@ -238,6 +253,9 @@
     def reread(self, job: Job) -> None:
         """A job of a share that is acted for from now on was read from the records."""
         found = self.of(job)
+        # Set aside by a row that a later one has overruled: it would not be started any more, and
+        # another member would be missed for it.
+        job.aside.clear()
         if found is None or self.phase(found, job) not in FIRST_ROUND:
             return
         for note in job.notes.values():
--- a/badgerseam/runs/rules.py
+++ b/badgerseam/runs/rules.py
@@ -42,7 +42,7 @@
         ]
         waiting.sort(key=lambda job: (-job.rank, self._key(found, job), job.place))
         for job in waiting:
-            count = job.startable()
+            count = self._book.startable(found, job)
             if now < job.retry_at or (job.failing and job.attempts):
                 # It says so itself, and leaves its part to others.
                 allowed[job.index] = 1
@@ -64,7 +64,8 @@
             return "run_not_open"
         if phase == "closing":
             return "run_closing"
-        if job.aside and (job.gang or job.startable() <= 0):
+        startable = self._book.startable(found, job)
+        if startable < job.waiting() and (job.gang or startable <= 0):
             return "run_aside"
         return None
 
@@ -91,7 +92,7 @@
         if found is None:
             return None
         if found.plan.most_at_once is None:
-            return job.startable()
+            return self._book.startable(found, job)
         return self._allowance(found, job)
 
     def order(self, job: Job) -> float | None:
--- a/tests/measure_runs.py
+++ b/tests/measure_runs.py
@@ -1,4 +1,4 @@
-"""What a run of many members writes: `python -m tests.measure_runs [members]`, with runs and without.
+"""What a run of many members writes, with runs and without: `python -m tests.measure_runs [N]`.
 
 One controller plans, launches and finishes members as its state service lets it, 20 changes a
 second and 8 KiB a value, and what lies in its transactions is counted. One in a hundred members
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -356,6 +356,13 @@
     assert heir.book.failures(there, 0) == 1
     assert {t: heir.book.standing(heir.plan, there, t) for t in range(4)} == before
     assert before[1] == Standing.RECKONED
+    # The leader, if it is another one, rents nothing for those set aside.
+    leader = Night(beside=rig, node="n-2")
+    leader.book.plans = Book(leader.model, options.RunsOptions([rig.plan.plan])).plans
+    leader.sync()
+    seen = leader.model.job(job.id)
+    assert seen is not None
+    assert leader.book.startable(leader.plan, seen) == 2
     assert before[3] == Standing.ASIDE
 
 
