--- a/badgerseam/model/state.py
+++ b/badgerseam/model/state.py
@@ -110,6 +110,8 @@
     """Starts of low-priority work that it may still take before others have their turn."""
     notes_due: set[int] = field(default_factory=set)
     """Jobs with notes to be made durable, with the next write of the share or before."""
+    notes_ride: dict[int, float] = field(default_factory=dict)
+    """Jobs with notes that go with whatever is written next, and by when they go alone."""
     committing: bool = False
     """A transaction with tasks of the share is on its way; there is one at a time."""
     last_holder: str | None = None
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -15,9 +15,10 @@
 from badgerseam.api.classes import ClassesApi
 from badgerseam.api.questions import Questions
 from badgerseam.api.rollout import RolloutApi
+from badgerseam.api.runs import RunsApi
 from badgerseam.api.users import Api
 from badgerseam.batch.numbers import Numbers
-from badgerseam.classes.keeper import Keeper
+from badgerseam.classes.keeper import Keeper as ClassesKeeper
 from badgerseam.classes.rules import Rules
 from badgerseam.clock import Clock
 from badgerseam.cluster.deputies import Deputies
@@ -35,6 +36,9 @@
 from badgerseam.rollout.handover import Handover
 from badgerseam.rollout.raising import Raising
 from badgerseam.rollout.refresh import Refresh
+from badgerseam.runs.book import Book
+from badgerseam.runs.keeper import Keeper as RunsKeeper
+from badgerseam.runs.rules import RunRules
 from badgerseam.sched.planner import Planner
 from badgerseam.settings import Settings, Tunables
 from badgerseam.store.allotment import Allotment
@@ -160,10 +164,10 @@
                     self.model, self.state, self.committer, tunables.accounting, self._process_name
                 )
             accounting = AccountingApi(self.model, accounts.book, accounts.log)
-        self.classes: Keeper | None = None
+        self.classes: ClassesKeeper | None = None
         classes: ClassesApi | None = None
         if tunables.classes is not None:
-            self.classes = Keeper(self.model, self.member, self.committer, tunables.classes)
+            self.classes = ClassesKeeper(self.model, self.member, self.committer, tunables.classes)
             rules = Rules(self.model, self.planner)
             self.ledger.class_of = rules.of_submission
             self.fleet.class_of = rules.of_arrival
@@ -187,6 +191,14 @@
             rollout = RolloutApi(
                 self.model, self.member, self.raising, handover, self.refresh, self.carrying
             )
+        self.runs: RunsKeeper | None = None
+        runs: RunsApi | None = None
+        if tunables.runs is not None:
+            book = Book(self.model, tunables.runs)
+            self.model.watch = book
+            self.planner.runs = RunRules(book)
+            self.runs = RunsKeeper(self.model, self.member, self.committer, book)
+            runs = RunsApi(self.model, self.state, book, self.runs)
         self.api = Api(
             self.model,
             self.state,
@@ -199,6 +211,7 @@
             accounting,
             rollout,
             classes,
+            runs,
         )
         self._pulse_at: asyncio.TimerHandle | None = None
         self._plan_at: asyncio.TimerHandle | None = None
@@ -337,6 +350,8 @@
                 group.create_task(self.explainer.keep_samples())
             if self.carrying is not None:
                 group.create_task(self.carrying.keep())
+            if self.runs is not None:
+                group.create_task(self.runs.keep())
             accounts = self.model.accounts
             if accounts is not None and accounts.log is not None:
                 group.create_task(accounts.log.keep())
