--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -244,6 +244,7 @@
         spec = submission(pieces=2)
         first.set(f"bs/j/{job_id}", wire.StoredJob("open", 2, first.clock.wall(), spec))
         self.on: dict[str, set[str]] = {}
+        self.twice: list[str] = []
         self.copies: list[tuple[str, bytes, bool]] = []
         """Machine, report, and whether it has reached an owner."""
         for seat in self.field.seats.values():
@@ -253,7 +254,9 @@
         where = self.on.setdefault(task, set())
         if event == "on":
             where.add(machine)
-            assert len(where) == 1, f"{task} runs on {where}"
+            if len(where) > 1:
+                # Raised here, it would end in a command's own task, unseen.
+                self.twice.append(f"{task} runs on {sorted(where)}")
         else:
             where.discard(machine)
 
@@ -365,5 +368,6 @@
         await world.step()
         for op, which, number in history:
             await world.act(op, which, number)
+            assert not world.twice
 
     asyncio.run(play())
