Tests' loops go by the fake clock and wait for nothing

Change: a loop whose time is the fake clock's; when nothing is ready it sets the clock to the next timer.

--- /dev/null
+++ b/tests/fake_time.py
@@ -0,0 +1,132 @@
+"""Time that passes only when nothing else is left to do.
+
+A loop that goes by a fake clock waits for nothing: when everything waits for a later time, the
+clock is set to it. `asyncio.sleep`, timeouts and timers thus agree with `clock.now()`, cost no
+time, and come in the same order in every run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import selectors
+import time
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from badgerseam.clock import Clock
+
+T = TypeVar("T")
+
+BUSY_PASSES = 20
+BUSY_S = 0.003
+"""What so many passes in a row with something to do take: a test may look again and again, without
+a pause, for what a timer brings about."""
+MOST_PASSES = 100_000
+"""In a row, with something to do: more of them come to no end."""
+
+
+class FakeClock(Clock):
+    """Stands still unless a test or a loop moves it."""
+
+    def __init__(self) -> None:
+        self.time = 1000.0
+
+    def now(self) -> float:
+        return self.time
+
+    def wall(self) -> float:
+        return 1_700_000_000.0 + self.time
+
+
+class Waiting(selectors.DefaultSelector):
+    """Where a loop waits: under a fake clock, that goes on instead."""
+
+    clock: FakeClock | None = None
+    left_s = math.inf
+    """By how much the loop may still move the clock."""
+    _busy = 0
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        if self.clock is None:
+            return super().select(timeout)
+        ready = super().select(0)
+        if ready or timeout == 0:
+            self._busy += 1
+            if self._busy % BUSY_PASSES == 0:
+                self._move(self.clock, BUSY_S)
+            if self._busy == MOST_PASSES:
+                self._end("no end of what is to be done at once")
+            return ready
+        self._busy = 0
+        if timeout is None:
+            # It would be waited for ever; a test that fails says more than one that hangs.
+            self._end("all wait, and nothing is to come")
+        else:
+            self._move(self.clock, timeout)
+        return ready
+
+    def _move(self, clock: FakeClock, seconds: float) -> None:
+        clock.time += seconds
+        self.left_s -= seconds
+        if self.left_s < 0:
+            self._end(f"not done at {clock.time:.3f}")
+
+    def _end(self, cause: str) -> None:
+        # What is cancelled now gets its turns to end.
+        self.left_s, self._busy = math.inf, 0
+        raise AssertionError(f"came to no end: {cause}")
+
+
+class FakeLoop(asyncio.SelectorEventLoop):
+    """A loop as any other, until it is told to go by a fake clock."""
+
+    def __init__(self, clock: FakeClock | None = None, most_s: float = math.inf) -> None:
+        """`most_s`: by how many seconds the loop moves the clock before it fails."""
+        self._waiting = Waiting()
+        self._ahead_s = 0.0
+        super().__init__(self._waiting)
+        self._waiting.left_s = most_s
+        if clock is not None:
+            self.go_by(clock)
+
+    @property
+    def clock(self) -> FakeClock | None:
+        """The one that it goes by."""
+        return self._waiting.clock
+
+    def go_by(self, clock: FakeClock) -> None:
+        """From now on; timers that run already keep what is left of them."""
+        self._ahead_s = self.time() - clock.now()
+        self._waiting.clock = clock
+
+    def time(self) -> float:
+        clock = self._waiting.clock
+        return time.monotonic() if clock is None else clock.now() + self._ahead_s
+
+
+def running_clock() -> FakeClock:
+    """The clock that the running loop goes by, from now on if it went by none."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, FakeLoop), "run by asyncio.run of a test, or by drive"
+    if loop.clock is None:
+        loop.go_by(FakeClock())
+    clock = loop.clock
+    assert clock is not None
+    return clock
+
+
+def drive(clock: FakeClock, work: Coroutine[Any, Any, T], rounds: int = 3000) -> T:
+    """Run to the end by a fake clock; an error if it has to move by more than `rounds` times 3 ms.
+
+    What the work itself adds to the clock does not count.
+    """
+    with asyncio.Runner(loop_factory=lambda: FakeLoop(clock, rounds * 0.003)) as runner:
+        return runner.run(work)
+
+
+class Policy(asyncio.DefaultEventLoopPolicy):
+    """Has `asyncio.run` make loops that can go by a fake clock."""
+
+    def new_event_loop(self) -> FakeLoop:
+        return FakeLoop()
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -9,7 +9,6 @@
 
 import msgspec
 
-from badgerseam.clock import Clock
 from badgerseam.cluster.deputies import Deputies
 from badgerseam.cluster.member import Member
 from badgerseam.fleet.returns import Returns
@@ -44,23 +43,14 @@
 from badgerseam.wire import workers as worker_wire
 from badgerseam.wire.users import Submission
 from badgerseam.workers.control import Control
+from tests.fake_time import FakeClock as FakeClock
+from tests.fake_time import drive as drive
 
 T = TypeVar("T")
 
 TYPES = [{"sku": "c8", "cpus": 8, "memGb": 64, "price": 1.0, "spotPrice": 0.3, "setts": ["a", "b"]}]
 
 
-class FakeClock(Clock):
-    def __init__(self) -> None:
-        self.time = 1000.0
-
-    def now(self) -> float:
-        return self.time
-
-    def wall(self) -> float:
-        return 1_700_000_000.0 + self.time
-
-
 ZONES = {"n-0": "a", "n-1": "b", "n-2": "a"}
 
 
@@ -228,24 +218,6 @@
         return self.script.pop(0)(message)
 
 
-def drive(clock: FakeClock, work: Coroutine[Any, Any, T], rounds: int = 3000) -> T:
-    """Run to the end while the fake clock goes on; an error if that takes too many rounds."""
-
-    async def run() -> T:
-        task = asyncio.ensure_future(work)
-        for _ in range(rounds):
-            for _ in range(5):
-                await asyncio.sleep(0)
-            if task.done():
-                return task.result()
-            await asyncio.sleep(0.001)
-            clock.time += 0.003
-        task.cancel()
-        raise AssertionError("came to no end")
-
-    return asyncio.run(run())
-
-
 def silent(message: dict[str, Any]) -> Response:
     raise NoResponse("silent")
 
@@ -455,7 +427,7 @@
             await self.settle(3)
             return lost + self.control.watch()
 
-        return asyncio.run(look())
+        return self.run(look())
 
     def plan(self, share: int = 0) -> dict[int, int]:
         return self.planner.run(self.model.shares[share])
--- a/tests/trio.py
+++ b/tests/trio.py
@@ -24,10 +24,13 @@
 from badgerseam.store.client import LeaseLost, Unavailable
 from badgerseam.store.replica import Replica
 from badgerseam.wire import state as wire
-from tests.stand_ins import TYPES, ZONES, FakeClock, FakeState, Rig, settings
+from tests.fake_time import running_clock
+from tests.stand_ins import TYPES, ZONES, FakeState, Rig, settings
 
 PAGE = 10
 STEP_S = 0.05
+LOOK_S = 0.01
+"""How soon it is seen that a way is open again."""
 TTL_S = 4.0
 STEADY_S = 2.0
 FIRST_ONLY = Program(LEVELS[:1])
@@ -49,7 +52,7 @@
 
     async def _open(self) -> None:
         while self.frozen:
-            await asyncio.sleep(0.0005)
+            await asyncio.sleep(LOOK_S)
         if self.down:
             raise Unavailable("503")
 
@@ -73,18 +76,21 @@
         return await super().transact(conditions, then, deadline_s)
 
     async def follow(self, prefix: str, revision: int, wait_s: float) -> wire.Changes:
-        """Wait by the fake clock, as long as the way is cut or the controller stands still too."""
+        """Wait, as long as the way is cut or the controller stands still too."""
         until = self.clock.now() + wait_s
         while True:
-            await asyncio.sleep(0.0005)
+            # Who writes has the answer before it is followed.
+            await asyncio.sleep(LOOK_S)
             if self.frozen or self.down:
                 continue
             changes = self.core.changes(prefix, revision)
-            if changes.events or self.clock.now() >= until:
+            left = until - self.clock.now()
+            if changes.events or left <= 0:
                 return changes
+            await self.core.change(left)
 
     async def pause(self, failures: int) -> None:
-        await asyncio.sleep(0.001)
+        await asyncio.sleep(LOOK_S)
 
 
 class Controller(Rig):
@@ -167,7 +173,7 @@
     def __init__(self, way: type[Way] = Way) -> None:
         """`way`: how controllers reach the state service."""
         self._way = way
-        self.clock = FakeClock()
+        self.clock = running_clock()
         self.params = settings(shares=3).params.state
         self.core = StateCore(self.clock, self.params)
         self.alive: dict[str, Controller] = {}
@@ -205,11 +211,10 @@
 
     async def go_on(self, seconds: float) -> None:
         for _ in range(round(seconds / STEP_S)):
-            self.clock.time += STEP_S
             self.core.expire()
             for controller in list(self.alive.values()):
                 controller.step()
-            await asyncio.sleep(0.003)
+            await asyncio.sleep(STEP_S)
 
     async def stop(self) -> None:
         for node in list(self.alive):
