Ends and restarts at random times: twelve courses, some with a service silent past every deadline

Cause: with timers by the fake clock retries come as often as they should, so that no claim or record outlasted its deadline any more in the four courses played. Change: one trouble in four lasts for nine sendings, and three times as many courses are played.

--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -153,7 +153,9 @@
         spared: float = 0.0,
     ) -> int:
         if not self.script and self.luck.random() < 0.15:
-            self.script.append(self.luck.choice(["late", "silent", "lost"]))
+            # Some for longer than a claim or a record is tried.
+            fates = [self.luck.choice(["late", "silent", "lost"])] * self.luck.choice([1, 1, 1, 9])
+            self.script += fates
         return await super().transact(conditions, then, deadline_s)
 
 
@@ -172,7 +174,7 @@
         assert len(acting) <= 1, (share, acting)
 
 
-@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("seed", range(12))
 def test_ends_and_quick_restarts_at_random_times_leave_one_owner_and_lose_no_write(
     seed: int,
 ) -> None:
