--- a/tests/test_runs_failover.py
+++ b/tests/test_runs_failover.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import asyncio
-import selectors
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -25,7 +24,7 @@
 from badgerseam.runs.rules import RunRules
 from badgerseam.wire import state as wire
 from badgerseam.wire import workers as worker_wire
-from tests.stand_ins import FakeClock, settings, submission
+from tests.stand_ins import settings, submission
 from tests.trio import Controller, Trio, Way
 
 MOST = 8
@@ -46,48 +45,6 @@
 RUN_S = 2.5
 BROKEN = {5: 1, 7: 2, 11: 3}
 """Members that fail at first, and how often: once, and as often as sets them aside, and more."""
-FOLLOW_S = 0.02
-
-
-class SimLoop(asyncio.SelectorEventLoop):
-    """A loop whose time is the fake clock's, which goes on only when nothing is left to do."""
-
-    def __init__(self, clock: FakeClock) -> None:
-        selector = selectors.DefaultSelector()
-        poll = selector.select
-
-        def select(timeout: float | None = None) -> Any:
-            clock.time += timeout or 0.0
-            return poll(0)
-
-        selector.select = select  # type: ignore[method-assign]
-        super().__init__(selector)
-        self._fake = clock
-
-    def time(self) -> float:
-        return self._fake.time
-
-
-class SlowWay(Way):
-    """Looks for changes at an interval of the fake clock."""
-
-    async def _open(self) -> None:
-        while self.frozen:
-            await asyncio.sleep(FOLLOW_S)
-        await super()._open()
-
-    async def follow(self, prefix: str, revision: int, wait_s: float) -> wire.Changes:
-        until = self.clock.now() + wait_s
-        while True:
-            await asyncio.sleep(FOLLOW_S)
-            if self.frozen or self.down:
-                continue
-            changes = self.core.changes(prefix, revision)
-            if changes.events or self.clock.now() >= until:
-                return changes
-
-    async def pause(self, failures: int) -> None:
-        await asyncio.sleep(0.05)
 
 
 class Machine(WorkerCore):
@@ -156,7 +113,7 @@
     """The site, its workers, and somebody who only follows the records."""
 
     def __init__(self) -> None:
-        super().__init__(SlowWay)
+        super().__init__()
         self.results = Results()
         self.on: dict[tuple[str, int], float] = {}
         self.fails: Counter[str] = Counter()
@@ -174,7 +131,7 @@
         self.phases: list[str] = []
 
     def start(self, node: str, program: Program) -> NightController:
-        way = SlowWay(self.clock, self.params, self.core)
+        way = Way(self.clock, self.params, self.core)
         self.ways.append(way)
         controller = NightController(node, way, self)
         self.alive[node] = controller
@@ -307,23 +264,15 @@
         await self.stop()
 
 
-async def _over(tasks: set[asyncio.Task[Any]]) -> None:
-    await asyncio.gather(*tasks, return_exceptions=True)
-
-
 def play(work: Callable[[Night], Coroutine[Any, Any, None]]) -> Night:
     """Play a night in no time."""
-    night = Night()
-    loop = SimLoop(night.clock)
-    try:
-        loop.run_until_complete(work(night))
-    finally:
-        left = asyncio.all_tasks(loop)
-        for task in left:
-            task.cancel()
-        loop.run_until_complete(_over(left))
-        loop.close()
-    return night
+
+    async def run() -> Night:
+        night = Night()
+        await work(night)
+        return night
+
+    return asyncio.run(run())
 
 
 def _gap(night: Night, at: float) -> float:
