A controller cut off from all but its workers lets them go on certain evidence

Cause: a controller that lost the state service and its siblings kept workers that the new owner had not reached directly until its bound: 23 to 25 s, where those that it had reached went after 5 to 6 s. It said ready for as long as it was cut off, so that its users' polls were answered 503 all that time. Change: a token of a term above ours proves a later owner for the share's workers of that zone; each is sent on once, and stood in for if it comes back. Not ready while that is proven, or while neither the state service nor a sibling answers at all.

--- a/badgerseam/cluster/deputies.py
+++ b/badgerseam/cluster/deputies.py
@@ -23,6 +23,7 @@
 import logging
 from collections.abc import Callable, Coroutine
 
+from badgerseam.cluster.island import Island
 from badgerseam.cluster.member import Member
 from badgerseam.model.keys import deputy_key, node_key
 from badgerseam.model.model import Model
@@ -52,6 +53,7 @@
         ttl_s: float,
         unreachable: Callable[[str], bool],
     ) -> None:
+        self.island = Island(model, member, self.counted_in)
         self._model = model
         self._member = member
         self._state = state
@@ -95,7 +97,17 @@
         if held.claim.node in self._announced and member.connected:
             recent = self._clock.now() - self._model.followed_at < STALE_S
             return recent and self._announced_on == member.lease
-        return zone == self._zone and not member.fresh(self._ttl_s + SLACK_S)
+        return self.counted_in(zone)
+
+    def counted_in(self, zone: str) -> bool:
+        """Whether owners count with our answers in a zone without a word of ours: our record must
+        have ended with its lease, and the bound must not."""
+        member = self._member
+        return (
+            zone == self._zone
+            and not member.fresh(self._ttl_s + SLACK_S)
+            and member.fresh(self._model.cut_bound_s)
+        )
 
     def review(self) -> None:
         """Say that we stand in, or that we don't any more; called a few times a second."""
--- a/badgerseam/cluster/peers.py
+++ b/badgerseam/cluster/peers.py
@@ -27,6 +27,9 @@
 HEALTH_S = 1.0
 MISSED = 3
 """Requests without an answer after which a sibling counts as out of reach."""
+ISOLATED = 4
+"""Rounds of asking, a second each, in which nobody has answered anything, after which we are cut
+off. Counted, like what is missed, and above what a request to the state service may wait for."""
 TAKE_S = 1.5
 """What a sibling gets to take a claim over: a write or two."""
 LEADER_S = 0.5
@@ -61,6 +64,8 @@
         self._node = settings.node
         self._unanswered = {sibling.node: 0 for sibling in settings.siblings}
         """Requests without an answer, less those answered since."""
+        self._rounds = 0
+        """In a row, without a word of the state service or of a sibling."""
         self._addresses = {sibling.node: sibling.peer_addr for sibling in settings.siblings}
 
     async def handle(self, method: str, path: str, body: bytes) -> Reply:
@@ -206,13 +211,25 @@
         as often. Counted, not timed: a process that stood still has asked nobody."""
         return self._unanswered.get(node, 0) >= MISSED
 
+    @property
+    def isolated(self) -> bool:
+        """Whether neither the state service nor a sibling has answered us for a while, not even to
+        refuse: in an outage the state service answers 503, so that this lies with us. It does not
+        tell whether anybody acts for our shares."""
+        return self._rounds >= ISOLATED
+
     async def keep_health(self) -> None:
         """Ask the siblings whether they are there, and whether the state service answers them."""
         while True:
-            asked = (self._ask_health(*item) for item in self._addresses.items())
-            await asyncio.gather(asyncio.sleep(HEALTH_S), *asked)
+            responses = self._state.responses
+            asked = [self._ask_health(*item) for item in self._addresses.items()]
+            answers = await asyncio.gather(*asked, _nothing_for(HEALTH_S))
+            heard = any(answers) or self._state.responses > responses
+            # A controller without siblings has nobody who would serve its users instead.
+            self._rounds = 0 if heard or not self._addresses else self._rounds + 1
 
-    async def _ask_health(self, node: str, address: str) -> None:
+    async def _ask_health(self, node: str, address: str) -> bool:
+        """Whether it has answered."""
         try:
             response = await self._http.request(address, "GET", "/health", None, HEALTH_S)
             health = wire.health_decoder.decode(response.body)
@@ -220,14 +237,15 @@
             # Its process is gone for a moment, or a filter lies between the two of us: workers can
             # reach it as before, or soon again.
             self._unanswered[node] = max(self._unanswered[node] - 1, 0)
-            return
+            return False
         except (NoResponse, msgspec.DecodeError):
             self._unanswered[node] = min(self._unanswered[node] + 1, 2 * MISSED)
-            return
+            return False
         self._unanswered[node] = max(self._unanswered[node] - 1, 0)
         self._allotment.told(node, health.need)
         if response.status == 200 and health.state_age_s < STALE_S / 2:
             self._served, self._served_at = node, self._model.clock.now()
+        return True
 
     async def give(self, machines: list[Machine], share: int, vacate: bool = False) -> set[str]:
         """Have the owner of machines, all of one share, pass them on."""
@@ -248,3 +266,8 @@
         except (NoResponse, msgspec.DecodeError) as error:
             log.debug("%s: no answer to a request to give: %s", held.claim.node, error)
             return set()
+
+
+async def _nothing_for(seconds: float) -> bool:
+    await asyncio.sleep(seconds)
+    return False
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -177,7 +177,7 @@
             self.ledger,
             self.member,
             self.control,
-            self.peers.alone,
+            self._cut_off,
             questions,
             batch,
             accounting,
@@ -199,6 +199,14 @@
         else:
             self.member.stand_aside()
 
+    def _cut_off(self) -> str | None:
+        """Why users are better off elsewhere than here; None if nobody is known to be better."""
+        if self.deputies.island.proven:
+            return "a share of ours has a later owner"
+        if self.peers.isolated:
+            return "nobody answers us"
+        return self.peers.alone()
+
     def _process_name(self) -> str:
         # The lease's number makes it one that no other process has had.
         return f"{self.settings.node}-{self.member.lease}"
--- a/badgerseam/store/client.py
+++ b/badgerseam/store/client.py
@@ -71,6 +71,8 @@
         self.writes = Budget(clock, 0.95 * params.write_rps / nodes)
         self.confirmed_at = -1e9
         """Sending time of the latest request that was answered."""
+        self.responses = 0
+        """How many have come, refusals of every kind among them: an outage refuses."""
 
     async def _call(
         self, method: str, path: str, body: bytes | None, deadline_s: float, spared: float = 0.0
@@ -84,6 +86,7 @@
             response = await self._http.request(self._address, method, path, body, deadline_s)
         except NoResponse as error:
             raise Unknown(str(error)) from error
+        self.responses += 1
         if response.status == 429:
             self.requests.penalize(0.1)
             raise Unavailable("429")
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from badgerseam.cluster.deputies import Deputies
+from badgerseam.cluster.island import Word
 from badgerseam.cluster.member import Member
 from badgerseam.http.client import Client, NoResponse, NotSent
 from badgerseam.http.server import Reply, error_reply
@@ -86,7 +87,9 @@
             share = model.shares[machine.share]
             if not share.owned:
                 machine.addr = report.addr
-                if self.deputies.stands_in(share, machine.zone):
+                if self.deputies.stands_in(
+                    share, machine.zone
+                ) and not self.deputies.island.passes_by(share, machine, report.token):
                     return self._stand_in(report)
                 return self._redirect(None if share.held is None else share.held.claim.node)
             if not self._member.entitled(share):
@@ -95,13 +98,16 @@
             if served is not None and not self._member.fresh(self._tunables.claim_ttl_s):
                 # Our claims have ended by now, and a sibling can hold them.
                 return self._redirect(served)
-            if report.token > machine.token:
-                # A newer owner has reached the worker. A 200 would have to be dropped, and the
-                # worker would stay with us until its lease ends.
-                return self._redirect(None if share.held is None else share.held.claim.node)
             if machine.lost:
                 # Its tasks count as gone already; its lease must not be renewed.
                 return error_reply(503, "given up", 1)
+            word = self.deputies.island.word(share, machine, report.token)
+            if word is Word.SEND_ON:
+                # A newer owner has reached the worker. A 200 would have to be dropped, and the
+                # worker would stay with us until its lease ends.
+                return self._redirect(None if share.held is None else share.held.claim.node)
+            if word is Word.STAND_IN:
+                return self._stand_in(report)
             # A worker sends one report at a time, so that a newer one tells that the commands of
             # the response before it were either executed or given up.
             if (report.session, report.seq) > (machine.session, machine.seq):
--- /dev/null
+++ b/tests/test_island.py
@@ -0,0 +1,189 @@
+"""A controller that has lost the state service and its siblings, but not its workers: three whole
+controllers, and workers that walk between them as the protocol says."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import msgspec
+
+from badgerseam.http.client import NoResponse, Response
+from badgerseam.lab.worker import Description, Identity, Results, WorkerCore
+from badgerseam.model.keys import group_key, page_key
+from badgerseam.model.resources import Resources
+from badgerseam.wire import state as wire
+from badgerseam.wire import workers as worker_wire
+from tests.stand_ins import ZONES, submission
+from tests.trio import BOTH, STEP_S, Controller, Trio
+
+REPORT_S, LEASE_S, PATIENCE_S = 2.0, 14.0, 4.0
+MACHINES = 4
+NODES = list(ZONES)
+
+
+class Walker(WorkerCore):
+    """A worker that reports, and walks from node to node."""
+
+    def __init__(self, site: Site, name: str, zone: str, node: str, due: float) -> None:
+        self.description = Description(Resources(2.0, 0.0, 4.0))
+        super().__init__(
+            Identity(name, f"{name}:9000", "c8", zone, False),
+            site.clock,
+            LEASE_S,
+            Resources(8.0, 0.0, 64.0),
+            lambda task: self.description,
+            Results(),
+        )
+        self.site, self.node, self.due, self.last = site, node, due, -1e9
+        self.answered_by: dict[str, float] = {}
+        """When each node first answered it, since `site.marked`."""
+        self.killed = 0
+
+    def end_session(self) -> None:
+        self.killed += len(self.tasks)
+        super().end_session()
+
+    def step(self) -> None:
+        now = self.site.clock.now()
+        self.advance()
+        if now < self.due and not (self.changed and now >= self.last + 0.5 and self.node):
+            return
+        if self.changed and self.last + 0.5 > now:
+            return
+        if self.due > now and self.due - self.last > REPORT_S * 1.25:
+            return  # On its way to another node.
+        self.changed, self.last, session = False, now, self.session
+        body = msgspec.json.encode(self.report())
+        controller = self.site.alive.get(self.node)
+        following = NODES[(NODES.index(self.node) + 1) % 3]
+        if controller is None or self.node in self.site.hung:
+            wait = 1.0 + (PATIENCE_S if self.node in self.site.hung else 0.0)
+            self.node, self.due = following, now + wait
+            return
+        reply = controller.control.checkin(body)
+        if reply.status == 200:
+            orders: worker_wire.Orders = msgspec.json.decode(reply.body, type=worker_wire.Orders)
+            if self.answered(now, session, orders):
+                self.answered_by.setdefault(self.node, now)
+            self.due = now + REPORT_S
+            return
+        named = msgspec.json.decode(reply.body).get("overseer") if reply.status == 421 else None
+        if named in NODES and named != self.node:
+            self.node, self.due = named, now + 0.25
+        else:
+            self.node, self.due = following, now + 1.0
+
+
+class Direct:
+    """What a controller sends straight to workers."""
+
+    def __init__(self, site: Site, node: str) -> None:
+        self.site, self.node = site, node
+
+    async def request(
+        self, address: str, method: str, path: str, body: bytes | None, deadline_s: float
+    ) -> Response:
+        await asyncio.sleep(0)
+        walker = self.site.walkers[address.partition(":")[0]]
+        if (self.node, walker.who.name) in self.site.unheard:
+            raise NoResponse("held")
+        ok = True
+        if path == "/do":
+            ok = walker.direct(msgspec.json.decode(body or b"", type=worker_wire.DirectOrders))
+        return Response(200 if ok else 409, msgspec.json.encode(walker.report()))
+
+
+class Site(Trio):
+    """Three controllers, and workers with a task each on shares of theirs."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.walkers: dict[str, Walker] = {}
+        self.hung: set[str] = set()
+        self.unheard: set[tuple[str, str]] = set()
+        self.rounds = 0
+
+    def fill(self) -> None:
+        model = Controller("n-0", self._way(self.clock, self.params, self.core), BOTH, self).model
+        for share in range(3):
+            team = next((t.name for t in model.teams if t.share == share), None)
+            names = [f"m-{share}{number}" for number in range(MACHINES)]
+            rows = [
+                wire.StoredMachine(n, share, "c8", "ab"[k % 2], False, f"{n}:9000", 0.0)
+                for k, n in enumerate(names)
+            ]
+            self.put(group_key(f"g-{share}"), rows)
+            for k, name in enumerate(names):
+                self.walkers[name] = Walker(
+                    self, name, "ab"[k % 2], NODES[share], self.clock.now() + 6.0 + k * 0.4
+                )
+            if team is not None:
+                spec = submission(f"job-00000{share}", owner=team, pieces=MACHINES)
+                self.put(f"bs/j/{spec.id}", wire.StoredJob("open", MACHINES, 0.0, spec))
+                tasks = [wire.TaskRow(k, 1, name) for k, name in enumerate(names)]
+                self.put(page_key(share, 0), [wire.JobRows(spec.id, [], tasks)])
+
+    def put(self, key: str, record: Any) -> None:
+        self.core.execute([], [wire.Write(put=key, value=wire.raw(record))])
+
+    def start(self, node: str, program: Any = BOTH) -> Controller:
+        controller = super().start(node, program)
+        controller.control._http = Direct(self, node)  # type: ignore[assignment]
+        return controller
+
+    def island(self, node: str) -> None:
+        """Its links to the state service and to its siblings are cut; those to workers are not."""
+        self.alive[node].way.down = True
+        for other, controller in self.alive.items():
+            controller.out_of_reach |= set(NODES) - {other} if other == node else {node}
+
+    async def go_on(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP_S)):
+            self.rounds += 1
+            await super().go_on(STEP_S)
+            for node, controller in list(self.alive.items()):
+                if not controller.way.frozen:
+                    self.drive(node, controller)
+            for walker in self.walkers.values():
+                walker.step()
+
+    def drive(self, node: str, controller: Controller) -> None:
+        """What a node's tick does for workers."""
+        model = controller.model
+        with model.lock:
+            if self.rounds % 4 == 0:
+                controller.deputies.review()
+                controller.control.watch()
+            for share in model.shares:
+                if share.owned:
+                    for index, machine in model.fleets[share.index].items():
+                        if machine.unanswered and (self.rounds // 4 - index) % 4 == 0:
+                            controller.control.push(machine)
+            pushes, model.pushes = model.pushes, set()
+            for index in pushes:
+                if index in model.machines:
+                    controller.control.push(model.machines[index])
+
+    def of(self, share: int) -> list[Walker]:
+        return [walker for name, walker in self.walkers.items() if name.startswith(f"m-{share}")]
+
+    def mark(self) -> float:
+        for walker in self.walkers.values():
+            walker.answered_by.clear()
+            walker.killed = 0
+        return self.clock.now()
+
+    def killed(self) -> int:
+        return sum(walker.killed for walker in self.walkers.values())
+
+
+async def settled() -> Site:
+    site = Site()
+    site.fill()
+    site.start_all(BOTH)
+    await site.go_on(14.0)
+    assert site.actors() == [["n-0"], ["n-1"], ["n-2"]]
+    assert all(w.node == NODES[share] for share in range(3) for w in site.of(share))
+    assert sum(len(w.tasks) for w in site.walkers.values()) >= 2 * MACHINES
+    return site
