--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -70,30 +70,40 @@
         return await future
 
     async def _run(self) -> None:
-        await asyncio.sleep(GATHER_S)
-        while self._waiting:
-            most = 4 * self._state.params.txn_ops
-            batch = dict(list(self._waiting.items())[:most])
-            for key in batch:
-                del self._waiting[key]
-            failed: set[str] = set()
-            error: Unavailable | None = None
-            try:
-                conditions = [Condition(key, version) for key, (version, _) in batch.items()]
-                await self._state.transact(conditions, [], 1.2, SPARED)
-            except Refused as refusal:
-                failed = set(refusal.failed)
-            except Unavailable as unavailable:
-                error = unavailable
-            for key, (_, futures) in batch.items():
-                for future in futures:
-                    if future.done():
-                        continue
-                    if error is not None:
-                        future.set_exception(Unavailable(str(error)))
-                    else:
-                        future.set_result(key not in failed)
-        self._running = False
+        try:
+            await asyncio.sleep(GATHER_S)
+            while self._waiting:
+                await self._ask()
+        finally:
+            self._running = False
+
+    async def _ask(self) -> None:
+        """One transaction for what has gathered; everybody who waits for it gets an answer."""
+        most = 4 * self._state.params.txn_ops
+        batch = dict(list(self._waiting.items())[:most])
+        for key in batch:
+            del self._waiting[key]
+        failed: set[str] = set()
+        error: Exception | None = None
+        try:
+            conditions = [Condition(key, version) for key, (version, _) in batch.items()]
+            await self._state.transact(conditions, [], 1.2, SPARED)
+        except Refused as refusal:
+            failed = set(refusal.failed)
+        except Unavailable as unavailable:
+            error = unavailable
+        except Exception as unforeseen:
+            # Whatever it was, the next batch is asked: no poll would ever be answered again.
+            log.exception("a comparison failed")
+            error = unforeseen
+        for key, (_, futures) in batch.items():
+            for future in futures:
+                if future.done():
+                    continue
+                if error is not None:
+                    future.set_exception(Unavailable(str(error)))
+                else:
+                    future.set_result(key not in failed)
 
 
 class Api:
@@ -334,13 +344,19 @@
                     return _ended(job_id, *ended)
                 seen = None if job is None else (job.version, view(job))
             if seen is None:
-                if await self._ledger.read(job_id) is None:
+                phase = await self._ledger.read(job_id, SPARED)
+                if phase is None:
                     return error_reply(404, "no such job")
+                with model.lock:
+                    if phase == Phase.OPEN and model.job(job_id) is None:
+                        # Of a team that the settings no longer name: nothing runs for it, but it
+                        # was accepted. What was read just now is as good as confirmed.
+                        return wire.JobStatus(job_id, "pending", 0, 0)
                 continue
             # Another node may have told the user of an end that has not reached us.
             if await self._confirm.unchanged(job_key(job_id), seen[0]):
                 return seen[1]
-            await self._ledger.read(job_id)
+            await self._ledger.read(job_id, SPARED)
         return error_reply(503, "changing", RETRY_S)
 
     async def _abort(self, job_id: str) -> Reply:
--- a/badgerseam/http/client.py
+++ b/badgerseam/http/client.py
@@ -106,6 +106,7 @@
                 refused = isinstance(reason, ConnectionRefusedError)
                 raise (TurnedAway if refused else NotSent)(f"{address}: {error!r}") from error
             stream.close()
+            self._forget(address)
             raise NoResponse(f"{address}{path}: {error!r}") from error
         except BaseException:
             if stream is not None:
@@ -113,6 +114,7 @@
             raise
         if collector.status == 0:
             stream.close()
+            self._forget(address)
             raise NoResponse(f"{address}{path}: closed before a response")
         if not stream.closed():
             self._put(address, stream)
@@ -127,6 +129,13 @@
             self._take(oldest)
             oldest.close()
 
+    def _forget(self, address: str) -> None:
+        """Connections kept to where one has failed are as old, and as dead after a cut: one request
+        after the other would have to find that out, each for the whole of its deadline."""
+        for stream in list(self._by_address.get(address, ())):
+            self._take(stream)
+            stream.close()
+
     def _take(self, stream: IOStream) -> None:
         address = self._idle.pop(stream)
         pool = self._by_address[address]
--- a/badgerseam/store/client.py
+++ b/badgerseam/store/client.py
@@ -17,6 +17,9 @@
 
 log = logging.getLogger("badgerseam.store")
 
+FOLLOWING = 0.5
+"""Part of a second's requests that following the changes may take."""
+
 _T = TypeVar("_T")
 
 
@@ -71,16 +74,26 @@
         self.writes = Budget(clock, 0.95 * params.write_rps / nodes)
         self.confirmed_at = -1e9
         """Sending time of the latest request that was answered."""
+        self._follow_at = -1e9
+        """When the next request to follow may be sent."""
         self.responses = 0
         """How many have come, refusals of every kind among them: an outage refuses."""
 
     async def _call(
         self, method: str, path: str, body: bytes | None, deadline_s: float, spared: float = 0.0
     ) -> tuple[int, bytes]:
-        """`spared`: the part of a second's requests that is left to others."""
+        """`spared`: the part of a second's requests that is left to others.
+
+        Unavailable if there is none to be had within the deadline: whoever waits for the answer has
+        given up by then, and requests that nobody waits for would take the place of others.
+        """
         spared *= self.requests.per_s
+        until = self._clock.now() + deadline_s
         while not self.requests.take(1.0, spared):
-            await asyncio.sleep(self.requests.wait_s(1.0, spared) + 0.002)
+            wait_s = self.requests.wait_s(1.0, spared) + 0.002
+            if self._clock.now() + wait_s > until:
+                raise Unavailable("requests of this controller are used up")
+            await asyncio.sleep(wait_s)
         sent = self._clock.now()
         try:
             response = await self._http.request(self._address, method, path, body, deadline_s)
@@ -95,9 +108,11 @@
         self.confirmed_at = max(self.confirmed_at, sent)
         return response.status, response.body
 
-    async def get(self, key: str, deadline_s: float = 2.0) -> wire.Entry | None:
-        """The entry of a key, or None if the key does not exist."""
-        status, body = await self._call("GET", f"/keys/{key}", None, deadline_s)
+    async def get(
+        self, key: str, deadline_s: float = 2.0, spared: float = 0.0
+    ) -> wire.Entry | None:
+        """The entry of a key, or None if the key does not exist. `spared`: see `_call`."""
+        status, body = await self._call("GET", f"/keys/{key}", None, deadline_s, spared)
         if status == 404:
             return None
         return _decode(wire.entry_decoder, status, body)
@@ -146,7 +161,16 @@
             raise Unavailable(f"extend: {status}")
 
     async def follow(self, prefix: str, revision: int, wait_s: float) -> wire.Changes:
-        """The changes after a revision; TooOld if they are not kept any more."""
+        """The changes after a revision; TooOld if they are not kept any more.
+
+        At most FOLLOWING of a second's requests go into this: where changes are many, an answer
+        holds those of the time between two. Each of them alone took all that polls could get.
+        """
+        now = self._clock.now()
+        pause_s = self._follow_at - now
+        self._follow_at = max(now, self._follow_at) + 1.0 / (FOLLOWING * self.requests.per_s)
+        if pause_s > 0:
+            await asyncio.sleep(pause_s)
         path = f"/follow?under={prefix}&from={revision}&waitMs={round(wait_s * 1000)}"
         status, body = await self._call("GET", path, None, wait_s + 3.0)
         if status == 410:
--- a/badgerseam/store/ledger.py
+++ b/badgerseam/store/ledger.py
@@ -90,17 +90,23 @@
                 job = model.job(job_id)
             if ended is not None:
                 return ended[0]
-            if job is None:
-                if await self.read(job_id) is None:
+            if job is not None:
+                spec, version, submitted = job.spec, job.version, round(job.submitted, 3)
+            else:
+                found = await self._fetch(job_id)
+                if found is None:
                     return None
-                continue
-            value = wire.raw(
-                wire.StoredJob("withdrawn", job.tasks, round(job.submitted, 3), job.spec)
-            )
+                stored, version = found
+                with model.lock:
+                    if job_id in model.ended or model.job(job_id) is not None or not stored.spec:
+                        continue
+                # Of a team that the settings no longer name.
+                spec, submitted = stored.spec, stored.at
+            value = wire.raw(wire.StoredJob("withdrawn", spec.tasks, submitted, spec))
             try:
                 revision = await self._committer.commit(
                     Urgency.USER,
-                    {key: job.version},
+                    {key: version},
                     [wire.Write(put=key, value=value)],
                     USER_DEADLINE_S,
                 )
@@ -155,15 +161,21 @@
             return job
         raise Unavailable("the job keeps changing")
 
-    async def read(self, job_id: str) -> Phase | None:
-        """A job's phase as the state service has it now; None only if it answers so."""
-        entry = await self._state.get(job_key(job_id), READ_DEADLINE_S)
+    async def read(self, job_id: str, spared: float = 0.0) -> Phase | None:
+        """A job's phase as the state service has it now; None only if it answers so. `spared`: the
+        part of a second's requests that is left to others."""
+        found = await self._fetch(job_id, spared)
+        return None if found is None else PHASE_NAMES[found[0].state]
+
+    async def _fetch(self, job_id: str, spared: float = 0.0) -> tuple[wire.StoredJob, int] | None:
+        """A job's record as the state service has it now, taken over, and its stamp."""
+        entry = await self._state.get(job_key(job_id), READ_DEADLINE_S, spared)
         if entry is None:
             return None
         with self._model.lock:
             self._model.apply(entry.key, entry.value, entry.version)
         self._changed()
-        return PHASE_NAMES[msgspec.json.decode(entry.value, type=wire.StoredJob).state]
+        return msgspec.json.decode(entry.value, type=wire.StoredJob), entry.version
 
     # ---- for owned shares ----
 
--- a/badgerseam/store/replica.py
+++ b/badgerseam/store/replica.py
@@ -11,6 +11,7 @@
 from badgerseam.model.keys import LEVEL_KEY, PREFIX
 from badgerseam.model.model import Model
 from badgerseam.store.client import StateClient, TooOld, Unavailable
+from badgerseam.wire import state as wire
 
 log = logging.getLogger("badgerseam.store")
 
@@ -123,6 +124,18 @@
         self._aside = False
         self._fitting(True)
 
+    async def _page(self, after: str | None) -> wire.KeyPage:
+        """One page, asked for until it comes: whoever began anew at each refusal would never have
+        read a hundred pages where one request in twenty is refused."""
+        failures = 0
+        while True:
+            try:
+                return await self._state.page(PREFIX, after)
+            except Unavailable as error:
+                failures += 1
+                log.debug("a page was not read: %s", error)
+                await self._state.pause(failures)
+
     async def _load(self) -> bool:
         """Read all keys; False if the program does not fit the site's level."""
         model = self._model
@@ -138,7 +151,7 @@
                 return False
             model.begin_load()
         while True:
-            page = await self._state.page(PREFIX, after)
+            page = await self._page(after)
             if revision is None:
                 # Pages are read one after the other; following from the first one's revision
                 # brings whatever changed behind it.
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -150,7 +150,9 @@
     def version(self, key: str) -> int:
         return self.core.version(key)
 
-    async def get(self, key: str, deadline_s: float = 2.0) -> wire.Entry | None:
+    async def get(
+        self, key: str, deadline_s: float = 2.0, spared: float = 0.0
+    ) -> wire.Entry | None:
         if self.down:
             raise Unavailable("503")
         return self.core.get(key)
--- a/tests/test_island.py
+++ b/tests/test_island.py
@@ -7,14 +7,19 @@
 from typing import Any
 
 import msgspec
+import pytest
 
+from badgerseam.cluster import peers
 from badgerseam.http.client import NoResponse, Response
+from badgerseam.http.server import Reply
 from badgerseam.lab.worker import Description, Identity, Results, WorkerCore
 from badgerseam.model.keys import group_key, page_key
 from badgerseam.model.resources import Resources
+from badgerseam.node import Node
+from badgerseam.settings import Tunables
 from badgerseam.wire import state as wire
 from badgerseam.wire import workers as worker_wire
-from tests.stand_ins import ZONES, submission
+from tests.stand_ins import ZONES, FakeClock, FakeHttp, Rig, Worker, seeded, settings, submission
 from tests.trio import BOTH, STEP_S, Controller, Trio
 
 REPORT_S, LEASE_S, PATIENCE_S = 2.0, 14.0, 4.0
@@ -187,3 +192,125 @@
     assert all(w.node == NODES[share] for share in range(3) for w in site.of(share))
     assert sum(len(w.tasks) for w in site.walkers.values()) >= 2 * MACHINES
     return site
+
+
+def test_workers_that_the_new_owner_has_not_reached_leave_with_those_of_their_zone() -> None:
+    # They stayed for 23 to 25 s, until the bound, with a controller that nobody else hears.
+    async def play() -> None:
+        site = await settled()
+        at = site.mark()
+        site.unheard |= {(node, w.who.name) for node in NODES[1:] for w in site.of(0)[1:]}
+        site.island("n-0")
+        await site.go_on(12.0)
+        reached, other, near, far = (w.answered_by.get("n-1", 1e9) - at for w in site.of(0))
+        assert reached < 7.0 and near < 9.0
+        assert min(other, far) > 20.0, "what reaches one zone need not reach another"
+        assert site.alive["n-0"].deputies.island.proven
+        site.alive["n-0"].way.down = False
+        for controller in site.alive.values():
+            controller.out_of_reach.clear()
+        await site.go_on(6.0)
+        assert not site.alive["n-0"].deputies.island.proven
+        assert site.killed() == 0
+        await site.stop()
+
+    asyncio.run(play())
+
+
+def test_one_that_comes_back_has_found_nobody_and_keeps_its_lease() -> None:
+    # The two others ended just after one of them had taken over and told the workers: every lease
+    # ended, though their former owner still heard them all.
+    async def play() -> None:
+        site = await settled()
+        site.mark()
+        site.island("n-0")
+        while not site.alive["n-0"].deputies.island.proven:
+            await site.go_on(STEP_S)
+        for node in NODES[1:]:
+            await site.end(node)
+        await site.go_on(14.0)
+        near = [w for w in site.of(0) if w.who.zone == ZONES["n-0"]]
+        assert all(w.killed == 0 and w.tasks and w.node == "n-0" for w in near)
+        for node in NODES[1:]:
+            site.start(node).out_of_reach.add("n-0")
+        await site.go_on(14.0)
+        assert all(w.killed == 0 and w.node != "n-0" for w in near)
+        await site.stop()
+
+    asyncio.run(play())
+
+
+def test_an_outage_for_all_sends_nobody_away() -> None:
+    async def play() -> None:
+        site = await settled()
+        at = site.mark()
+        for controller in site.alive.values():
+            controller.way.down = True
+            controller.out_of_reach |= set(NODES)
+        for lease in site.core.leases.values():
+            lease.until += 1e6
+        await site.go_on(16.0)
+        assert not any(c.deputies.island.proven for c in site.alive.values())
+        for share in range(3):
+            assert all(w.node == NODES[share] and w.last > at + 12.0 for w in site.of(share))
+        assert site.killed() == 0
+        await site.stop()
+
+    asyncio.run(play())
+
+
+def test_a_machine_that_was_perhaps_given_away_proves_nothing() -> None:
+    rig = Rig()
+    rig.own()
+    machine, other = rig.machine(), rig.machine("m-2")
+    rig.clock.time += rig.tunables.claim_ttl_s + 1.0
+    machine.giving = True
+    moved = Worker(token=machine.token + (9 << 24))
+    assert rig.control.checkin(moved.body()).status == 421
+    assert rig.control.checkin(Worker("m-2").body()).status == 200
+    machine.giving = False
+    assert rig.control.checkin(moved.body()).status == 200, "it came back"
+    assert rig.control.checkin(Worker("m-2").body()).status == 421
+    assert rig.deputies.island.proven and not other.lost
+
+
+def test_a_deputy_on_an_island_sends_on_who_knows_a_later_owner_than_it_does() -> None:
+    rig = Rig()
+    term = rig.claim(node="n-1", lease=9)
+    rig.machine()
+    rig.out_of_reach |= {"n-1", "n-2"}
+    rig.clock.time += rig.tunables.claim_ttl_s + 1.0
+    worker = Worker(token=term << 24)
+    assert rig.control.checkin(worker.body()).status == 200
+    worker.token = (rig.model.machines[0].version + 5) << 24
+    assert rig.control.checkin(worker.body()).status == 421
+    assert rig.control.checkin(worker.body()).status == 200, "nobody else was found"
+
+
+def test_ready_is_withdrawn_where_nobody_answers_at_all_and_kept_in_an_outage(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(peers, "HEALTH_S", 0.001)
+    node = Node(settings(), Tunables(), FakeClock(), seeded())
+    node.model.loaded = True
+    node.model.types = {"c8": None}  # type: ignore[dict-item]
+    node.peers._http = FakeHttp()  # type: ignore[assignment]
+
+    def ready() -> int:
+        reply = node.api.dispatch("GET", "/ready", b"")
+        assert isinstance(reply, Reply)
+        return reply.status
+
+    async def play(refused: bool) -> None:
+        asking = asyncio.ensure_future(node.peers.keep_health())
+        for _ in range(40):
+            node.state.responses += refused
+            await asyncio.sleep(0.001)
+        asking.cancel()
+
+    asyncio.run(play(refused=True))
+    assert ready() == 200, "an outage: the state service says so"
+    asyncio.run(play(refused=False))
+    assert ready() == 503
+    asyncio.run(play(refused=True))
+    assert ready() == 200
--- a/tests/trio.py
+++ b/tests/trio.py
@@ -53,7 +53,9 @@
         if self.down:
             raise Unavailable("503")
 
-    async def get(self, key: str, deadline_s: float = 2.0) -> wire.Entry | None:
+    async def get(
+        self, key: str, deadline_s: float = 2.0, spared: float = 0.0
+    ) -> wire.Entry | None:
         await self._open()
         return await super().get(key, deadline_s)
 
