--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -144,11 +144,7 @@
                 return await self._rollout.handle(method, path, body)
             return await self._route(method, path, body)
         except Unavailable:
-            reply = error_reply(503, "the state service cannot be asked", RETRY_S)
-            # Where others are served, its user is to come back through the load balancer, which
-            # leaves open connections where they are for seconds after it has taken us out.
-            reply.close = self._alone() is not None
-            return reply
+            return error_reply(503, "the state service cannot be asked", RETRY_S)
 
     def dispatch(self, method: str, path: str, body: bytes) -> Reply | object:
         """Workers' reports are answered at once; the rest may wait for the state service."""
--- a/badgerseam/http/server.py
+++ b/badgerseam/http/server.py
@@ -29,8 +29,6 @@
     body: bytes = b"{}"
     retry_after_s: int | None = None
     content_type: str = "application/json"
-    close: bool = False
-    """The peer is to take another connection for its next request."""
 
 
 Handler = Callable[[str, str, bytes], Awaitable[Reply] | Reply]
@@ -122,9 +120,6 @@
         )
         if reply.retry_after_s is not None:
             headers["Retry-After"] = str(reply.retry_after_s)
-        if reply.close:
-            # Nobody waits for it to be closed here: the peer does that, or its silence does.
-            headers["Connection"] = "close"
         line = ResponseStartLine("HTTP/1.1", reply.status, responses.get(reply.status, "Unknown"))
         try:
             connection.write_headers(line, headers, reply.body).add_done_callback(_observe)
