--- a/badgerseam/cluster/island.py
+++ b/badgerseam/cluster/island.py
@@ -98,6 +98,7 @@
         return True
 
     def _first(self, machine: Machine, token: int) -> bool:
-        before = self._sent.get(machine.name)
-        self._sent[machine.name] = token
-        return before is None or token > before
+        before = self._sent.get(machine.name, -1)
+        # A copy of an older report, come late, must not make it leave once more.
+        self._sent[machine.name] = max(before, token)
+        return token > before
--- a/tests/test_island.py
+++ b/tests/test_island.py
@@ -273,6 +273,8 @@
     machine.giving = False
     assert rig.control.checkin(moved.body()).status == 200, "it came back"
     assert rig.control.checkin(Worker("m-2").body()).status == 421
+    rig.control.checkin(Worker().body())
+    assert rig.control.checkin(moved.body()).status == 200, "though a copy came late meanwhile"
     assert rig.deputies.island.proven and not other.lost
 
 
