Replicas that span machines: phases, placement as one over the bench, victims counted whole, a keeper

A task of a standing job was placed, evicted and drained for itself, so that a model served from several machines lost one and kept the others for nothing. With a section of the options, replicas are placed whole, with their note in the same transaction, and launched when all of it is durable.

--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -20,6 +20,8 @@
 from badgerseam.model.keys import job_key
 from badgerseam.model.model import Model
 from badgerseam.model.resources import Resources
+from badgerseam.options.replicas import ReplicasOptions
+from badgerseam.replicas.shapes import unfit
 from badgerseam.store.client import Refused, StateClient, Unavailable
 from badgerseam.store.ledger import Ledger
 from badgerseam.wire import batch as batch_wire
@@ -111,9 +113,11 @@
         batch: BatchApi | None = None,
         accounting: AccountingApi | None = None,
         rollout: RolloutApi | None = None,
+        replicas: ReplicasOptions | None = None,
     ) -> None:
         self._model = model
         self._rollout = rollout
+        self._replicas = replicas
         self._questions = questions
         self._batch = batch
         self._accounting = accounting
@@ -298,7 +302,7 @@
         count = 1 if spec.kind == "sweep" else spec.tasks
         if not need.times(count).fits(model.teams[index].limit):
             return "more than the limit of the team"
-        return None
+        return None if self._replicas is None else unfit(self._replicas, model.types, spec)
 
     # ---- polls ----
 
--- a/badgerseam/fleet/demand.py
+++ b/badgerseam/fleet/demand.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from badgerseam.model.resources import Resources
 from badgerseam.sched import pts
@@ -64,7 +64,10 @@
     ) -> None:
         found = [request for request in requests if request.job in waiting]
         found.sort(key=lambda request: (-request.rank, request.order))
-        self._wants = [_Want(r, waiting[r.job], dict(r.zones)) for r in found]
+        self._wants = [_Want(r, waiting[r.job], dict(r.zones)) for r in found if r.span is None]
+        if len(self._wants) < len(found):
+            self._wants += _replicas(found, waiting)
+            self._wants.sort(key=lambda want: (-want.request.rank, want.request.order))
         self._left = {index: team.limit.minus(team.used) for index, team in teams.items()}
 
     def __bool__(self) -> bool:
@@ -116,6 +119,8 @@
             node = _virtual(option, -1)
             while len(rented) < most and self.fill(node, node.free) > 0:
                 rented.append(option.offer)
+                if head.request.span is not None and head.request.span.same_type:
+                    head.request = replace(head.request, types=frozenset({option.offer.type}))
                 if head.request.zone_limit is not None or not (self and self._wants[0] is head):
                     break
         return rented
@@ -140,6 +145,30 @@
         return best
 
 
+def _replicas(found: list[pts.Request], waiting: dict[int, int]) -> list[_Want]:
+    """The replicas that span machines and found no room, each to be rented for as a whole."""
+    left = dict(waiting)
+    wants = []
+    # Of replicas that are alike the first ones were placed.
+    for request in reversed(found):
+        span = request.span
+        if span is None or left[request.job] <= 0:
+            continue
+        left[request.job] -= request.count
+        zones = dict(request.zones)
+        if span.kept and span.same_zone:
+            request = replace(request, zone=span.kept[0][1])
+        elif span.zone is not None:
+            request = replace(request, zone=span.zone)
+        elif span.same_zone:
+            request = replace(request, one_zone=True)
+            zones = {}
+        if span.kept and span.same_type:
+            request = replace(request, types=frozenset({span.kept[0][2]}))
+        wants.append(_Want(request, request.count, zones))
+    return wants[::-1]
+
+
 def _virtual(option: Option, index: int) -> pts.Node:
     offer = option.offer
     return pts.Node(
--- a/badgerseam/model/job.py
+++ b/badgerseam/model/job.py
@@ -81,6 +81,10 @@
     started_at: float = 0.0
     finishing: bool = False
     """Seen as completed; kept until that is durable."""
+    unit: int | None = None
+    """The replica with whose other members it is made durable, in one transaction."""
+    held: bool = False
+    """Not to be launched before its whole replica is durable."""
 
     @property
     def name(self) -> str:
@@ -146,6 +150,9 @@
     """The page that holds the durable one."""
     notes_changed: set[NoteKey] = field(default_factory=set)
     """Those that are not durable yet."""
+    watch: set[tuple[int, int]] | None = None
+    """Where tasks whose standing changes are put down, of a job whose replicas span machines: the
+    job's index and the task."""
     seen_at: float = 0.0
     meter: Meter | None = None
     """Only where accounts are kept."""
@@ -230,6 +237,7 @@
         self.attempts[attempt.task] = attempt
         machine.attempts[(self.index, attempt.task)] = attempt
         machine.node = None
+        attempt.held = self.watch is not None
         self._count(attempt, 1)
 
     def detach(self, attempt: Attempt) -> None:
@@ -250,6 +258,7 @@
 
     def _count(self, attempt: Attempt, sign: int) -> None:
         self.live += sign
+        self.touch(attempt.task)
         zone = attempt.machine.zone
         count = self.zones.get(zone, 0) + sign
         if count:
@@ -257,6 +266,11 @@
         else:
             del self.zones[zone]
 
+    def touch(self, task: int) -> None:
+        """A task's standing has changed, if anybody wants to know."""
+        if self.watch is not None:
+            self.watch.add((self.index, task))
+
     def running(self) -> int:
         """Tasks seen running; controllers that don't own the share see placements only."""
         stages = [attempt.stage for attempt in self.attempts.values() if not attempt.finishing]
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -160,6 +160,9 @@
         job = Job(job_id, index, spec, version, stored.at, team, share, self.chunk_size)
         job.seen_at = self.clock.now()
         job.place = stored.place or version
+        if spec.job_class in self.spanning and spec.kind != "sweep":
+            job.watch = self.touched
+            self.touched.add((index, -1))
         if index == len(self.jobs):
             self.jobs.append(job)
         else:
--- a/badgerseam/model/records.py
+++ b/badgerseam/model/records.py
@@ -112,6 +112,10 @@
     """Where they are kept."""
     named: dict[tuple[int, str, str], set[int]] = field(default_factory=dict)
     """Open jobs with a name, by team, user and name."""
+    spanning: frozenset[str] = frozenset()
+    """Job classes whose replicas span machines."""
+    touched: set[tuple[int, int]] = field(default_factory=set)
+    """Tasks of theirs whose standing has changed, by job and number; (job, -1): all of it."""
     gone: set[str] = field(default_factory=set)
     """Machines whose record was removed: a late report of theirs is no news."""
 
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -28,6 +28,7 @@
 from badgerseam.http.server import Handler, Server
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
+from badgerseam.replicas.keeper import Keeper
 from badgerseam.rollout.carrying import FORMS, Carrying
 from badgerseam.rollout.handover import Handover
 from badgerseam.rollout.raising import Raising
@@ -152,6 +153,9 @@
                     self.model, self.state, self.committer, tunables.accounting, self._process_name
                 )
             accounting = AccountingApi(self.model, accounts.book, accounts.log)
+        self.keeper: Keeper | None = None
+        if tunables.replicas is not None:
+            self.keeper = Keeper(self.model, self.planner, tunables.replicas)
         self.peers.take_with(self.member.take)
         self.member.ask_to_take = self.peers.ask_to_take
         self.raising: Raising | None = None
@@ -182,6 +186,7 @@
             batch,
             accounting,
             rollout,
+            tunables.replicas,
         )
         self._pulse_at: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -216,6 +221,8 @@
         model = self.model
         self.member.review()
         with model.lock:
+            if self.keeper is not None:
+                self.keeper.look()
             kicks, model.kicks = model.kicks, set()
             for index in kicks:
                 share = model.shares[index]
@@ -247,7 +254,7 @@
                 self.deputies.review()
                 self.control.watch()
                 self.control.suspect()
-                drain(model)
+                drain(model, None if self.keeper is None else self.keeper.keeps)
                 # What changes is pushed when it does; this is for what has to be tried again.
                 for own in model.shares:
                     if own.owned:
--- /dev/null
+++ b/badgerseam/replicas/keeper.py
@@ -0,0 +1,460 @@
+"""Keeps the replicas that span machines, for the shares that this controller owns.
+
+Only replicas of which something has changed are looked at, or whose time has come; what a plan has
+placed for them is made durable with their note in one transaction (`store/pages.py`).
+"""
+
+from __future__ import annotations
+
+import heapq
+import logging
+from dataclasses import replace
+
+from badgerseam.levels.table import Behaviour
+from badgerseam.model.job import FINISHED, IDLE, Attempt, Job, Phase, Stage
+from badgerseam.model.machine import Machine
+from badgerseam.model.model import Model
+from badgerseam.model.resources import Resources
+from badgerseam.model.state import Share
+from badgerseam.options.replicas import ReplicasOptions
+from badgerseam.replicas.asks import Asks
+from badgerseam.replicas.phases import NAMES, Bounds, Intent, Next, Seen, Step, decide
+from badgerseam.replicas.records import Entry, Replica, read, write
+from badgerseam.replicas.rooms import Rooms
+from badgerseam.replicas.shapes import Shape, shape_of
+from badgerseam.replicas.sight import Sight
+from badgerseam.sched.planner import MOST_STARTS, SAVE_SLACK_S, Planner
+from badgerseam.sched.snapshot import Plan, Request, Whole
+from badgerseam.wire.state import StoredReplica
+
+log = logging.getLogger("badgerseam.replicas")
+
+LAZY_S = 5.0
+"""How long a note that changes nothing for a new owner waits for a page that is written anyway."""
+MOST_LOOKS = 200
+"""Replicas whose time has come that are looked at in one go; the others have their turn next."""
+LOOK_S = 1.0
+"""Between looks at a replica with a machine that hangs."""
+MOVE_LOOK_S = 0.1
+PROMPT = frozenset({Step.MOVING, Step.STOPPING})
+"""What has to be durable for a new owner to finish it."""
+AFTER_MOVE = frozenset({Step.FORMING, Step.REPAIRING})
+"""A replica in these is still down for its move."""
+
+
+class Keeper:
+    """Callers hold the model's lock."""
+
+    def __init__(self, model: Model, planner: Planner, options: ReplicasOptions) -> None:
+        self._model = model
+        self._planner = planner
+        self._options = options
+        self._clock = model.clock
+        self._rooms = Rooms(model)
+        self._sight = Sight(model, self._rooms)
+        self._asks = Asks(model, planner, self._rooms)
+        self._entries: dict[int, Entry] = {}
+        self._terms: dict[int, int] = {}
+        """The terms under which shares were last looked at."""
+        self._due: list[tuple[float, int, int]] = []
+        self._lazy: dict[int, tuple[Job, float]] = {}
+        """Jobs with notes that wait, and until when."""
+        self._drained_at: dict[int, float] = {}
+        """Since when machines are drained without a notice."""
+        model.spanning = frozenset(options.classes)
+        planner.replicas = self
+
+    # ---- driving ----
+
+    def look(self) -> None:
+        """Look at what has changed or is due; called often."""
+        model = self._model
+        for share in model.shares:
+            term = share.term if share.owned else -1
+            if self._terms.get(share.index, -1) != term:
+                self._terms[share.index] = term
+                self._forget(share)
+        now = self._clock.now()
+        if model.touched:
+            for job_index, number in self._changed():
+                job = model.jobs[job_index]
+                entry = None if job is None else self._entry(job)
+                if entry is not None:
+                    for each in entry.replicas if number < 0 else (number,):
+                        self._review(entry, entry.replicas[each])
+        looks = 0
+        while self._due and self._due[0][0] <= now and looks < MOST_LOOKS:
+            due, job_index, number = heapq.heappop(self._due)
+            entry = self._entries.get(job_index)
+            if entry is None or number not in entry.replicas:
+                continue
+            if entry.replicas[number].due == due and self._entry(entry.job) is entry:
+                looks += 1
+                entry.replicas[number].due = None
+                self._review(entry, entry.replicas[number])
+        for index, (job, until) in list(self._lazy.items()):
+            if until <= now:
+                self._write_soon(index, job)
+
+    def _changed(self) -> list[tuple[int, int]]:
+        """Jobs and replicas of which something has changed since the last look."""
+        model = self._model
+        found: set[tuple[int, int]] = set()
+        for job_index, task in model.touched:
+            job = model.jobs[job_index]
+            if job is None or not model.shares[job.share].owned:
+                continue
+            shape = self._shape(job)
+            if shape is not None:
+                found.add((job_index, -1 if task < 0 else shape.number(task)))
+        model.touched.clear()
+        return sorted(found)
+
+    def _forget(self, share: Share) -> None:
+        """The share has changed hands: all is read anew from rows and notes."""
+        for index, entry in list(self._entries.items()):
+            if entry.job.share == share.index:
+                self._drop(index)
+        if share.owned:
+            for job in self._model.open_jobs[share.index].values():
+                if job.watch is not None:
+                    self._model.touched.add((job.index, -1))
+
+    def _drop(self, index: int) -> None:
+        entry = self._entries.pop(index)
+        for number in entry.replicas:
+            self._rooms.keep((index, number), [])
+        self._rooms.forget(index, entry.shape.total)
+        self._lazy.pop(index, None)
+
+    def _entry(self, job: Job) -> Entry | None:
+        """A job of an owned share; None if it has ended, or its share is not ours."""
+        share = self._model.shares[job.share]
+        entry = self._entries.get(job.index)
+        if entry is not None and (
+            entry.job is not job
+            or not share.owned
+            or entry.term != share.term
+            or job.phase != Phase.OPEN
+        ):
+            self._drop(job.index)
+            entry = None
+        if entry is None and share.owned and job.phase == Phase.OPEN and job.watch is not None:
+            shape = shape_of(self._options, job.spec)
+            if shape is None:
+                return None
+            replicas = {
+                number: read(self._clock, job, shape, number) for number in range(shape.count)
+            }
+            entry = self._entries[job.index] = Entry(job, shape, share.term, replicas)
+            for replica in replicas.values():
+                if replica.intent.phase == Step.MOVING:
+                    self._reserve(entry, replica)
+                self._review(entry, replica)
+        return entry
+
+    # ---- one replica ----
+
+    def _review(self, entry: Entry, replica: Replica) -> None:
+        """Bring a replica's intent in line with what is seen, and do what follows."""
+        now = self._clock.now()
+        job, tasks = entry.job, entry.shape.tasks(replica.number)
+        rules = entry.shape.rules
+        if self._sight.vacated(job, tasks):
+            # Its room is taken for other work, as by an eviction: all or none.
+            self._stop_all(entry, replica.number, 0.0)
+        for _ in range(3):
+            moving = replica.intent.phase == Step.MOVING
+            seen = self._sight.see(
+                job,
+                tasks,
+                not moving or self._durable(entry, replica),
+                not moving or self._room(entry, replica),
+                self._may_move(entry, replica),
+            )
+            bounds = Bounds(rules.form_s, rules.degraded_s)
+            found = decide(replica.intent, seen, bounds, now)
+            self._take_over(entry, replica, found, seen)
+            for task in sorted(found.stop):
+                self._planner.stop(job.attempts[task])
+            if not found.take:
+                break
+            self._take_room(entry, replica)
+        if found.launch:
+            for task in seen.placed:
+                if job.attempts[task].held:
+                    job.attempts[task].held = False
+                    self._model.pushes.add(job.attempts[task].machine.index)
+        self._set_due(entry, replica, found, seen, now)
+
+    def _stop_all(self, entry: Entry, number: int, wait_s: float | None = None) -> None:
+        for task in entry.shape.tasks(number):
+            attempt = entry.job.attempts.get(task)
+            if attempt is not None and not attempt.stopping and not attempt.finishing:
+                self._planner.stop(attempt, wait_s)
+
+    def _take_over(self, entry: Entry, replica: Replica, found: Next, seen: Seen) -> None:
+        """Make a decision's intent the replica's, with its note and the room kept for it."""
+        before, intent, number = replica.intent, found.intent, replica.number
+        replica.want, replica.seek = found.want, found.seek
+        if found.want or found.seek:
+            entry.wanting.add(number)
+            self._model.kicks.add(entry.job.share)
+        else:
+            entry.wanting.discard(number)
+        if intent != before:
+            replica.intent = intent
+            self._noted(entry, replica)
+        if intent.phase != before.phase:
+            self._tell(entry, replica, before)
+            for task in seen.there:
+                # What of it may be a victim depends on the phase.
+                entry.job.attempts[task].machine.node = None
+            if intent.phase not in AFTER_MOVE and intent.phase != Step.MOVING:
+                entry.moving.discard(number)
+        if intent.phase == Step.DEGRADED:
+            self._rooms.keep((entry.job.index, number), self._missing(entry, seen))
+        elif intent.phase != Step.MOVING:
+            self._rooms.keep((entry.job.index, number), [])
+
+    def _tell(self, entry: Entry, replica: Replica, before: Intent) -> None:
+        intent = replica.intent
+        members = " ".join(map(str, sorted(intent.members)[:16]))
+        log.info(
+            "%s replica %d: %s after %s for %.1f s, incarnation %d%s%s",
+            entry.job.id,
+            replica.number,
+            NAMES[intent.phase],
+            NAMES[before.phase],
+            self._clock.now() - before.at if before.at else 0.0,
+            intent.incarnation,
+            f", members {members}" if members else "",
+            f", to {' '.join(sorted(set(intent.to)))}" if intent.to else "",
+        )
+
+    def _missing(self, entry: Entry, seen: Seen) -> list[int]:
+        """Where members have left room that nobody else is to fill: on machines that go on."""
+        now, job = self._clock.now(), entry.job
+        found = []
+        for task in sorted(seen.absent):
+            machine = self._rooms.last(job, task)
+            if (
+                machine is not None
+                and machine.share == job.share
+                and machine.index not in job.shunned
+                and self._planner.usable(machine, now)
+            ):
+                found.append(machine.index)
+        return found
+
+    def _may_move(self, entry: Entry, replica: Replica) -> bool:
+        others = len(entry.moving - {replica.number})
+        return others < entry.shape.rules.moves and self._model.active(Behaviour.NOTES)
+
+    def _durable(self, entry: Entry, replica: Replica) -> bool:
+        """Whether the state service holds the replica's latest note."""
+        job = entry.job
+        key = (StoredReplica, replica.number)
+        page = self._model.pages[job.share].get(job.notes_page.get(key, -1))
+        rows = None if page is None else page.jobs.get(job.id)
+        return rows is not None and job.notes.get(key) in rows.notes
+
+    def _set_due(self, entry: Entry, replica: Replica, found: Next, seen: Seen, now: float) -> None:
+        times = [] if found.due is None else [found.due]
+        if seen.hung:
+            times.append(now + LOOK_S)
+        if replica.intent.phase == Step.MOVING:
+            times.append(now + MOVE_LOOK_S)
+        times += [
+            self._sight.silent_at(entry.job.attempts[task].machine)
+            for task in seen.there - seen.hung
+        ]
+        due = max(min(times), now + MOVE_LOOK_S) if times else None
+        # What is in the heap and comes sooner looks, and sets this again.
+        if due is not None and (replica.due is None or due < replica.due):
+            replica.due = due
+            heapq.heappush(self._due, (due, entry.job.index, replica.number))
+
+    # ---- notes ----
+
+    def _noted(self, entry: Entry, replica: Replica) -> None:
+        job = entry.job
+        job.note(write(self._clock, job, replica))
+        if replica.intent.phase in PROMPT:
+            self._write_soon(job.index, job)
+        else:
+            self._lazy.setdefault(job.index, (job, self._clock.now() + LAZY_S))
+
+    def _write_soon(self, index: int, job: Job) -> None:
+        self._lazy.pop(index, None)
+        if self._model.jobs[index] is job:
+            self._model.shares[job.share].notes_due.add(index)
+
+    # ---- moves ----
+
+    def _reserve(self, entry: Entry, replica: Replica) -> None:
+        """Keep what a move has reserved, as far as it is there."""
+        found = [self._model.machine(name) for name in replica.intent.to]
+        share = entry.job.share
+        machines = [m.index for m in found if m is not None and m.share == share]
+        self._rooms.keep((entry.job.index, replica.number), machines)
+        entry.moving.add(replica.number)
+
+    def _room(self, entry: Entry, replica: Replica) -> bool:
+        """Whether every machine that a move has reserved can still be used."""
+        now = self._clock.now()
+        found = [self._model.machine(name) for name in replica.intent.to]
+        kept = self._rooms.of((entry.job.index, replica.number))
+        # After a takeover they have not been heard yet, which is no reason to give a move up.
+        return len(kept) == len(found) > 0 and all(
+            machine is not None
+            and self._planner.out_of_use(machine, now) in (None, "not_heard")
+            and not self._sight.silent(machine)
+            for machine in found
+        )
+
+    def _take_room(self, entry: Entry, replica: Replica) -> None:
+        """All that moves goes into the room that is reserved for it."""
+        intent, job = replica.intent, entry.job
+        nodes = list(self._rooms.of((job.index, replica.number)))
+        self._rooms.keep((job.index, replica.number), [])
+        tasks = [task for task in sorted(intent.members) if job.status[task] == IDLE]
+        self._place(entry, replica, tasks, nodes)
+
+    def _place(self, entry: Entry, replica: Replica, tasks: list[int], nodes: list[int]) -> None:
+        job, model = entry.job, self._model
+        for task, node in zip(tasks, nodes, strict=False):
+            if task in job.idle:
+                job.idle.remove(task)
+            machine = model.machines[node]
+            attempt = model.place(job, task, job.tries.get(task, 0) + 1, machine, Stage.PLANNED)
+            attempt.unit = replica.number
+            machine.idle_since = self._clock.now()
+        # What else waits for a page goes with this one.
+        for index, (other, _) in list(self._lazy.items()):
+            if other.share == job.share:
+                self._write_soon(index, other)
+
+    # ---- for the plan ----
+
+    def held(self, machine: Machine) -> Resources:
+        """Room that is kept on a machine for members that are to come."""
+        return self._rooms.held(machine)
+
+    def group(self, attempt: Attempt) -> tuple[int, int]:
+        """The replica of an attempt."""
+        shape = self._shape(attempt.job)
+        return attempt.job.index, 0 if shape is None else shape.number(attempt.task)
+
+    def _shape(self, job: Job) -> Shape | None:
+        entry = self._entries.get(job.index)
+        if entry is not None and entry.job is job:
+            return entry.shape
+        return shape_of(self._options, job.spec)
+
+    def shielded(self, attempt: Attempt) -> bool:
+        """Whether it is no victim of a claim: its replica is not up, and would wait for longer."""
+        return self.step_of(attempt.job, attempt.task) not in (None, Step.UP, Step.STOPPING)
+
+    def step_of(self, job: Job, task: int) -> Step | None:
+        """The phase of a task's replica, if this controller acts for it."""
+        entry = self._entries.get(job.index)
+        if entry is None or entry.job is not job:
+            return None
+        return entry.replicas[entry.shape.number(task)].intent.phase
+
+    def requests(self, job: Job, now: float) -> list[Request]:
+        """What the job's replicas need now."""
+        shape = self._shape(job)
+        if job.phase != Phase.OPEN or shape is None:
+            return []
+        if job.waiting() > 0 and self._planner.held_back(job, now) is not None:
+            return []
+        if not self._model.shares[job.share].owned:
+            return self._asks.unowned(job, shape)
+        entry = self._entry(job)
+        if entry is None:
+            return []
+        found: list[Request] = []
+        tasks = 0
+        for number in sorted(entry.wanting):
+            replica = entry.replicas[number]
+            if not replica.want and not self._may_move(entry, replica):
+                continue
+            needed = replica.want or replica.seek
+            if found and tasks + len(needed) > MOST_STARTS:
+                break
+            tasks += len(needed)
+            degraded = replica.intent.phase == Step.DEGRADED and self._may_move(entry, replica)
+            found.append(self._asks.request(job, shape, number, needed, not replica.want, degraded))
+        return found
+
+    def carry_out(self, share: Share, plan: Plan) -> None:
+        """Place what the plan has placed whole, and evict replicas whole."""
+        model = self._model
+        evicted: set[tuple[int, int]] = set()
+        for stop in plan.stops:
+            job = model.jobs[stop.key[0]]
+            if job is not None and job.watch is not None:
+                evicted.add(self.group(job.attempts[stop.key[1]]))
+        for index, number in sorted(evicted):
+            job = model.jobs[index]
+            entry = None if job is None else self._entry(job)
+            if entry is not None:
+                # Members on machines that take no tasks are in no plan.
+                self._stop_all(entry, number)
+                self._review(entry, entry.replicas[number])
+        for whole in plan.wholes:
+            job = model.jobs[whole.job]
+            entry = None if job is None else self._entry(job)
+            if entry is not None:
+                self._carry_out(entry, whole)
+
+    def _carry_out(self, entry: Entry, whole: Whole) -> None:
+        replica = entry.replicas[whole.number]
+        if not whole.seek:
+            if len(replica.want) == len(whole.nodes):
+                self._place(entry, replica, sorted(replica.want), whole.nodes)
+                self._review(entry, replica)
+            return
+        members = replica.want or replica.seek
+        if whole.anew:
+            tasks = entry.shape.tasks(whole.number)
+            members = frozenset(task for task in tasks if entry.job.status[task] != FINISHED)
+        # Another replica of the job may have been given its turn by the same plan.
+        if len(members) != len(whole.nodes) or not self._may_move(entry, replica):
+            return
+        before = replica.intent
+        names = tuple(self._model.machines[node].name for node in whole.nodes)
+        replica.intent = replace(
+            before, phase=Step.MOVING, at=self._clock.now(), members=members, to=names
+        )
+        self._tell(entry, replica, before)
+        self._noted(entry, replica)
+        self._reserve(entry, replica)
+        self._review(entry, replica)
+
+    # ---- for machines that are given up ----
+
+    def keeps(self, attempt: Attempt) -> bool:
+        """Whether a member stays on its draining machine for now, since its replica is to move
+        whole."""
+        job, machine = attempt.job, attempt.machine
+        if job.watch is None or machine.given_up or machine.vacate_to is not None:
+            return False
+        entry = self._entry(job)
+        if entry is None or not self._model.active(Behaviour.NOTES):
+            return False
+        job.touch(attempt.task)
+        if self.step_of(job, attempt.task) not in (Step.UP, Step.MOVING):
+            return False
+        now = self._clock.now()
+        if machine.recall_at is not None:
+            # A notice shorter than the move: it saves what can be saved, and what the replica lacks
+            # then is repaired.
+            saves_s = job.spec.save_s if job.spec.checkpoint_s > 0 else 0.0
+            return now < machine.recall_at - saves_s - SAVE_SLACK_S
+        if len(self._drained_at) > 2 * len(self._model.machines):
+            self._drained_at.clear()
+        began = self._drained_at.setdefault(machine.index, now)
+        return entry.shape.rules.moves > 0 and now < began + entry.shape.rules.drain_s
--- a/badgerseam/sched/bench.py
+++ b/badgerseam/sched/bench.py
@@ -9,6 +9,7 @@
 from enum import IntFlag
 
 from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.sched.groups import Groups
 from badgerseam.sched.snapshot import (
     Node,
     Plan,
@@ -50,6 +51,8 @@
         """Requests that found no room: what takes no less finds none either."""
         self.changes = 0
         """Counts what was pretended; between two equal counts nothing has changed."""
+        self.groups = Groups(self.nodes) if snapshot.grouped else None
+        """Replicas that span machines; None if there are none."""
 
     def node(self, position: int) -> Node:
         """A machine that may be changed: the snapshot's own is left alone."""
@@ -95,6 +98,14 @@
         )
 
 
+def position_of(bench: Bench, victim: Running, position: int) -> int:
+    """Where a victim is that is evicted for room at a position: there, or, as a member of a
+    replica, on another of its machines."""
+    if victim.group is None or bench.groups is None:
+        return position
+    return bench.groups.at(victim)
+
+
 def pretend_evicted(bench: Bench, position: int, victim: Running, sign: int) -> None:
     """Pretend that a victim has left its machine, or (-1) that it came back."""
     node = bench.node(position)
@@ -247,6 +258,8 @@
 
 def victims_on(bench: Bench, node: Node, request: Request) -> list[Running]:
     """Whose room on a machine would do for a task, the greatest waste spared; empty if none."""
+    if bench.groups is not None:
+        return bench.groups.victims_on(bench, node, request, may_evict)
     victims: list[Running] = []
     freed: dict[int, Resources] = {}
     room = node.free
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -11,7 +11,7 @@
 from badgerseam.model.job import HIGH_RANK, Attempt, Job, Phase, Stage
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
-from badgerseam.model.resources import NOTHING
+from badgerseam.model.resources import NOTHING, Resources
 from badgerseam.model.state import Share
 from badgerseam.sched import pts
 from badgerseam.settings import Tunables
@@ -42,6 +42,25 @@
         """Why no more of the job's tasks start now; None if they may."""
 
 
+class ReplicaRules(Protocol):
+    """What the plan asks of replicas that span machines, if operators have declared any."""
+
+    def requests(self, job: Job, now: float) -> list[pts.Request]:
+        """What the job's replicas need now; it has a `watch`."""
+
+    def group(self, attempt: Attempt) -> tuple[int, int]:
+        """The replica of such a job's attempt."""
+
+    def shielded(self, attempt: Attempt) -> bool:
+        """Whether it is no victim of a claim, since its replica is not up as it is."""
+
+    def held(self, machine: Machine) -> Resources:
+        """Room that is kept on a machine for members that are to come."""
+
+    def carry_out(self, share: Share, plan: pts.Plan) -> None:
+        """Place what the plan has placed whole, and evict replicas whole."""
+
+
 class Planner:
     """Plans for the shares that this controller owns."""
 
@@ -52,6 +71,7 @@
         self._tunables = tunables
         self.classes: ClassRules | None = None
         self.runs: RunRules | None = None
+        self.replicas: ReplicaRules | None = None
         self._waits: dict[str | None, float] = {}
         for objective in model.settings.params.objectives:
             if objective.kind in ("wait", "guarantee") and objective.within_s is not None:
@@ -81,13 +101,19 @@
             self._tunables.beta,
             self._tunables.window_s,
             self._clock.now(),
+            self.replicas is not None,
         )
 
     def requests(self, share: Share) -> list[pts.Request]:
         """The share's waiting work."""
         now = self._clock.now()
-        found = (self._request(job, now) for job in self._model.open_jobs[share.index].values())
-        return [request for request in found if request is not None]
+        found: list[pts.Request] = []
+        for job in self._model.open_jobs[share.index].values():
+            if job.watch is not None and self.replicas is not None:
+                found += self.replicas.requests(job, now)
+            elif (request := self._request(job, now)) is not None:
+                found.append(request)
+        return found
 
     def nodes(self, share: Share) -> list[pts.Node]:
         """The share's machines that take tasks now."""
@@ -160,6 +186,11 @@
                     attempt.planned_at,
                 )
             )
+            if job.watch is not None and self.replicas is not None:
+                running[-1].group = self.replicas.group(attempt)
+                running[-1].high = important or self.replicas.shielded(attempt)
+        if self.replicas is not None:
+            used = used.plus(self.replicas.held(machine))
         return pts.Node(
             machine.index,
             machine.type,
@@ -269,6 +300,8 @@
                 len(result.stops),
                 max(stop.cost for stop in result.stops),
             )
+        if self.replicas is not None:
+            self.replicas.carry_out(share, result)
         for start in result.starts:
             job = model.jobs[start.job]
             assert job is not None
@@ -288,6 +321,7 @@
         """
         spec = attempt.job.spec
         attempt.stopping = True
+        attempt.job.touch(attempt.task)
         attempt.machine.node = None
         attempt.stop_sent = False
         saves = spec.checkpoint_s > 0 and (wait_s is None or spec.save_s + SAVE_SLACK_S < wait_s)
--- a/badgerseam/sched/pts.py
+++ b/badgerseam/sched/pts.py
@@ -16,11 +16,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from badgerseam.sched import spans
 from badgerseam.sched.bench import (
     Bench,
     allowed,
     barred,
     eviction_cost,
+    position_of,
     pretend_evicted,
     pretend_taken,
     victims_on,
@@ -80,6 +82,8 @@
 
 def place(bench: Bench, request: Request, look: Look | None = None) -> int:
     """Place as many tasks of a request as fit; of a gang, all or none. How many were placed."""
+    if request.span is not None:
+        return spans.place(bench, request, _score, look)
     placed = _place(bench, request, look)
     if placed < request.count and bench.within_limit(request):
         bench.result.waiting[request.job] = request.count - placed
@@ -112,10 +116,13 @@
                 bench.full.append(request)
             break
         for victim, _ in victims:
-            pretend_evicted(bench, position, victim, 1)
+            pretend_evicted(bench, position_of(bench, victim, position), victim, 1)
         pretend_taken(bench, position, request, zones, 1)
         team.used = team.used.plus(request.need)
         candidates.update(position)
+        if victims and bench.groups is not None:
+            for other in bench.groups.beside(position, victims):
+                candidates.update(other)
         steps.append(_Step(position, victims))
     if look is not None and len(steps) < request.count:
         look(zones, len(steps))
@@ -125,7 +132,7 @@
             team.used = team.used.minus(request.need)
             pretend_taken(bench, step.position, request, zones, -1)
             for victim, _ in reversed(step.victims):
-                pretend_evicted(bench, step.position, victim, -1)
+                pretend_evicted(bench, position_of(bench, victim, step.position), victim, -1)
         return 0
     if steps:
         # What a team has beyond its guarantee has grown: another may claim it now.
--- a/badgerseam/sched/snapshot.py
+++ b/badgerseam/sched/snapshot.py
@@ -25,6 +25,8 @@
     """When it should have ended by its owner's estimate."""
     service: bool = False
     placed_at: float = 0.0
+    group: tuple[int, int] | None = None
+    """The replica that it is a member of, which is evicted whole; None if it stands alone."""
 
     def waste(self, now: float) -> float:
         """Slots times the time since the last checkpoint that the declared interval implies."""
@@ -80,6 +82,32 @@
         return self.free.gpus if self.total.gpus else self.free.cpus
 
 
+@dataclass(frozen=True, slots=True)
+class Span:
+    """Rules of a replica that spans machines, for those of its tasks that need room."""
+
+    number: int
+    size: int
+    """Tasks of the whole replica."""
+    least: int = 1
+    most: int | None = None
+    """Machines that the whole replica spans."""
+    same_zone: bool = True
+    same_type: bool = False
+    kept: tuple[tuple[int, str, str], ...] = ()
+    """Machine, zone and type of each member that stays where it is."""
+    holds: tuple[int, ...] = ()
+    """Machines on which room for a task is kept from others, once for each task."""
+    seek: bool = False
+    """The tasks run: their new room is only reserved, and nothing more is used meanwhile."""
+    anew: bool = False
+    """Where there is no room beside the members that stay, the whole replica may be moved."""
+    zone: str | None = None
+    """Where machines are rented for it, if its job's rules leave it only some zones."""
+    stop_s: float = 0.0
+    """What the stop of a member takes."""
+
+
 @dataclass(slots=True)
 class Request:
     """Tasks of one job to be placed; each is a task of one pod."""
@@ -112,6 +140,8 @@
     guarantees."""
     place: int = 0
     """In the queue, given at acceptance: decides between what is alike otherwise."""
+    span: Span | None = None
+    """Its tasks are those of one replica that need room: all are placed, or none."""
 
     @property
     def plain(self) -> bool:
@@ -144,6 +174,8 @@
     beta: float
     window_s: float
     now: float = 0.0
+    grouped: bool = False
+    """Some of what runs belongs to replicas that span machines."""
 
 
 @dataclass(slots=True)
@@ -152,6 +184,19 @@
     node: int
 
 
+@dataclass(slots=True)
+class Whole:
+    """A replica's tasks, or those of them that need room, placed together."""
+
+    job: int
+    number: int
+    nodes: list[int]
+    """The machine of each task."""
+    seek: bool = False
+    anew: bool = False
+    """All of its tasks, while some of them run: room is reserved, and they are moved."""
+
+
 @dataclass(slots=True)
 class Stop:
     key: tuple[int, int]
@@ -167,6 +212,7 @@
 class Plan:
     starts: list[Start] = field(default_factory=list)
     stops: list[Stop] = field(default_factory=list)
+    wholes: list[Whole] = field(default_factory=list)
     waiting: dict[int, int] = field(default_factory=dict)
     """Tasks a job that found no room (those over a team's limit are not counted)."""
     nodes: list[Node] = field(default_factory=list)
--- /dev/null
+++ b/badgerseam/sched/spans.py
@@ -0,0 +1,294 @@
+"""Placement of a replica that spans machines: all of its tasks that need room, or none.
+
+Its tasks are alike, so that a machine counts by how many of them it takes, and whether a choice can
+still be completed with the machines that are left is a matter of sums.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
+
+from badgerseam.model.resources import Resources
+from badgerseam.sched.bench import (
+    Bench,
+    barred,
+    eviction_cost,
+    may_evict,
+    position_of,
+    pretend_evicted,
+    pretend_taken,
+    victims_on,
+)
+from badgerseam.sched.snapshot import Node, Request, Running, Stop, Whole
+
+START_S = 0.3
+"""What a start takes besides the fetch."""
+Score = Callable[[Node, Request], tuple[float, ...]]
+Look = Callable[[dict[str, int], int], None]
+
+
+@dataclass(slots=True)
+class Room:
+    """A machine and how many tasks it takes, those in whose order it is chosen first."""
+
+    position: int
+    count: int
+    used: bool = False
+    """The replica has members there that stay."""
+
+
+def choose(rooms: list[Room], count: int, distinct: int, least: int, most: int | None) -> list[int]:
+    """The position for each of so many tasks, the first rooms preferred; empty if there is none.
+
+    `distinct`: machines that the replica has already; it spans `least` to `most` in the end.
+    A room is only taken if the tasks that are left can still be placed.
+    """
+    taken: list[int] = []
+    for index, room in enumerate(rooms):
+        if len(taken) >= count:
+            break
+        behind = rooms[index + 1 :]
+        spans = distinct + (not room.used)
+        for tasks in range(min(room.count, count - len(taken)), 0, -1):
+            if _completes(behind, count - len(taken) - tasks, spans, least, most):
+                taken += [room.position] * tasks
+                distinct = spans
+                break
+    return taken if len(taken) == count and distinct >= least else []
+
+
+def _completes(rooms: list[Room], count: int, distinct: int, least: int, most: int | None) -> bool:
+    if most is not None and distinct > most:
+        return False
+    lacking = max(0, least - distinct)
+    if lacking > count:
+        return False
+    fresh = sorted((room.count for room in rooms if not room.used), reverse=True)
+    if len(fresh) < lacking:
+        return False
+    if most is not None:
+        fresh = fresh[: most - distinct]
+    # Where more machines are wanted than the largest rooms need, one task goes to each of them.
+    return sum(fresh) + sum(room.count for room in rooms if room.used) >= count
+
+
+def place(bench: Bench, request: Request, score: Score, look: Look | None = None) -> int:
+    """Place the tasks of a replica's request, all or none; how many were placed."""
+    span = request.span
+    assert span is not None
+    if request.count <= 0:
+        return 0
+    taker = _Taker(bench, request, score)
+    taker.hold(-1)
+    within = span.seek or _within_limit(bench, request)
+    found = within and taker.first()
+    if not found:
+        taker.hold(1)
+        if look is not None:
+            look(request.zones, min(request.count - 1, taker.reached))
+        if within and not span.seek:
+            waiting = bench.result.waiting
+            waiting[request.job] = waiting.get(request.job, 0) + request.count
+        return 0
+    return 0 if span.seek or taker.anew else request.count
+
+
+def _within_limit(bench: Bench, request: Request) -> bool:
+    team = bench.teams[request.team]
+    return team.used.plus(request.need.times(request.count)).fits(team.limit)
+
+
+class _Taker:
+    """One request's search."""
+
+    def __init__(self, bench: Bench, request: Request, score: Score) -> None:
+        assert request.span is not None
+        self._bench = bench
+        self._request = request
+        self._span = request.span
+        self._score = score
+        self.reached = 0
+        self.anew = False
+        """All of the replica is to be moved."""
+
+    def hold(self, sign: int) -> None:
+        """Keep the room from others that is held for the replica, or (-1) give it back to it."""
+        if not self._span.holds:
+            return
+        bench, need = self._bench, self._request.need
+        positions = {node.index: position for position, node in enumerate(bench.nodes)}
+        for index in self._span.holds:
+            if index in positions:
+                node = bench.node(positions[index])
+                node.free = node.free.minus(need) if sign > 0 else node.free.plus(need)
+                bench.changed(positions[index])
+
+    def first(self) -> bool:
+        """Take the room that has the replica up the soonest; False if there is none."""
+        request, span = self._request, self._span
+        for evict in (False, True):
+            if evict and not self._evicts():
+                break
+            keep = self._best(request, evict)
+            if span.anew and span.kept and not evict:
+                whole = self._whole_request()
+                anew = self._best(whole, evict)
+                # The weights of those that stay are what a restart costs: replacing one is slower
+                # only where its image has to come from afar and is there already elsewhere.
+                if anew and (not keep or anew[0] + span.stop_s < keep[0]):
+                    self.anew = True
+                    return self._take(whole, anew[1], evict)
+            if keep:
+                return self._take(request, keep[1], evict)
+        return False
+
+    def _whole_request(self) -> Request:
+        span = self._span
+        zones = dict(self._request.zones)
+        for _, zone, _ in span.kept:
+            zones[zone] = zones.get(zone, 0) - 1
+        return replace(
+            self._request,
+            count=span.size,
+            zones={zone: count for zone, count in zones.items() if count > 0},
+            span=replace(span, kept=()),
+        )
+
+    def _evicts(self) -> bool:
+        bench, request = self._bench, self._request
+        # What is to be reserved takes nobody's room: it would be lost with the owner's memory that
+        # somebody was stopped for it.
+        return bench.evict and not self._span.seek and (request.high or bench.lends(request))
+
+    def _variants(self, request: Request) -> Iterator[list[int]]:
+        """The machines that may serve, by zone and type where these have to be one."""
+        bench, span = self._bench, self._span
+        assert request.span is not None
+        kept = request.span.kept
+        zoned = span.same_zone or request.one_zone
+        parts: dict[tuple[str, str], list[int]] = {}
+        for position, node in enumerate(bench.nodes):
+            if node.index in request.shunned or barred(request, node):
+                continue
+            if kept and zoned and node.zone != kept[0][1]:
+                continue
+            if kept and span.same_type and node.type != kept[0][2]:
+                continue
+            key = (node.zone if zoned else "", node.type if span.same_type else "")
+            parts.setdefault(key, []).append(position)
+        # Left open by the design: spread over zones.
+        for key in sorted(parts, key=lambda key: (request.zones.get(key[0], 0), key)):
+            yield parts[key]
+
+    def _best(self, request: Request, evict: bool) -> tuple[float, list[int]] | None:
+        """Seconds until the tasks run, and the position of each; the least such of all variants,
+        or with `evict` the first."""
+        best: tuple[float, list[int]] | None = None
+        for positions in self._variants(request):
+            found = self._fill(request, positions, evict)
+            if found:
+                ready_s = max(fetch_s(request, self._bench.nodes[spot]) for spot in found) + START_S
+                if best is None or ready_s < best[0]:
+                    best = ready_s, found
+                if evict:
+                    break
+        return best
+
+    def _fill(self, request: Request, positions: list[int], evict: bool) -> list[int]:
+        bench, span = self._bench, request.span
+        assert span is not None
+        staying = {index for index, _, _ in span.kept}
+        rooms: list[tuple[tuple[float, ...], Room]] = []
+        for position in positions:
+            node = bench.nodes[position]
+            free, cost = node.free, 0.0
+            if evict and not request.need.fits(free):
+                victims = victims_on(bench, node, request)
+                if not victims:
+                    continue
+                waste = sum(victim.waste(bench.now) for victim in victims)
+                cost = eviction_cost(bench, len(victims), waste)
+            if evict:
+                free = self._with_victims(node, request)
+            count = min(request.count, request.need.times_in(free))
+            if count > 0:
+                key = (cost, *self._score(node, request))
+                rooms.append((key, Room(position, count, node.index in staying)))
+        rooms.sort(key=lambda item: (item[0], item[1].position))
+        ordered = self._within_zones(request, [room for _, room in rooms])
+        self.reached = max(self.reached, sum(room.count for room in ordered))
+        return choose(ordered, request.count, len(staying), span.least, span.most)
+
+    def _with_victims(self, node: Node, request: Request) -> Resources:
+        """A machine's room if all went that may be evicted; a claim may have less of it."""
+        bench, free = self._bench, node.free
+        for running in node.running:
+            unit = [running] if bench.groups is None else bench.groups.unit(running)
+            if all(may_evict(bench, request, v, Resources(0.0, 0.0, 0.0)) for v in unit):
+                free = free.plus(running.need)
+        return free
+
+    def _within_zones(self, request: Request, rooms: list[Room]) -> list[Room]:
+        """The rooms cut to what the job may have in their zones (`scatter`)."""
+        if request.zone_limit is None:
+            return rooms
+        left: dict[str, int] = {}
+        found = []
+        for room in rooms:
+            zone = self._bench.nodes[room.position].zone
+            most = left.get(zone, request.zone_limit - request.zones.get(zone, 0))
+            if most > 0:
+                found.append(Room(room.position, min(room.count, most), room.used))
+                left[zone] = most - found[-1].count
+        return found
+
+    def _take(self, request: Request, spots: list[int], evict: bool) -> bool:
+        """Pretend it, victims first; False with all as before if a claim does not reach so far."""
+        bench, span = self._bench, self._span
+        zones = dict(request.zones)
+        team = bench.teams[request.team]
+        uses = not (span.seek or self.anew)
+        steps: list[tuple[int, list[tuple[Running, float]]]] = []
+        for spot in spots:
+            victims: list[tuple[Running, float]] = []
+            if not request.need.fits(bench.nodes[spot].free):
+                found = victims_on(bench, bench.nodes[spot], request) if evict else []
+                if not found:
+                    break
+                waste = sum(victim.waste(bench.now) for victim in found)
+                cost = eviction_cost(bench, len(found), waste)
+                victims = [(victim, cost) for victim in found]
+            for victim, _ in victims:
+                pretend_evicted(bench, position_of(bench, victim, spot), victim, 1)
+            pretend_taken(bench, spot, request, zones, 1)
+            if uses:
+                team.used = team.used.plus(request.need)
+            steps.append((spot, victims))
+        if len(steps) < len(spots):
+            for spot, victims in reversed(steps):
+                if uses:
+                    team.used = team.used.minus(request.need)
+                pretend_taken(bench, spot, request, zones, -1)
+                for victim, _ in reversed(victims):
+                    pretend_evicted(bench, position_of(bench, victim, spot), victim, -1)
+            return False
+        bench.full = [other for other in bench.full if other.team == request.team]
+        for _, victims in steps:
+            if victims:
+                bench.full.clear()
+            bench.result.stops += [
+                Stop(victim.key, cost, request.wait_s, request.job) for victim, cost in victims
+            ]
+        nodes = [bench.nodes[spot].index for spot in spots]
+        bench.result.wholes.append(
+            Whole(request.job, span.number, nodes, span.seek or self.anew, self.anew)
+        )
+        return True
+
+
+def fetch_s(request: Request, node: Node) -> float:
+    """How long the image takes to a machine, as stated; 0 if it is there."""
+    if request.image in node.images:
+        return 0.0
+    return request.image_gb / max(node.fetch_gb_per_s, 1e-3)
--- a/badgerseam/store/ledger.py
+++ b/badgerseam/store/ledger.py
@@ -276,6 +276,7 @@
                 if attempt.job.attempts.get(attempt.task) is attempt:
                     if attempt.stage == Stage.PLANNED:
                         attempt.stage = Stage.PLACED
+                        attempt.job.touch(attempt.task)
                         if model.accounts is not None:
                             model.accounts.placed(attempt)
                     model.pushes.add(attempt.machine.index)
--- a/badgerseam/store/pages.py
+++ b/badgerseam/store/pages.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container
+from collections.abc import Container, Iterator
 from dataclasses import dataclass, field
 
 from badgerseam.levels.table import Behaviour
@@ -25,6 +25,10 @@
 """Of what is new in a transaction."""
 OLD_PAGES = 3
 """Pages that are looked at before a new one is begun."""
+NOTE_BYTES = 64
+"""About what a replica's note takes beside its members' rows."""
+BUNDLE_BYTES = 1024
+"""Of notes that are kept together."""
 ENTRY_ROWS = 64
 """Rows of one job that are kept together when they are put into pages."""
 
@@ -41,6 +45,8 @@
     """Jobs and chunks whose bits are among it."""
     notes: list[tuple[Job, NoteKey]] = field(default_factory=list)
     """Jobs and notes that are among it."""
+    units: set[tuple[str, int]] = field(default_factory=set)
+    """Jobs and replicas whose members are among it, all of them that were planned."""
 
     def values(self, share: Share) -> dict[str, object]:
         """What is written, by key."""
@@ -78,16 +84,18 @@
     fresh: dict[str, tuple[Job, list[tuple[int, str]], list[wire.TaskRow]]] = {}
     left: list[Attempt] = []
     room = min(MOST_FRESH, max(1, params.txn_ops - OLD_PAGES) * int(512 * params.value_kb))
+    units = _Units(share.planned, draft, room)
     for attempt in share.planned:
         job = attempt.job
         if job.attempts.get(attempt.task) is not attempt or attempt.stage != Stage.PLANNED:
             continue
-        if room <= 0 or (job.id not in fresh and len(fresh) >= most_jobs):
+        full = job.id not in fresh and len(fresh) >= most_jobs
+        if (room <= 0 or full) if attempt.unit is None else not units.join(attempt, room, full):
             left.append(attempt)
             continue
         _, _, rows = fresh.setdefault(job.id, (job, [], []))
         rows.append(wire.TaskRow(attempt.task, attempt.number, attempt.machine.name))
-        room -= 16 + len(attempt.machine.name)
+        room -= _row_bytes(attempt)
         draft.conditions[job_key(job.id)] = job.version
         draft.planned.append(attempt)
     share.planned = left
@@ -114,6 +122,40 @@
     return draft
 
 
+def _row_bytes(attempt: Attempt) -> int:
+    return 16 + len(attempt.machine.name)
+
+
+class _Units:
+    """Sees that the members of a replica go into one transaction, or wait for the next one.
+
+    One that is larger than any transaction goes into several: its members are launched only when
+    all of them are durable (`Attempt.held`).
+    """
+
+    def __init__(self, planned: list[Attempt], draft: Draft, room: int) -> None:
+        self._draft = draft
+        self._room = room
+        self._sizes: dict[tuple[str, int], int] = {}
+        self._joins: dict[tuple[str, int], bool] = {}
+        for attempt in planned:
+            if attempt.unit is not None:
+                key = (attempt.job.id, attempt.unit)
+                self._sizes[key] = self._sizes.get(key, NOTE_BYTES) + _row_bytes(attempt)
+
+    def join(self, attempt: Attempt, room: int, full: bool) -> bool:
+        """Whether a member goes into this transaction, in which so much room is left."""
+        assert attempt.unit is not None
+        key = (attempt.job.id, attempt.unit)
+        joins = self._joins.get(key)
+        if joins is None:
+            fits = self._sizes[key] <= room or (room == self._room and not self._draft.planned)
+            joins = self._joins[key] = fits and not full
+            if joins:
+                self._draft.units.add(key)
+        return joins and (room > 0 or self._sizes[key] <= self._room)
+
+
 def _entry(job: Job, done: list[tuple[int, str]], rows: list[wire.TaskRow]) -> wire.JobRows:
     return wire.JobRows(job.id, done, rows)
 
@@ -121,15 +163,17 @@
 def _notes(model: Model, share: Share, draft: Draft, room: int) -> list[wire.JobRows]:
     """The notes that are due, as far as there is room beside the rest; others wait."""
     entries = []
-    for index in list(share.notes_due):
+    # Those of replicas that are placed now, whatever room there is: all of it in one transaction.
+    ordered = {job.index for name, _ in draft.units if (job := model.job(name)) is not None}
+    for index in [*ordered, *(share.notes_due - ordered)]:
         job = model.jobs[index]
         if job is None or job.phase != Phase.OPEN:
             share.notes_due.discard(index)
             continue
         taken: list[wire.Note] = []
         for key in sorted(job.notes_changed, key=lambda key: key[1]):
-            if room <= 0:
-                break
+            if room <= 0 and (job.id, key[1]) not in draft.units:
+                continue
             taken.append(job.notes[key])
             room -= len(wire.encode(job.notes[key])) + 1
             draft.notes.append((job, key))
@@ -138,7 +182,7 @@
             entries.append(wire.JobRows(job.id, [], [], [], taken))
         if not job.notes_changed:
             share.notes_due.discard(index)
-        if room <= 0:
+        if room <= 0 and index not in ordered:
             break
     return entries
 
@@ -205,10 +249,21 @@
         for first in range(0, len(entry.rows), ENTRY_ROWS)
     ]
     parts += [wire.JobRows(entry.job, [bits], []) for bits in entry.done]
-    return parts + [
-        wire.JobRows(entry.job, [], [], [], entry.notes[first : first + ENTRY_ROWS])
-        for first in range(0, len(entry.notes), ENTRY_ROWS)
-    ]
+    return parts + [wire.JobRows(entry.job, [], [], [], notes) for notes in _bundles(entry.notes)]
+
+
+def _bundles(notes: list[wire.Note]) -> Iterator[list[wire.Note]]:
+    """Notes in bundles, each well within a page: a move names machines, some hundred bytes."""
+    bundle: list[wire.Note] = []
+    size = 0
+    for note in notes:
+        bundle.append(note)
+        size += len(wire.encode(note))
+        if size >= BUNDLE_BYTES or len(bundle) == ENTRY_ROWS:
+            yield bundle
+            bundle, size = [], 0
+    if bundle:
+        yield bundle
 
 
 def _size(entry: wire.JobRows) -> int:
--- a/badgerseam/wire/state.py
+++ b/badgerseam/wire/state.py
@@ -151,7 +151,9 @@
     at: int
     """When the phase began, in tenths of a second after the job's acceptance."""
     members: list[int] = field(default_factory=list)
-    """The tasks that the phase is about: those lost, or those being moved."""
+    """The tasks that the phase is about: those lost, or those being moved; none: all of them."""
+    to: list[str] = field(default_factory=list)
+    """Of a move: the machine reserved for each of these, in order of their numbers."""
 
 
 Note = Failures | StoredReplica
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -192,6 +192,7 @@
                 # It was there and is gone without a word: its session has ended.
                 attempt.stage = Stage.PLACED
                 machine.node = None
+                attempt.job.touch(attempt.task)
             if attempt.stopping or machine.draining:
                 model.unplace(attempt)
         return True
@@ -226,6 +227,7 @@
             if attempt.stage != stage:
                 attempt.stage = stage
                 machine.node = None
+                job.touch(attempt.task)
             attempt.sent = True
             return
         model.kicks.add(machine.share)
@@ -296,7 +298,7 @@
                 continue
             if attempt.stage != Stage.PLACED or attempt.sending or attempt.sent:
                 continue
-            if attempt.job.phase == Phase.OPEN:
+            if attempt.job.phase == Phase.OPEN and not attempt.held:
                 starts.append(attempt)
         starts.sort(key=lambda attempt: (-attempt.job.rank, attempt.planned_at))
         for attempt in starts[:MOST_COMMANDS]:
--- a/badgerseam/workers/draining.py
+++ b/badgerseam/workers/draining.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
-from badgerseam.model.job import Stage
+from collections.abc import Callable
+
+from badgerseam.model.job import Attempt, Stage
 from badgerseam.model.model import Model
 
 
-def drain(model: Model) -> None:
-    """Look at the draining machines of owned shares; called with the model's lock held."""
+def drain(model: Model, keeps: Callable[[Attempt], bool] | None = None) -> None:
+    """Look at the draining machines of owned shares; called with the model's lock held.
+
+    `keeps`: whether an attempt is seen to by others for now, as a member of a replica that moves.
+    """
     now = model.clock.now()
     for machine in model.machines.values():
         if not machine.draining or not model.shares[machine.share].owned:
@@ -21,7 +26,10 @@
                 stays = not attempt.job.service and spec.checkpoint_s == 0
                 if stays and now + max(left, 0.0) < machine.recall_at:
                     continue
+            if keeps is not None and keeps(attempt):
+                continue
             attempt.stopping = True
+            attempt.job.touch(attempt.task)
             machine.node = None
             attempt.stop_sent = False
             attempt.grace_s = spec.save_s + 1.0 if spec.checkpoint_s > 0 else 0.0
