--- /dev/null
+++ b/tests/test_replicas_model.py
@@ -0,0 +1,225 @@
+"""Every interleaving of a replica's phases: two members, three machines with room for one each.
+
+Explored whole: plans, writes, starts, stops, machines that hang, die or are drained, bounds that
+pass, and owners that end at any moment, up to two such troubles.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+from badgerseam.replicas.phases import Bounds, Intent, Next, Seen, Step, decide
+
+NOW, LONG_AGO = 1.0, -1000.0
+MEMBERS = (0, 1)
+MACHINES = ("a", "b", "c")
+TROUBLES = 2
+BOUNDS = Bounds(10.0, 10.0, 0.0)
+
+
+@dataclass(frozen=True)
+class Member:
+    machine: str
+    stage: str = "planned"
+    """planned, placed (durable), runs"""
+    stopping: bool = False
+    unseen: bool = False
+
+
+@dataclass(frozen=True)
+class World:
+    intent: Intent = Intent()
+    durable: Intent = Intent()
+    members: tuple[Member | None, ...] = (None, None)
+    launched: frozenset[tuple[int, str]] = frozenset()
+    """What is, or may be, on machines."""
+    hung: frozenset[str] = frozenset()
+    dead: frozenset[str] = frozenset()
+    drained: frozenset[str] = frozenset()
+    since: float = NOW
+    troubles: int = TROUBLES
+
+
+def usable(world: World) -> list[str]:
+    taken = {m.machine for m in world.members if m is not None}
+    if world.intent.phase == Step.MOVING:
+        taken |= set(world.intent.to)
+    return [m for m in MACHINES if m not in taken | world.hung | world.dead | world.drained]
+
+
+def see(world: World) -> Seen:
+    there = {t: m for t, m in enumerate(world.members) if m is not None}
+
+    def where(stage: str) -> frozenset[int]:
+        return frozenset(t for t, m in there.items() if m.stage == stage)
+
+    moving = world.intent.phase == Step.MOVING
+    return Seen(
+        frozenset(MEMBERS) - frozenset(there),
+        where("planned"),
+        where("placed"),
+        where("runs"),
+        frozenset(t for t, m in there.items() if m.unseen and m.stage == "placed"),
+        frozenset(t for t, m in there.items() if m.stopping),
+        frozenset(t for t, m in there.items() if m.machine in world.hung),
+        frozenset(t for t, m in there.items() if m.machine in world.drained - world.hung),
+        world.durable == world.intent,
+        not moving or not set(world.intent.to) & (world.hung | world.dead | world.drained),
+        world.since,
+    )
+
+
+def put(world: World, task: int, member: Member | None) -> World:
+    members = list(world.members)
+    members[task] = member
+    return replace(world, members=tuple(members))
+
+
+def settle(world: World) -> tuple[World, Next]:
+    """What the owner does by itself, without any other's doing."""
+    for _ in range(10):
+        seen = see(world)
+        found = decide(world.intent, seen, BOUNDS, NOW)
+        before = world
+        # Which one it is decides nothing, and would make the worlds endless.
+        world = replace(world, intent=replace(found.intent, incarnation=0))
+        if found.intent.phase == Step.MOVING and found.stop:
+            assert world.durable == world.intent, "stopped for a move that nobody knows of"
+        for task in found.stop:
+            member = world.members[task]
+            assert member is not None
+            world = put(world, task, replace(member, stopping=True))
+        if found.take:
+            for task, machine in zip(sorted(found.intent.members), found.intent.to, strict=True):
+                assert world.members[task] is None, "two of one member"
+                world = put(world, task, Member(machine))
+        elif world == before:
+            return world, found
+    raise AssertionError("the owner comes to no rest")
+
+
+def steps(world: World, found: Next) -> Iterator[World]:
+    """What may happen next without any trouble."""
+    free = usable(world)
+    if found.want and len(free) >= len(found.want):
+        after = world
+        for task, machine in zip(sorted(found.want), free, strict=False):
+            after = put(after, task, Member(machine))
+        yield after
+    if found.seek and len(free) >= len(found.seek):
+        to = tuple(free[: len(found.seek)])
+        yield replace(
+            world,
+            intent=replace(world.intent, phase=Step.MOVING, at=NOW, members=found.seek, to=to),
+        )
+    planned = any(m is not None and m.stage == "planned" for m in world.members)
+    if planned or world.durable != world.intent:
+        # Placements and the note are one transaction.
+        after = replace(world, durable=world.intent)
+        for task, member in enumerate(world.members):
+            if member is not None and member.stage == "planned":
+                after = put(after, task, replace(member, stage="placed"))
+        yield after
+    for task, member in enumerate(world.members):
+        if member is None or member.machine in world.hung:
+            continue
+        if member.stopping and member.stage != "planned":
+            yield replace(
+                put(world, task, None), launched=world.launched - {(task, member.machine)}
+            )
+        elif member.stage == "placed" and (
+            found.launch or (task, member.machine) in world.launched
+        ):
+            if world.intent.phase == Step.FORMING and (task, member.machine) not in world.launched:
+                whole = all(m is not None and m.stage != "planned" for m in world.members)
+                assert whole, "launched alone"
+            after = put(world, task, replace(member, stage="runs", unseen=False))
+            after = replace(after, launched=after.launched | {(task, member.machine)})
+            assert len({t for t, _ in after.launched}) == len(after.launched), "ran twice"
+            yield after
+    if max(world.intent.at, world.since) > LONG_AGO and found.due is not None:
+        yield replace(world, intent=replace(world.intent, at=LONG_AGO), since=LONG_AGO)
+
+
+def troubles(world: World) -> Iterator[World]:
+    world = replace(world, troubles=world.troubles - 1)
+    for machine in MACHINES:
+        if machine in world.hung:
+            yield replace(world, hung=world.hung - {machine}, troubles=world.troubles + 1)
+            yield gone(world, machine)
+        elif machine not in world.dead:
+            yield replace(world, hung=world.hung | {machine})
+            if machine not in world.drained:
+                yield replace(world, drained=world.drained | {machine})
+    # The owner ends: the next one has what is durable, and has heard nobody.
+    after = replace(world, intent=world.durable, since=NOW)
+    for task, member in enumerate(world.members):
+        if member is not None:
+            kept = Member(member.machine, "placed", unseen=True)
+            after = put(after, task, None if member.stage == "planned" else kept)
+    yield after
+
+
+def gone(world: World, machine: str) -> World:
+    """A machine is certainly gone with all on it."""
+    for task, member in enumerate(world.members):
+        if member is not None and member.machine == machine and member.stage != "planned":
+            world = put(world, task, None)
+        elif member is not None and member.machine == machine:
+            world = put(world, task, None)
+    return replace(
+        world,
+        hung=world.hung - {machine},
+        dead=world.dead | {machine},
+        launched=frozenset(entry for entry in world.launched if entry[1] != machine),
+    )
+
+
+def stopped(world: World, task: int) -> World:
+    member = world.members[task]
+    assert member is not None
+    return put(world, task, replace(member, stopping=True))
+
+
+def calm(world: World) -> World:
+    """How it ends when nothing more goes wrong: hung machines are known to be dead by then, and
+    what a drain waits for has had its time."""
+    for machine in world.hung:
+        world = gone(world, machine)
+    for _ in range(60):
+        world, found = settle(world)
+        following = list(steps(world, found))
+        if not following:
+            leaving = sorted(see(world).leaving - see(world).stopping)
+            if not leaving:
+                return world
+            for task in leaving:
+                following = [stopped(following[0] if following else world, task)]
+        world = following[0]
+    raise AssertionError(f"no end: {world}")
+
+
+def test_every_interleaving_ends_whole_or_not_at_all() -> None:
+    begin, _ = settle(World())
+    seen = {begin}
+    queue = deque([begin])
+    while queue:
+        world, found = settle(queue.popleft())
+        ended = calm(world)
+        runs = [m is not None and m.stage == "runs" for m in ended.members]
+        assert all(runs) or not any(ended.members), f"half: {world} -> {ended}"
+        room = len(MACHINES) - len(ended.dead | ended.drained)
+        assert all(runs) or room < len(MEMBERS), f"none, with room: {world} -> {ended}"
+        following = list(steps(world, found))
+        if world.troubles:
+            following += troubles(world)
+        for after in following:
+            after, _ = settle(after)
+            assert len(seen) < 100_000, "endless"
+            if after not in seen:
+                seen.add(after)
+                queue.append(after)
+    assert {world.intent.phase for world in seen} == set(Step)
+    assert 500 < len(seen) < 100_000
