--- a/badgerseam/model/records.py
+++ b/badgerseam/model/records.py
@@ -258,6 +258,8 @@
         if job.phase == Phase.OPEN:
             return
         job.ending = False
+        if job.watch is not None:
+            self.touched.add((job.index, -1))
         owned = self.shares[job.share].owned
         for attempt in list(job.attempts.values()):
             if attempt.finishing or job.phase == Phase.DONE:
--- a/badgerseam/replicas/keeper.py
+++ b/badgerseam/replicas/keeper.py
@@ -102,7 +102,10 @@
         found: set[tuple[int, int]] = set()
         for job_index, task in model.touched:
             job = model.jobs[job_index]
-            if job is None or not model.shares[job.share].owned:
+            entry = self._entries.get(job_index)
+            if entry is not None and (job is not entry.job or job.phase != Phase.OPEN):
+                self._drop(job_index)
+            if job is None or job.phase != Phase.OPEN or not model.shares[job.share].owned:
                 continue
             shape = self._shape(job)
             if shape is not None:
--- /dev/null
+++ b/tests/test_replicas.py
@@ -0,0 +1,477 @@
+"""Replicas that span machines: what is declared, placed, evicted, repaired and moved as one."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import msgspec
+import pytest
+
+from badgerseam.api.users import Api
+from badgerseam.fleet.demand import Wants, options
+from badgerseam.lab.worker import Description
+from badgerseam.model.job import Job, Stage
+from badgerseam.model.keys import LEVEL_KEY
+from badgerseam.model.machine import Machine
+from badgerseam.model.resources import NOTHING
+from badgerseam.options.replicas import ReplicaClass, ReplicasOptions, check
+from badgerseam.replicas.keeper import Keeper
+from badgerseam.replicas.phases import Step
+from badgerseam.replicas.shapes import unfit
+from badgerseam.sched import pts
+from badgerseam.sched.snapshot import Span
+from badgerseam.sched.spans import Room, choose
+from badgerseam.settings import SettingsError, Team, Tunables, check_tunables
+from badgerseam.wire import state as wire
+from badgerseam.wire.cloud import MachineType
+from badgerseam.workers.draining import drain
+from tests.stand_ins import TYPES, Rig, Worker, submission
+from tests.test_pts import node, request, snapshot, victim
+
+TWO = ReplicasOptions({"chat": ReplicaClass(tasks=2, machines_least=2, degraded_s=30.0)})
+
+
+class Site(Rig):
+    """A rig that keeps replicas, with machines that have room for two tasks each."""
+
+    def __init__(
+        self, machines: int = 3, given: ReplicasOptions = TWO, beside: Rig | None = None
+    ) -> None:
+        super().__init__([Team("red", 64, 64), Team("blue", 8, 64)], beside=beside)
+        self.keeper = Keeper(self.model, self.planner, given)
+        self.workers: dict[str, Worker] = {}
+        if beside is None:
+            self.set(LEVEL_KEY, wire.SiteLevel(3, "n-0", 0.0))
+            self.own()
+            for number in range(machines):
+                self.add(f"m-{number}")
+
+    def add(self, name: str, zone: str = "a") -> Machine:
+        machine = self.machine(name, zone)
+        self.workers[name] = Worker(name, zone=zone)
+        self.report(self.workers[name])
+        return machine
+
+    def chat(self, **changes: object) -> Job:
+        fields: dict[str, object] = {
+            "jobclass": "chat",
+            "shape": "standing",
+            "rank": "high",
+            "pieces": 2,
+            "cpus": 4.0,
+            "imageGb": 0.0,
+        }
+        return self.job(**(fields | changes))
+
+    def turn(self, seconds: float = 0.2, silent: tuple[str, ...] = ()) -> None:
+        """Everybody has a turn: owner, state service, machines but the silent ones."""
+        self.clock.time += seconds
+        self.lease()
+        drain(self.model, self.keeper.keeps)
+        self.keeper.look()
+        self.plan()
+        self.run(self.settle(4))
+        self.keeper.look()
+        for name, worker in self.workers.items():
+            if name not in silent and self.model.machine(name) is not None:
+                # What it is told with one report shows with the next.
+                self.report(worker)
+                self.report(worker)
+
+    async def written(self) -> None:
+        for _ in range(100):
+            self.ledger.flush()
+            await asyncio.sleep(0.005)
+
+    def moves(self, *machines: Machine) -> None:
+        """Machines are to be given up, and the plan looks for other room."""
+        for machine in machines:
+            machine.draining = True
+        drain(self.model, self.keeper.keeps)
+        self.keeper.look()
+        self.plan()
+
+    def turns(self, seconds: float, silent: tuple[str, ...] = ()) -> None:
+        for _ in range(round(seconds)):
+            self.turn(1.0, silent)
+
+    def step(self, job: Job, task: int = 0) -> Step | None:
+        self.keeper.look()
+        return self.keeper.step_of(job, task)
+
+    def where(self, job: Job) -> dict[int, str]:
+        return {t: a.machine.name for t, a in sorted(job.attempts.items())}
+
+    def dies(self, name: str) -> None:
+        """A machine's row goes, which is done when it is certainly gone."""
+        self.workers.pop(name)
+        self.set(f"bs/m/g-{name}", [])
+
+
+# ---- what is declared ----
+
+
+def test_options_that_cannot_be_kept_name_field_and_remedy() -> None:
+    given = ReplicasOptions(
+        {
+            "a": ReplicaClass(tasks=0),
+            "b": ReplicaClass(machines_least=0, machines_most=0),
+            "c": ReplicaClass(machines_least=3, machines_most=2),
+            "d": ReplicaClass(tasks=2, machines_least=3),
+            "e": ReplicaClass(form_s=0.0, degraded_s=-1.0, moves=-1),
+        }
+    )
+    found = check(given, ())
+    fields = [text.partition(":")[0] for text in found]
+    assert fields == [
+        "classes.a.tasks",
+        "classes.b.machines_least",
+        "classes.b.machines_most",
+        "classes.c.machines_least",
+        "classes.d.machines_least",
+        "classes.e.moves",
+        "classes.e.form_s",
+        "classes.e.degraded_s",
+    ]
+    assert all("give" in text or "lower" in text for text in found)
+    assert check(TWO, ()) == []
+    with pytest.raises(SettingsError, match=r"replicas\.classes\.a\.tasks"):
+        check_tunables(Tunables(replicas=given), Rig().settings, "options.json")
+
+
+@pytest.mark.parametrize(
+    ("rules", "changes", "field"),
+    [
+        (ReplicaClass(tasks=2), {"pieces": 3}, "pieces"),
+        (ReplicaClass(machines_least=3), {"pieces": 2}, "pieces"),
+        (ReplicaClass(tasks=4), {"pieces": 4, "scatter": True}, "scatter"),
+        (ReplicaClass(tasks=4, machines_most=1), {"pieces": 4, "cpus": 4.0}, "cpus"),
+        (ReplicaClass(tasks=4, machines_most=2), {"pieces": 4, "cpus": 4.0}, None),
+        (ReplicaClass(tasks=2), {"pieces": 3, "shape": "group"}, None),
+        (ReplicaClass(tasks=2), {"pieces": 3, "shape": "sweep"}, None),
+    ],
+)
+def test_a_submission_that_no_machines_can_hold_is_refused(
+    rules: ReplicaClass, changes: dict[str, Any], field: str | None
+) -> None:
+    given = ReplicasOptions({"chat": rules})
+    types = {entry.name: entry for entry in msgspec.convert(TYPES, list[MachineType])}
+    spec = submission(**({"jobclass": "chat", "shape": "standing"} | changes))
+    reason = unfit(given, types, spec)
+    assert (None if reason is None else reason.partition(":")[0].partition(",")[0]) == field
+    rig = Rig()
+    api = Api(
+        rig.model,
+        rig.state,  # type: ignore[arg-type]
+        rig.ledger,
+        rig.member,
+        rig.control,
+        lambda: None,
+        replicas=given,
+    )
+    reply = rig.run(api.handle("POST", "/submissions", msgspec.json.encode(spec)))
+    assert reply.status == (201 if field is None else 422)
+
+
+def test_what_is_not_declared_is_planned_to_the_letter_as_before() -> None:
+    plain, kept = Rig(), Site(machines=0)
+    plain.own()
+    starts = []
+    for rig in (plain, kept):
+        for name in ("m-0", "m-1"):
+            rig.machine(name)
+            rig.report(Worker(name))
+        rig.job(shape="standing", pieces=3)
+        rig.job(id="job-000002", shape="group", pieces=2)
+        if isinstance(rig, Site):
+            rig.keeper.look()
+            assert not rig.model.touched
+        rig.plan()
+        starts.append([(a.name, a.machine.name, a.held) for a in rig.model.shares[0].planned])
+    assert starts[0] == starts[1] != []
+
+
+# ---- placement ----
+
+
+def test_rooms_are_chosen_so_that_the_rest_still_finds_room() -> None:
+    rooms = [Room(0, 1), Room(1, 4), Room(2, 3)]
+    assert choose(rooms, 6, 0, 1, None) == [0, 1, 1, 1, 1, 2]
+    # The first one would leave five for one machine.
+    assert choose(rooms, 6, 0, 1, 2) == [1, 1, 1, 1, 2, 2]
+    assert choose(rooms, 4, 0, 3, None) == [0, 1, 1, 2]
+    assert choose(rooms, 8, 0, 1, 2) == []
+    assert choose([Room(0, 2, used=True), Room(1, 5)], 2, 1, 2, 2) == [0, 1]
+
+
+def _span(count: int, job: int = 1, cpus: float = 2, **rules: Any) -> pts.Request:
+    span = Span(0, count, **rules)
+    return request(job, count, cpus, gang=True, span=span, place=job)
+
+
+def test_a_replica_is_in_one_zone_or_nowhere() -> None:
+    nodes = [node(0, 4, zone="a"), node(1, 4, zone="b"), node(2, 4, zone="b")]
+    found = pts.plan(snapshot(nodes, _span(4)))
+    assert [sorted(whole.nodes) for whole in found.wholes] == [[1, 1, 2, 2]]
+    found = pts.plan(snapshot(nodes[:2], _span(4)))
+    assert not found.wholes and found.waiting == {1: 4}
+    assert len(pts.plan(snapshot(nodes[:2], _span(4, same_zone=False))).wholes) == 1
+
+
+def test_two_replicas_never_hold_half_of_the_room_each() -> None:
+    """Four rooms, two replicas of three tasks: the older one has them."""
+    nodes = [node(0, 4), node(1, 4)]
+    found = pts.plan(snapshot(nodes, _span(3, 5), _span(3, 4)))
+    assert [whole.job for whole in found.wholes] == [4]
+
+
+def test_who_takes_one_member_takes_the_replica_and_pays_for_all_of_it() -> None:
+    """A replica over machines 0 and 1; what stands alone on 2 has wasted more than each member."""
+    nodes = [node(index, 4, used=4, low=4) for index in range(3)]
+    for index, waste in ((0, 40.0), (1, 40.0), (2, 60.0)):
+        group = (9, 0) if index < 2 else None
+        nodes[index].running.append(victim(index, waste, 4, group=group))
+    taken = snapshot(nodes, request(1, 1, 4), grouped=True)
+    found = pts.plan(taken)
+    assert [stop.key for stop in found.stops] == [(9, 2)]
+    nodes[2].running[0].evictable = False
+    found = pts.plan(taken)
+    assert sorted(stop.key for stop in found.stops) == [(9, 0), (9, 1)]
+    # With a member that must not be stopped, none of it is a victim.
+    nodes[1].running[0].evictable = False
+    assert not pts.plan(taken).stops
+
+
+def test_machines_are_rented_for_a_replica_in_one_zone() -> None:
+    asked = _span(4, cpus=8)
+    teams = snapshot([], asked).teams
+    types = {entry.name: entry for entry in msgspec.convert(TYPES, list[MachineType])}
+    rented = Wants([asked], {1: 4}, teams).rent(options(types, set()), 9)
+    assert len(rented) == 4 and len({offer.zone for offer in rented}) == 1
+
+
+# ---- a replica's life ----
+
+
+def _up(site: Site, job: Job) -> None:
+    for _ in range(6):
+        site.turn()
+    assert site.step(job) == Step.UP, site.step(job)
+
+
+def test_members_are_durable_together_and_launched_then() -> None:
+    site = Site()
+    job = site.chat()
+    site.keeper.look()
+    site.plan()
+    before = site.state.revision
+    # One sending is lost: nothing is launched, and the same is sent again whole.
+    site.state.script = ["503"]
+    worker = site.workers[job.attempts[0].machine.name]
+
+    async def lost() -> None:
+        await site.settle(3)
+        assert not site.report(worker)["orders"]
+        await site.written()
+
+    site.run(lost())
+    assert site.state.revision == before + 1
+    entry = site.state.core.get("bs/p/0/0")
+    assert entry is not None
+    (rows,) = wire.page_decoder.decode(entry.value)
+    assert len(rows.rows) == 2 and len({row.machine for row in rows.rows}) == 2
+    assert [(n.phase, n.incarnation) for n in rows.notes if isinstance(n, wire.StoredReplica)] == [
+        (Step.FORMING, 1)
+    ]
+    _up(site, job)
+    assert job.running() == 2
+
+
+def test_a_replica_larger_than_a_transaction_is_launched_when_all_of_it_is_durable() -> None:
+    site = Site(0, ReplicasOptions({"chat": ReplicaClass()}))
+    for number in range(10):
+        site.add(f"m-{number}-{'x' * 120}")
+    params = site.settings.params.state
+    params = msgspec.structs.replace(params, value_kb=0.5, txn_ops=4)
+    site.model.settings = msgspec.structs.replace(
+        site.settings, params=msgspec.structs.replace(site.settings.params, state=params)
+    )
+    job = site.chat(pieces=20, cpus=2.0)
+    site.keeper.look()
+    site.plan()
+    assert len(job.attempts) == 20
+    half = 0
+    for _ in range(60):
+        site.run(site.settle(1))
+        site.keeper.look()
+        stages = [attempt.stage for attempt in job.attempts.values()]
+        if Stage.PLANNED in stages:
+            half += Stage.PLACED in stages
+            assert all(attempt.held for attempt in job.attempts.values())
+    assert half > 0 and set(stages) == {Stage.PLACED}
+    assert not any(attempt.held for attempt in job.attempts.values())
+
+
+def test_a_member_that_does_not_come_up_takes_the_others_with_it() -> None:
+    site = Site(2, ReplicasOptions({"chat": ReplicaClass(machines_least=2, form_s=20.0)}))
+    job = site.chat()
+    # Its image never comes.
+    site.workers["m-1"].job = Description(NOTHING, "img", 10.0)
+    site.turns(10)
+    assert site.step(job) == Step.FORMING and job.running() == 1
+    site.turns(13)
+    assert site.step(job) == Step.WAITING
+    assert not any(worker.tasks for worker in site.workers.values())
+    site.workers["m-1"].job = Description(NOTHING)
+    site.turns(4)
+    _up(site, job)
+    assert job.attempts[0].number == 2
+
+
+def test_survivors_stay_and_one_member_is_replaced() -> None:
+    site = Site()
+    job = site.chat()
+    _up(site, job)
+    first = site.where(job)
+    kept = job.attempts[0]
+    site.dies(first[1])
+    site.keeper.look()
+    assert site.step(job) == Step.DEGRADED
+    site.plan()
+    assert site.step(job) == Step.REPAIRING
+    # While it is not up, what survives is no victim of a claim.
+    assert site.keeper.shielded(kept)
+    _up(site, job)
+    assert job.attempts[0] is kept and site.where(job)[1] not in first.values()
+    assert job.attempts[1].number == 2
+
+
+def test_without_room_for_a_member_the_others_are_stopped_after_the_bound() -> None:
+    site = Site(2)
+    job = site.chat()
+    _up(site, job)
+    site.dies(site.where(job)[1])
+    site.turns(25)
+    assert site.step(job) == Step.DEGRADED and len(job.attempts) == 1
+    site.turns(10)
+    assert site.step(job) == Step.WAITING and not job.attempts
+    assert all(not worker.tasks for worker in site.workers.values())
+    # A new machine: it is started anew, as another incarnation.
+    site.add("m-9")
+    site.turns(4)
+    _up(site, job)
+    note = job.notes[wire.StoredReplica, 0]
+    assert isinstance(note, wire.StoredReplica) and note.incarnation == 2
+
+
+def test_nobody_fills_the_room_that_a_failed_member_left() -> None:
+    site = Site(2)
+    job = site.chat()
+    _up(site, job)
+    machine = job.attempts[1].machine
+    worker = site.workers[machine.name]
+    worker.finish(f"{job.id}/1", "full")
+    site.report(worker)
+    other = site.job(id="job-000002", rank="high", shape="standing", pieces=4, cpus=4.0)
+    # It pauses after a failure, and others have their turn meanwhile.
+    site.turn(0.1)
+    assert site.step(job) == Step.DEGRADED and 1 not in job.attempts
+    assert len(other.attempts) == 2 and site.keeper.held(machine).cpus == 4.0
+    site.turns(3)
+    assert site.step(job) == Step.UP and job.attempts[1].machine is machine
+    assert site.keeper.held(machine).cpus == 0.0
+
+
+def test_a_machine_that_hangs_makes_it_degraded_and_nothing_runs_twice() -> None:
+    site = Site()
+    job = site.chat()
+    _up(site, job)
+    hung = site.where(job)[1]
+    site.turns(8, (hung,))
+    assert site.step(job) == Step.DEGRADED
+    assert site.where(job)[1] == hung and f"{job.id}/1" in site.workers[hung].tasks
+    # Nothing is certain of it, and the others are of use if it comes back.
+    site.turns(3, (hung,))
+    site.turns(2)
+    assert site.step(job) == Step.UP
+
+
+def test_a_drained_machine_s_member_is_stopped_only_when_new_room_is_reserved() -> None:
+    site = Site(2)
+    job = site.chat()
+    _up(site, job)
+    leaving = site.model.machine(site.where(job)[1])
+    assert leaving is not None
+    site.moves(leaving)
+    site.turns(3)
+    assert site.step(job) == Step.UP and not job.attempts[1].stopping
+    new = site.add("m-9")
+    site.moves(leaving)
+    assert site.step(job) == Step.MOVING
+    assert not job.attempts[1].stopping, "before anybody knows where it goes"
+    assert site.keeper.held(new).cpus == 4.0
+    other = site.job(id="job-000002", rank="high", pieces=3, cpus=4.0)
+    for _ in range(8):
+        site.turn()
+    assert site.step(job) == Step.UP
+    assert site.where(job) == {0: site.where(job)[0], 1: "m-9"}
+    assert len(other.attempts) <= 2
+
+
+def test_a_notice_shorter_than_the_move_stops_the_member_in_time() -> None:
+    site = Site(2)
+    job = site.chat()
+    _up(site, job)
+    leaving = site.where(job)[1]
+    site.workers[leaving].notice_at = site.workers[leaving]._clock.now() + 6.0
+    site.turns(2)
+    assert site.step(job) == Step.UP
+    machine = site.model.machine(leaving)
+    assert machine is not None
+    machine.recall_at = site.clock.now() + 1.0
+    site.turn(0.1)
+    assert site.step(job) == Step.DEGRADED
+
+
+def test_a_move_whose_room_is_lost_leaves_it_where_it_is() -> None:
+    site = Site(2)
+    job = site.chat()
+    _up(site, job)
+    leaving = site.model.machine(site.where(job)[1])
+    assert leaving is not None
+    site.add("m-9")
+    site.moves(leaving)
+    assert site.step(job) == Step.MOVING
+    site.dies("m-9")
+    site.turn()
+    assert site.step(job) == Step.UP and job.running() == 2
+
+
+def test_only_so_many_replicas_of_a_job_are_down_for_moves() -> None:
+    site = Site(2)
+    job = site.chat(pieces=4)
+    for _ in range(6):
+        site.turn()
+    assert {site.step(job, task) for task in (0, 2)} == {Step.UP}
+    leaving = job.attempts[0].machine
+    site.add("m-8")
+    site.moves(leaving)
+    assert sorted(str(site.step(job, task)) for task in (0, 2)) == sorted(
+        [str(Step.MOVING), str(Step.UP)]
+    )
+    for _ in range(12):
+        site.turn()
+    assert {site.step(job, task) for task in (0, 2)} == {Step.UP}
+    assert leaving.name not in site.where(job).values()
+
+
+def test_a_cancelled_replica_is_stopped_whatever_it_does() -> None:
+    site = Site()
+    job = site.chat()
+    _up(site, job)
+    site.run(site.ledger.cancel(job.id))
+    for _ in range(3):
+        site.turn()
+    assert all(not worker.tasks for worker in site.workers.values())
+    assert not site.keeper._entries
--- a/tests/test_replicas_model.py
+++ b/tests/test_replicas_model.py
@@ -17,6 +17,7 @@
 MACHINES = ("a", "b", "c")
 TROUBLES = 2
 BOUNDS = Bounds(10.0, 10.0, 0.0)
+START = Intent()
 
 
 @dataclass(frozen=True)
@@ -30,8 +31,8 @@
 
 @dataclass(frozen=True)
 class World:
-    intent: Intent = Intent()
-    durable: Intent = Intent()
+    intent: Intent = START
+    durable: Intent = START
     members: tuple[Member | None, ...] = (None, None)
     launched: frozenset[tuple[int, str]] = frozenset()
     """What is, or may be, on machines."""
@@ -165,9 +166,7 @@
 def gone(world: World, machine: str) -> World:
     """A machine is certainly gone with all on it."""
     for task, member in enumerate(world.members):
-        if member is not None and member.machine == machine and member.stage != "planned":
-            world = put(world, task, None)
-        elif member is not None and member.machine == machine:
+        if member is not None and member.machine == machine:
             world = put(world, task, None)
     return replace(
         world,
