--- /dev/null
+++ b/tests/test_replicas_failover.py
@@ -0,0 +1,286 @@
+"""Three whole controllers, machines that report to whoever owns them, and a replica that spans two
+of these: its owner ends in every phase."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import msgspec
+import pytest
+
+from badgerseam.levels.table import Program
+from badgerseam.model.job import Job
+from badgerseam.model.keys import LEVEL_KEY, group_key
+from badgerseam.options.replicas import ReplicaClass, ReplicasOptions
+from badgerseam.replicas.keeper import LAZY_S, Keeper
+from badgerseam.replicas.phases import Step
+from badgerseam.wire import state as wire
+from badgerseam.workers.draining import drain
+from tests.stand_ins import Worker, submission
+from tests.trio import Controller, Trio, Way
+
+OPTIONS = ReplicasOptions(
+    {"chat": ReplicaClass(tasks=2, machines_least=2, form_s=30.0, degraded_s=6.0)}
+)
+JOB = "job-000001"
+SHARE = 1
+"""Of the team red."""
+TURN_S = 0.5
+
+
+class Keeping(Controller):
+    """A controller that plans, and keeps replicas."""
+
+    def __init__(self, node: str, way: Way, program: Program, trio: Trio) -> None:
+        super().__init__(node, way, program, trio)
+        self.keeper = Keeper(self.model, self.planner, OPTIONS)
+
+    def step(self) -> None:
+        super().step()
+        if self.way.frozen:
+            return
+        with self.model.lock:
+            if self.model.loaded:
+                drain(self.model, self.keeper.keeps)
+                self.control.watch()
+                self.keeper.look()
+                for share in self.model.shares:
+                    if share.owned:
+                        self.planner.run(share)
+                self.keeper.look()
+
+
+class Site(Trio):
+    """The controllers and their machines."""
+
+    def __init__(self, machines: int) -> None:
+        super().__init__()
+        self.workers: dict[str, Worker] = {}
+        self.loyal: dict[str, str] = {}
+        """Machines that stay with a controller that answers them."""
+        self.put(LEVEL_KEY, wire.SiteLevel(3, "n-0", 0.0))
+        for number in range(machines):
+            self.add(f"m-{number}")
+        spec = submission(
+            JOB, jobclass="chat", shape="standing", rank="high", pieces=2, cpus=4.0, imageGb=0.0
+        )
+        self.put(f"bs/j/{JOB}", wire.StoredJob("open", 2, self.clock.wall(), spec))
+
+    def put(self, key: str, record: object) -> None:
+        self.core.execute([], [wire.Write(put=key, value=wire.raw(record))])
+
+    def start(self, node: str, program: Program) -> Controller:
+        way = self._way(self.clock, self.params, self.core)
+        self.ways.append(way)
+        self.alive[node] = Keeping(node, way, program, self)
+        return self.alive[node]
+
+    def add(self, name: str) -> None:
+        row = wire.StoredMachine(name, SHARE, "c8", "a", False, "10.1.0.1:9000", 0.0)
+        self.put(group_key(f"g-{name}"), [row])
+        self.workers[name] = Worker(name)
+
+    def dies(self, name: str) -> None:
+        del self.workers[name]
+        self.core.execute([], [wire.Write(delete=group_key(f"g-{name}"))])
+
+    def owner(self) -> Keeping | None:
+        """Who acts for the share, and can reach the state service."""
+        for controller in self.alive.values():
+            assert isinstance(controller, Keeping)
+            if controller.model.shares[SHARE].owned and not controller.way.down:
+                return controller
+        return None
+
+    def job(self) -> Job:
+        owner = self.owner()
+        assert owner is not None
+        job = owner.model.job(JOB)
+        assert job is not None
+        return job
+
+    def phase(self) -> Step | None:
+        owner = self.owner()
+        job = None if owner is None else owner.model.job(JOB)
+        return None if owner is None or job is None else owner.keeper.step_of(job, 0)
+
+    def incarnation(self) -> int:
+        note = self.job().notes[wire.StoredReplica, 0]
+        assert isinstance(note, wire.StoredReplica)
+        return note.incarnation
+
+    def reports(self) -> None:
+        """Each machine reports, and nothing runs twice."""
+        for name, worker in self.workers.items():
+            at = self.alive.get(self.loyal.get(name, ""), self.owner())
+            if at is None or at.way.frozen:
+                continue
+            reply = at.control.checkin(worker.body())
+            if reply.status == 200:
+                worker.obey(msgspec.json.decode(reply.body))
+            else:
+                self.loyal.pop(name, None)
+        held = [task for worker in self.workers.values() for task in _running(worker)]
+        assert len(held) == len(set(held)), held
+
+    async def turns(self, seconds: float) -> None:
+        for _ in range(round(seconds / TURN_S)):
+            await self.go_on(TURN_S)
+            self.reports()
+
+    async def until(self, phase: Step, seconds: float = 60.0) -> None:
+        for _ in range(round(seconds / TURN_S)):
+            if self.phase() == phase:
+                return
+            await self.turns(TURN_S)
+        raise AssertionError(f"{self.phase()} instead of {phase}")
+
+    async def until_up(self) -> None:
+        await self.until(Step.UP)
+        assert sorted(t for w in self.workers.values() for t in _running(w)) == [
+            f"{JOB}/0",
+            f"{JOB}/1",
+        ]
+
+    async def owner_ends(self) -> None:
+        owner = self.owner()
+        assert owner is not None
+        await self.end(owner.member.node)
+
+
+def _running(worker: Worker) -> list[str]:
+    return [held.task for held in worker.tasks.values() if held.phase != "exited"]
+
+
+def play(machines: int, act: Any) -> None:
+    """One story from its begin to its end."""
+
+    async def story() -> None:
+        site = Site(machines)
+        site.start_all(Program())
+        try:
+            await act(site)
+        finally:
+            await site.stop()
+
+    work: Coroutine[Any, Any, None] = story()
+    asyncio.run(work)
+
+
+def _machine_of(site: Site, task: int) -> str:
+    return site.job().attempts[task].machine.name
+
+
+@pytest.mark.parametrize("phase", [p for p in Step if p != Step.WAITING])
+def test_a_new_owner_finishes_what_the_one_before_had_begun(phase: Step) -> None:
+    async def act(site: Site) -> None:
+        if phase == Step.FORMING:
+            await site.until(Step.FORMING)
+            await site.owner_ends()
+            await site.until_up()
+            assert site.incarnation() == 1
+            return
+        await site.until_up()
+        attempts = {t: a.number for t, a in site.job().attempts.items()}
+        incarnation = site.incarnation()
+        first = _machine_of(site, 1)
+        if phase in (Step.DEGRADED, Step.STOPPING):
+            site.dies(first)
+        elif phase == Step.REPAIRING:
+            site.add("m-9")
+            await site.turns(1.0)
+            site.dies(first)
+        elif phase == Step.MOVING:
+            worker = site.workers[first]
+            worker.notice_at = worker._clock.now() + 60.0
+            site.add("m-9")
+        await site.until(phase)
+        if phase in (Step.MOVING, Step.STOPPING):
+            # What has to be finished by another is durable.
+            await site.turns(TURN_S)
+        await site.owner_ends()
+        if phase in (Step.DEGRADED, Step.STOPPING):
+            site.add("m-9")
+        await site.turns(8.0)
+        await site.until_up()
+        await site.turns(10.0)
+        assert site.phase() == Step.UP
+        after = {t: a.number for t, a in site.job().attempts.items()}
+        # What survived goes on, unless it was being stopped.
+        kept = phase in (Step.UP, Step.DEGRADED, Step.REPAIRING, Step.MOVING)
+        assert (after[0] == attempts[0]) is kept
+        assert (after == attempts) is (phase == Step.UP)
+        assert site.incarnation() == incarnation + (not kept)
+
+    play(2, act)
+
+
+def test_a_machine_lost_while_nobody_owns_the_share() -> None:
+    async def act(site: Site) -> None:
+        await site.until_up()
+        first = _machine_of(site, 1)
+        await site.owner_ends()
+        site.dies(first)
+        await site.turns(8.0)
+        await site.until_up()
+        assert site.incarnation() == 1
+
+    play(3, act)
+
+
+def test_a_cut_owner_with_half_of_the_machines() -> None:
+    """The other half is heard by the new owner: nothing is stopped, and nothing started twice."""
+
+    async def act(site: Site) -> None:
+        await site.until_up()
+        # That it is up is told with the next page, or some seconds later.
+        await site.turns(LAZY_S + 1.0)
+        before = site.job().attempts[1].number
+        first = _machine_of(site, 1)
+        old = site.owner()
+        assert old is not None
+        old.way.down = True
+        site.loyal[first] = old.member.node
+        await site.turns(9.0)
+        assert site.owner() not in (None, old)
+        await site.until(Step.DEGRADED, 10.0)
+        await site.turns(4.0)
+        assert sorted(t for w in site.workers.values() for t in _running(w)) == [
+            f"{JOB}/0",
+            f"{JOB}/1",
+        ]
+        site.loyal.clear()
+        await site.until_up()
+        assert site.job().attempts[1].number == before and site.incarnation() == 1
+
+    play(3, act)
+
+
+def test_a_late_copy_of_a_report_from_before_a_move_means_nothing() -> None:
+    async def act(site: Site) -> None:
+        await site.until_up()
+        first = _machine_of(site, 1)
+        copy = site.workers[first].body()
+        worker = site.workers[first]
+        worker.notice_at = worker._clock.now() + 60.0
+        await site.until(Step.MOVING)
+        await site.turns(3.0)
+        await site.until_up()
+        moved = _machine_of(site, 1)
+        assert moved != first
+        await site.owner_ends()
+        for _ in range(40):
+            await site.go_on(TURN_S)
+            owner = site.owner()
+            if owner is not None:
+                break
+        assert owner is not None
+        # The new owner's first word of that machine.
+        reply = owner.control.checkin(copy)
+        assert b"launch" not in reply.body
+        await site.turns(3.0)
+        assert site.phase() == Step.UP and _machine_of(site, 1) == moved
+
+    play(3, act)
