--- a/badgerseam/explain/reasons.py
+++ b/badgerseam/explain/reasons.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from badgerseam.batch.terms import TermsRules
+from badgerseam.explain.members import members_wait
 from badgerseam.explain.supply import Supply, supply_reasons
 from badgerseam.explain.surveys import Survey
 from badgerseam.explain.words import counted
@@ -109,6 +110,8 @@
     finding = context.survey.findings.get(context.job)
     if finding is not None and finding.barred is None and _throttled(context, finding):
         return [_term(context, "throttle")]
+    if finding is None and context.job.watch is not None:
+        return [members_wait(context.job, None)]
     if finding is None or finding.barred is None:
         return [
             Reason(
@@ -132,7 +135,10 @@
     others = sorted(barred.counts, key=lambda bar: (-barred.counts[bar], bar))
     for bar in [*barred.binding, *(bar for bar in others if bar not in barred.binding)]:
         found.append(_bar_reason(context, finding, barred, bar))
-    if context.job.gang and finding.placed == 0:
+    if finding.request.span is not None:
+        if finding.placed == 0:
+            found.append(members_wait(context.job, finding))
+    elif context.job.gang and finding.placed == 0:
         found.append(
             Reason(
                 "gang",
--- a/badgerseam/wire/explain.py
+++ b/badgerseam/wire/explain.py
@@ -19,6 +19,7 @@
     "too_large",
     "no_room",
     "gang",
+    "replica",
     "out_of_use",
     "booting",
     "renting",
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -9,6 +9,7 @@
 import pytest
 
 from badgerseam.api.users import Api
+from badgerseam.explain.members import members_wait
 from badgerseam.fleet.demand import Wants, options
 from badgerseam.lab.worker import Description
 from badgerseam.model.job import Job, Stage
@@ -20,6 +21,7 @@
 from badgerseam.replicas.phases import Step
 from badgerseam.replicas.shapes import unfit
 from badgerseam.sched import pts
+from badgerseam.sched.diagnosis import survey
 from badgerseam.sched.snapshot import Span
 from badgerseam.sched.spans import Room, choose
 from badgerseam.settings import SettingsError, Team, Tunables, check_tunables
@@ -475,3 +477,16 @@
         site.turn()
     assert all(not worker.tasks for worker in site.workers.values())
     assert not site.keeper._entries
+
+
+def test_why_tells_that_a_replica_waits_as_a_whole() -> None:
+    site = Site(1)
+    job = site.chat()
+    site.keeper.look()
+    share = site.model.shares[0]
+    requests = site.planner.requests(share)
+    (finding,) = survey(site.planner.snapshot(share, site.planner.nodes(share), requests))
+    assert finding is not None and finding.placed == 0
+    reason = members_wait(job, finding)
+    assert "as a whole" in reason.text and reason.binding
+    assert "wait for other members" in members_wait(job, None).text
