--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -18,7 +18,7 @@
 from badgerseam.model.resources import NOTHING
 from badgerseam.options.replicas import ReplicaClass, ReplicasOptions, check
 from badgerseam.replicas.keeper import Keeper
-from badgerseam.replicas.phases import Step
+from badgerseam.replicas.phases import Bounds, Intent, Seen, Step, decide
 from badgerseam.replicas.shapes import unfit
 from badgerseam.sched import pts
 from badgerseam.sched.diagnosis import survey
@@ -249,8 +249,10 @@
     asked = _span(4, cpus=8)
     teams = snapshot([], asked).teams
     types = {entry.name: entry for entry in msgspec.convert(TYPES, list[MachineType])}
-    rented = Wants([asked], {1: 4}, teams).rent(options(types, set()), 9)
-    assert len(rented) == 4 and len({offer.zone for offer in rented}) == 1
+    wants = Wants([asked], {1: 4}, teams)
+    # One has room on a machine on its way: the others are to be where that is.
+    assert wants.fill(node(0, zone="b"), node(0).free) == 1
+    assert [offer.zone for offer in wants.rent(options(types, set()), 9)] == ["b"] * 3
 
 
 # ---- a replica's life ----
@@ -310,7 +312,8 @@
         stages = [attempt.stage for attempt in job.attempts.values()]
         if Stage.PLANNED in stages:
             half += Stage.PLACED in stages
-            assert all(attempt.held for attempt in job.attempts.values())
+            orders = [site.report(worker)["orders"] for worker in site.workers.values()]
+            assert not any(orders), "launched in part"
     assert half > 0 and set(stages) == {Stage.PLACED}
     assert not any(attempt.held for attempt in job.attempts.values())
 
@@ -436,6 +439,25 @@
     assert site.step(job) == Step.DEGRADED
 
 
+def test_a_machine_vacated_for_others_takes_the_whole_replica() -> None:
+    site = Site(2)
+    job = site.chat()
+    _up(site, job)
+    vacated = job.attempts[1].machine
+    vacated.draining, vacated.vacate_to = True, 0
+    drain(site.model, site.keeper.keeps)
+    assert site.step(job) == Step.STOPPING
+    assert all(attempt.stopping for attempt in job.attempts.values())
+
+
+def test_a_new_owner_hears_the_members_before_any_bound_is_over() -> None:
+    both = frozenset({0, 1})
+    seen = Seen(placed=both, unseen=both, since=990.0)
+    forming = Intent(Step.FORMING, 1, 100.0)
+    assert decide(forming, seen, Bounds(60.0, 30.0), 1000.0).intent == forming
+    assert decide(forming, seen, Bounds(60.0, 30.0), 1051.0).intent.phase == Step.STOPPING
+
+
 def test_a_move_whose_room_is_lost_leaves_it_where_it_is() -> None:
     site = Site(2)
     job = site.chat()
