Replicas go where all of their members start the soonest

A replica is up when its slowest member is: with the image on all machines but one it waited for the whole fetch. Machines that have the image come first where all fit there.

--- a/badgerseam/sched/spans.py
+++ b/badgerseam/sched/spans.py
@@ -185,10 +185,14 @@
         """Seconds until the tasks run, and the position of each; the least such of all variants,
         or with `evict` the first."""
         best: tuple[float, list[int]] | None = None
+        nodes = self._bench.nodes
         for positions in self._variants(request):
-            found = self._fill(request, positions, evict)
+            # It is up when its slowest member is: an image on all machines but one is of no use.
+            there = [spot for spot in positions if request.image in nodes[spot].images]
+            found = [] if evict else self._fill(request, there, evict)
+            found = found or self._fill(request, positions, evict)
             if found:
-                ready_s = max(fetch_s(request, self._bench.nodes[spot]) for spot in found) + START_S
+                ready_s = max(fetch_s(request, nodes[spot]) for spot in found) + START_S
                 if best is None or ready_s < best[0]:
                     best = ready_s, found
                 if evict:
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -221,6 +221,14 @@
     assert len(pts.plan(snapshot(nodes[:2], _span(4, same_zone=False))).wholes) == 1
 
 
+def test_a_replica_goes_where_all_of_it_starts_the_soonest() -> None:
+    nodes = [node(index, used=4 if index < 2 else 0) for index in range(4)]
+    for one in nodes[1:]:
+        one.images.add("img")
+    found = pts.plan(snapshot(nodes, _span(4, least=2)))
+    assert [sorted(set(whole.nodes)) for whole in found.wholes] == [[1, 2]]
+
+
 def test_two_replicas_never_hold_half_of_the_room_each() -> None:
     """Four rooms, two replicas of three tasks: the older one has them."""
     nodes = [node(0, 4), node(1, 4)]
