--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -22,6 +22,8 @@
 from badgerseam.model.keys import job_key
 from badgerseam.model.model import Model
 from badgerseam.model.resources import Resources
+from badgerseam.options.replicas import ReplicasOptions
+from badgerseam.replicas.shapes import unfit
 from badgerseam.store.client import Refused, StateClient, Unavailable
 from badgerseam.store.ledger import Ledger
 from badgerseam.wire import batch as batch_wire
@@ -125,8 +127,10 @@
         rollout: RolloutApi | None = None,
         classes: ClassesApi | None = None,
         runs: RunsApi | None = None,
+        replicas: ReplicasOptions | None = None,
     ) -> None:
         self._model = model
+        self._replicas = replicas
         self._rollout = rollout
         self._classes = classes
         self._questions = questions
@@ -320,7 +324,7 @@
         count = 1 if spec.kind == "sweep" else spec.tasks
         if not need.times(count).fits(model.teams[index].limit):
             return "more than the limit of the team"
-        return None
+        return None if self._replicas is None else unfit(self._replicas, model.types, spec)
 
     # ---- polls ----
 
--- a/badgerseam/model/job.py
+++ b/badgerseam/model/job.py
@@ -88,6 +88,10 @@
     started_at: float = 0.0
     finishing: bool = False
     """Seen as completed; kept until that is durable."""
+    unit: int | None = None
+    """The replica with whose other members it is made durable, in one transaction."""
+    held: bool = False
+    """Not to be launched before its whole replica is durable."""
 
     @property
     def name(self) -> str:
@@ -157,6 +161,9 @@
     """Idle tasks that are passed over until the second round of their run; its owner knows."""
     tally: Tally | None = None
     """Where its attempts are counted with those of other jobs of its plan and share."""
+    watch: set[tuple[int, int]] | None = None
+    """Where tasks whose standing changes are put down, of a job whose replicas span machines: the
+    job's index and the task."""
     seen_at: float = 0.0
     meter: Meter | None = None
     """Only where accounts are kept."""
@@ -250,6 +257,7 @@
         self.attempts[attempt.task] = attempt
         machine.attempts[(self.index, attempt.task)] = attempt
         machine.node = None
+        attempt.held = self.watch is not None
         self._count(attempt, 1)
 
     def detach(self, attempt: Attempt) -> None:
@@ -272,6 +280,7 @@
         self.live += sign
         if self.tally is not None:
             self.tally.live += sign
+        self.touch(attempt.task)
         zone = attempt.machine.zone
         count = self.zones.get(zone, 0) + sign
         if count:
@@ -279,6 +288,11 @@
         else:
             del self.zones[zone]
 
+    def touch(self, task: int) -> None:
+        """A task's standing has changed, if anybody wants to know."""
+        if self.watch is not None:
+            self.watch.add((self.index, task))
+
     def running(self) -> int:
         """Tasks seen running; controllers that don't own the share see placements only."""
         stages = [attempt.stage for attempt in self.attempts.values() if not attempt.finishing]
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -32,6 +32,7 @@
 from badgerseam.http.server import Handler, Server
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
+from badgerseam.replicas.keeper import Keeper as ReplicasKeeper
 from badgerseam.rollout.carrying import FORMS, Carrying
 from badgerseam.rollout.handover import Handover
 from badgerseam.rollout.raising import Raising
@@ -172,6 +173,9 @@
             self.ledger.class_of = rules.of_submission
             self.fleet.class_of = rules.of_arrival
             classes = ClassesApi(self.model, self.classes, rules)
+        self.replicas: ReplicasKeeper | None = None
+        if tunables.replicas is not None:
+            self.replicas = ReplicasKeeper(self.model, self.planner, tunables.replicas)
         self.peers.take_with(self.member.take)
         self.member.ask_to_take = self.peers.ask_to_take
         self.raising: Raising | None = None
@@ -212,6 +216,7 @@
             rollout,
             classes,
             runs,
+            tunables.replicas,
         )
         self._pulse_at: asyncio.TimerHandle | None = None
         self._plan_at: asyncio.TimerHandle | None = None
@@ -269,6 +274,8 @@
         model = self.model
         began = self.clock.now()
         with model.lock:
+            if self.replicas is not None:
+                self.replicas.look()
             kicks, model.kicks = model.kicks, set()
             for index in kicks:
                 share = model.shares[index]
@@ -302,7 +309,7 @@
                 self.deputies.review()
                 self.control.watch()
                 self.control.suspect()
-                drain(model)
+                drain(model, None if self.replicas is None else self.replicas.keeps)
                 # What changes is pushed when it does; this is for what has to be tried again.
                 for own in model.shares:
                     if own.owned:
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -267,7 +267,7 @@
                 continue
             if attempt.stage != Stage.PLACED or attempt.sending or attempt.sent:
                 continue
-            if attempt.job.phase == Phase.OPEN:
+            if attempt.job.phase == Phase.OPEN and not attempt.held:
                 starts.append(attempt)
         starts.sort(key=lambda a: (-a.job.rank, model.klass(a.job), a.planned_at))
         for attempt in starts[:MOST_COMMANDS]:
--- a/badgerseam/workers/reports.py
+++ b/badgerseam/workers/reports.py
@@ -90,6 +90,7 @@
                 # It was there and is gone without a word: its session has ended.
                 attempt.stage = Stage.PLACED
                 machine.node = None
+                attempt.job.touch(attempt.task)
             if attempt.stopping or machine.draining or machine.hard_of_hearing:
                 # Launches went there with each answer for ever, and were taken back each time.
                 model.unplace(attempt)
@@ -137,6 +138,7 @@
             if attempt.stage != stage:
                 attempt.stage = stage
                 machine.node = None
+                job.touch(attempt.task)
             attempt.sent = True
             return
         model.kicks.add(machine.share)
