--- a/badgerseam/replicas/keeper.py
+++ b/badgerseam/replicas/keeper.py
@@ -416,8 +416,9 @@
     def _carry_out(self, entry: Entry, whole: Whole) -> None:
         replica = entry.replicas[whole.number]
         if not whole.seek:
-            if len(replica.want) == len(whole.nodes):
-                self._place(entry, replica, sorted(replica.want), whole.nodes)
+            due = [task for task in replica.want if entry.job.status[task] == IDLE]
+            if len(due) == len(whole.nodes):
+                self._place(entry, replica, sorted(due), whole.nodes)
                 self._review(entry, replica)
             return
         members = replica.want or replica.seek
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -330,4 +330,10 @@
 
     def free_of_work(self, machine: Machine) -> bool:
         """Whether nothing can be on the machine and nothing is meant for it."""
-        return not machine.attempts and machine.strays == NOTHING and not machine.busy
+        return (
+            not machine.attempts
+            and machine.strays == NOTHING
+            and not machine.busy
+            # An empty machine that a move has reserved was passed on before it was taken.
+            and (self.replicas is None or self.replicas.held(machine) == NOTHING)
+        )
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -424,6 +424,8 @@
     assert site.step(job) == Step.MOVING
     assert not job.attempts[1].stopping, "before anybody knows where it goes"
     assert site.keeper.held(new).cpus == 4.0
+    # Empty as it is, it is not passed on to another share, nor returned.
+    assert not site.returns._empty(new)
     other = site.job(id="job-000002", rank="high", pieces=3, cpus=4.0)
     for _ in range(8):
         site.turn()
