--- a/badgerseam/replicas/phases.py
+++ b/badgerseam/replicas/phases.py
@@ -173,9 +173,6 @@
 def _running(intent: Intent, seen: Seen, bounds: Bounds, now: float) -> Next:
     if not seen.there:
         return Next(replace(intent, phase=Step.WAITING, at=0.0))
-    if seen.stopping >= seen.there and not seen.absent:
-        # Evicted, which takes all or none.
-        return Next(replace(intent, phase=Step.STOPPING, at=now))
     starting = (seen.placed | seen.planned) - seen.unseen
     lacking = seen.absent | seen.stopping | seen.hung | starting
     if lacking:
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -208,7 +208,7 @@
 
 
 def _span(count: int, job: int = 1, cpus: float = 2, **rules: Any) -> pts.Request:
-    span = Span(0, count, **rules)
+    span = Span(0, **({"size": count} | rules))
     return request(job, count, cpus, gang=True, span=span, place=job)
 
 
@@ -229,6 +229,29 @@
     assert [sorted(set(whole.nodes)) for whole in found.wholes] == [[1, 2]]
 
 
+def test_a_lost_member_is_replaced_unless_the_whole_is_up_sooner_elsewhere() -> None:
+    def plan(*nodes: pts.Node) -> list[tuple[list[int], bool]]:
+        asked = _span(1, size=2, kept=((0, "a", "c8"),), anew=True)
+        asked.image_gb = 20.0
+        found = pts.plan(snapshot(list(nodes), asked))
+        return [(sorted(whole.nodes), whole.anew) for whole in found.wholes]
+
+    beside, elsewhere = node(1, 2, zone="a"), node(2, 4, zone="b")
+    assert plan(beside, elsewhere) == [([1], False)]
+    elsewhere.images.add("img")
+    assert plan(beside, elsewhere) == [([2, 2], True)]
+    beside.images.add("img")
+    assert plan(beside, elsewhere) == [([1], False)]
+    assert plan(elsewhere) == [([2, 2], True)]
+
+
+def test_a_move_stops_nobody_else() -> None:
+    full = node(0, used=8, low=8, running=[victim(0, 1.0, 8)])
+    assert len(pts.plan(snapshot([full], _span(1))).stops) == 1
+    found = pts.plan(snapshot([full], _span(1, seek=True)))
+    assert not found.stops and not found.wholes
+
+
 def test_two_replicas_never_hold_half_of_the_room_each() -> None:
     """Four rooms, two replicas of three tasks: the older one has them."""
     nodes = [node(0, 4), node(1, 4)]
@@ -420,6 +443,8 @@
     site.turns(3)
     assert site.step(job) == Step.UP and not job.attempts[1].stopping
     new = site.add("m-9")
+    site.report(site.workers["m-9"])
+    assert site.returns._empty(new)
     site.moves(leaving)
     assert site.step(job) == Step.MOVING
     assert not job.attempts[1].stopping, "before anybody knows where it goes"
@@ -449,6 +474,17 @@
     assert site.step(job) == Step.DEGRADED
 
 
+def test_an_evicted_replica_is_stopped_on_machines_out_of_the_plan_too() -> None:
+    site = Site(2)
+    job = site.chat(rank="standard")
+    _up(site, job)
+    job.attempts[1].machine.failures = 3
+    site.job(id="job-000002", rank="high", pieces=1, cpus=8.0)
+    site.plan()
+    assert site.step(job) == Step.STOPPING
+    assert all(attempt.stopping for attempt in job.attempts.values())
+
+
 def test_a_machine_vacated_for_others_takes_the_whole_replica() -> None:
     site = Site(2)
     job = site.chat()
