--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -70,7 +70,7 @@
 """Ticks between looks at cancelled jobs without a summary."""
 PLAN_DELAY_S = 0.004
 """Gathers what arrives together before it is planned."""
-PLAN_PART = 0.15
+PLAN_PART = 0.3
 """Part of the time that plans may take: with a long backlog and a full fleet each end calls for a
 plan that finds little room. They get rarer then, and each serves all that ended meanwhile."""
 MOST_PLAN_PAUSE_S = 0.25
