--- a/badgerseam/cluster/member.py
+++ b/badgerseam/cluster/member.py
@@ -6,6 +6,7 @@
 import logging
 from collections.abc import Awaitable, Callable, Coroutine
 from enum import Enum
+from typing import Protocol
 
 from badgerseam import __version__
 from badgerseam.model.keys import LEADER_KEY, claim_key, node_key
@@ -33,6 +34,19 @@
 it cannot be asked."""
 
 
+class Gatekeeper(Protocol):
+    """Asked before anything is decided under a claim (badgerseam/standby/gate.py)."""
+
+    def passes(self, share: Share, held: Held) -> bool:
+        """Whether a share may be acted for under the claim that the replica shows."""
+
+    def leads(self, held: Held) -> bool:
+        """Whether the claim on the leadership may be acted on."""
+
+    def may_claim(self, key: str) -> bool:
+        """Whether a claim may be taken."""
+
+
 class Away(Enum):
     """Why this controller takes no share, and others are to act for it."""
 
@@ -66,6 +80,7 @@
         """Sending time of the last confirmed renewal."""
         self._away: set[Away] = set()
         self.ask_to_take: AskToTake | None = None
+        self.gate: Gatekeeper | None = None
         self._present = False
         self._announced_at = -1e9
         self._claiming: set[str] = set()
@@ -87,11 +102,14 @@
 
     @property
     def is_leader(self) -> bool:
+        held = self._model.leader
         return (
-            self._is_mine(self._model.leader)
+            held is not None
+            and self._is_mine(held)
             and self.connected
             # What the model showed when it was left alone may be long past.
             and Away.UNFIT not in self._away
+            and (self.gate is None or self.gate.leads(held))
         )
 
     def fresh(self, seconds: float) -> bool:
@@ -205,13 +223,12 @@
                     log.info("share %d: claim lost", share.index)
                     model.disown(share)
                 if not share.owned and mine and share.held is not None and not share.releasing:
+                    if self.gate is not None and not self.gate.passes(share, share.held):
+                        continue
                     log.info("share %d: acting under term %d", share.index, share.held.version)
-                    others_s = self._others_s(share, share.held)
+                    others_s = self.others_s(share, share.held)
                     if others_s is None:
-                        key = claim_key(share.index)
-                        if key not in self._claiming:
-                            log.info("share %d: a claim that came late is made anew", share.index)
-                            self._spawn(self._claim(key, share.held, self._until(None)))
+                        self.claim_anew(share, share.held)
                         continue
                     model.own(share, share.held.version, others_s)
             if self.lease is None or not self._present:
@@ -234,7 +251,14 @@
             if LEADER_KEY not in self._claiming and self._should_lead(now):
                 self._spawn(self._claim(LEADER_KEY, model.leader))
 
-    def _others_s(self, share: Share, held: Held) -> float | None:
+    def claim_anew(self, share: Share, held: Held) -> None:
+        """Replace a claim of ours that tells nothing of the owners before."""
+        key = claim_key(share.index)
+        if key not in self._claiming:
+            log.info("share %d: a claim that came late is made anew", share.index)
+            self._spawn(self._claim(key, held, self._until(None)))
+
+    def others_s(self, share: Share, held: Held) -> float | None:
         """How long owners before us may go on answering the share's workers; None if the claim has
         been applied so late that it tells nothing of them."""
         bound = self._model.cut_bound_s
@@ -258,9 +282,12 @@
         # The time of day is read by another process later, and wanders.
         return self._clock.wall() + self._model.cut_bound_s + 2e-3 * params.time_bound_ms
 
+    def _may_claim(self, key: str) -> bool:
+        return self.gate is None or self.gate.may_claim(key)
+
     def _should_claim(self, share: Share, now: float) -> bool:
         held = share.held
-        if self._away:
+        if self._away or not self._may_claim(claim_key(share.index)):
             return False
         if held is not None:
             # Ours from before a restart: the process that held it is certainly gone.
@@ -313,7 +340,7 @@
 
     def _should_lead(self, now: float) -> bool:
         held = self._model.leader
-        if self._away - {Away.DEAF}:
+        if self._away - {Away.DEAF} or not self._may_claim(LEADER_KEY):
             return False
         if held is not None:
             return held.claim.node == self.node and held.claim.lease != self.lease
@@ -387,7 +414,7 @@
         model = self._model
         if lease is None or self._away or not self._present or key in self._claiming:
             return False
-        if not model.loaded or not model.fits:
+        if not model.loaded or not model.fits or not self._may_claim(key):
             return False
         return await self._write_claim(key, version, lease, self._until(None))
 
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -34,6 +34,7 @@
 from badgerseam.rollout.refresh import Refresh
 from badgerseam.sched.planner import Planner
 from badgerseam.settings import Settings, Tunables
+from badgerseam.standby.gate import Gate
 from badgerseam.store.allotment import Allotment
 from badgerseam.store.client import StateClient
 from badgerseam.store.committer import Committer
@@ -159,6 +160,10 @@
             accounting = AccountingApi(self.model, accounts.book, accounts.log)
         self.peers.take_with(self.member.take)
         self.member.ask_to_take = self.peers.ask_to_take
+        self.gate: Gate | None = None
+        if tunables.standby is not None:
+            self.gate = Gate(self.model, self.member, tunables.standby, tunables.claim_ttl_s)
+            self.member.gate = self.gate
         self.raising: Raising | None = None
         self.refresh: Refresh | None = None
         self.carrying: Carrying | None = None
@@ -235,6 +240,9 @@
         """Plan for the shares that something has changed for."""
         model = self.model
         began = self.clock.now()
+        if self.gate is not None and not self.gate.steady():
+            # What has to be planned stays noted.
+            return
         with model.lock:
             kicks, model.kicks = model.kicks, set()
             for index in kicks:
@@ -260,6 +268,8 @@
             model = self.model
             self.allotment.review()
             with model.lock:
+                if self.gate is not None:
+                    self.gate.review()
                 for own in model.shares:
                     if own.owned:
                         model.kicks.add(own.index)
--- a/badgerseam/settings.py
+++ b/badgerseam/settings.py
@@ -8,10 +8,11 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
-from badgerseam.options import classes, replicas, runs
+from badgerseam.options import classes, replicas, runs, standby
 from badgerseam.options.classes import ClassesOptions
 from badgerseam.options.replicas import ReplicasOptions
 from badgerseam.options.runs import RunsOptions
+from badgerseam.options.standby import StandbyOptions
 
 Positive = Annotated[float, Meta(gt=0)]
 Amount = Annotated[float, Meta(ge=0)]
@@ -244,6 +245,11 @@
         Meta(description="replicas that span machines; kept if this is there"),
     ] = None
 
+    standby: Annotated[
+        StandbyOptions | None,
+        Meta(description="ended controllers are replaced sooner; whoever takes over is checked"),
+    ] = None
+
     may_ignore: Annotated[
         list[Name],
         Meta(
@@ -301,6 +307,11 @@
         found += [f"classes.{text}" for text in classes.check(tunables.classes, teams)]
     if tunables.replicas is not None:
         found += [f"replicas.{text}" for text in replicas.check(tunables.replicas, teams)]
+    if tunables.standby is not None:
+        found += [
+            f"standby.{text}"
+            for text in standby.check(tunables.standby, tunables.claim_ttl_s, teams)
+        ]
     if found:
         raise SettingsError("\n".join(f"{path}: {text}" for text in found))
 
