--- a/badgerseam/cluster/deputies.py
+++ b/badgerseam/cluster/deputies.py
@@ -76,6 +76,8 @@
         """Owners that our record names, while we may act on it."""
         self._announced_on: int | None = None
         """The lease that this record stands on."""
+        self.ends_early = False
+        """Whether siblings' leases are ended before their time here."""
         self._loads = 0
         self._writing = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -164,9 +166,14 @@
             self._marks[name] = mark
             named_at = model.stood_in.get((name, member.node), 0)
             still = deputy is not None and member.node in deputy.claim.owners
-            if reloaded or still or self._named.get(name) != (named_at, still):
-                # It does, or did since the last look.
-                self._named_until = now
+            before = self._named.get(name)
+            if reloaded or still or before != (named_at, still):
+                # It does, or did since the last look. Where its record went with its lease, that
+                # may have been ended early (badgerseam/standby/watch.py), and it acts on the record
+                # for as long as the lease would have lasted. Read anew, that may go unseen.
+                gone = deputy is None and (self.ends_early if reloaded else before is not None)
+                late = self._ttl_s + SLACK_S if gone else 0.0
+                self._named_until = max(self._named_until, now + late)
             self._named[name] = named_at, still
 
     def renewed_until(self, zone: str) -> float:
--- a/badgerseam/cluster/member.py
+++ b/badgerseam/cluster/member.py
@@ -6,9 +6,9 @@
 import logging
 from collections.abc import Awaitable, Callable, Coroutine
 from enum import Enum
-from typing import Protocol
 
 from badgerseam import __version__
+from badgerseam.cluster.gatekeeper import Gatekeeper
 from badgerseam.model.keys import LEADER_KEY, claim_key, node_key
 from badgerseam.model.model import Model
 from badgerseam.model.state import Held, Share
@@ -34,19 +34,6 @@
 it cannot be asked."""
 
 
-class Gatekeeper(Protocol):
-    """Asked before anything is decided under a claim (badgerseam/standby/gate.py)."""
-
-    def passes(self, share: Share, held: Held) -> bool:
-        """Whether a share may be acted for under the claim that the replica shows."""
-
-    def leads(self, held: Held) -> bool:
-        """Whether the claim on the leadership may be acted on."""
-
-    def may_claim(self, key: str) -> bool:
-        """Whether a claim may be taken."""
-
-
 class Away(Enum):
     """Why this controller takes no share, and others are to act for it."""
 
@@ -81,6 +68,8 @@
         self._away: set[Away] = set()
         self.ask_to_take: AskToTake | None = None
         self.gate: Gatekeeper | None = None
+        self.doubts: set[str] = set()
+        """Siblings that our own record asks for a sign of life."""
         self._present = False
         self._announced_at = -1e9
         self._claiming: set[str] = set()
@@ -187,7 +176,10 @@
         if lease is None:
             return
         program = self._model.program
-        record = wire.Presence(self.node, lease, away, program.least, program.most, __version__)
+        doubts = sorted(self.doubts)
+        record = wire.Presence(
+            self.node, lease, away, program.least, program.most, __version__, doubts
+        )
         write = wire.Write(put=node_key(self.node), value=wire.raw(record), lease=lease)
         try:
             await self._committer.commit(Urgency.CLAIM, {}, [write], 2.0)
@@ -198,6 +190,12 @@
         except (Refused, Unavailable, Dropped):
             log.debug("not announced yet")
 
+    def announce_again(self) -> None:
+        """Write our own record once more, now."""
+        if self.lease is not None:
+            self._present = False
+            self._spawn(self._announce())
+
     # ---- claims ----
 
     def review(self) -> None:
@@ -354,6 +352,7 @@
             and not share.releasing
             and since is not None
             and now - since > STEADY_S
+            and (self.gate is None or self.gate.may_return(home, now - since))
         )
 
     # ---- a controller that others are to act for ----
--- a/badgerseam/cluster/peers.py
+++ b/badgerseam/cluster/peers.py
@@ -53,6 +53,8 @@
         self._local: LocalAnswers | None = None
         self._view: Callable[[], CloudView | None] = lambda: None
         self._take: Callable[[str, int], Awaitable[bool]] | None = None
+        self.standby: Callable[[str, bytes], Awaitable[Reply]] | None = None
+        """Answers siblings that stand by for us, where that is switched on."""
         self._served: str | None = None
         self._served_at = -1e9
         self._model = model
@@ -79,6 +81,8 @@
             return await self._why(body)
         if path == "/take" and method == "POST":
             return await self._take_over(body)
+        if path.startswith("/standby/") and method == "POST" and self.standby is not None:
+            return await self.standby(path, body)
         if path != "/give" or method != "POST":
             return error_reply(404, "no such path")
         try:
@@ -191,6 +195,13 @@
             return None
         return response.body if response.status == 200 else None
 
+    async def ask_standby(self, node: str, path: str, body: bytes, deadline_s: float) -> bytes:
+        """The body of a sibling's answer; NoResponse, and of which kind, if there is none."""
+        response = await self._http.request(self._addresses[node], "POST", path, body, deadline_s)
+        if response.status != 200:
+            raise NoResponse(f"{node}{path}: {response.status}")
+        return response.body
+
     # ---- health ----
 
     def _state_age_s(self) -> float:
--- a/badgerseam/http/client.py
+++ b/badgerseam/http/client.py
@@ -34,6 +34,10 @@
     """The connection was refused: something is there, and nobody takes it."""
 
 
+class Reset(NoResponse):
+    """The other end closed the connection before it answered."""
+
+
 class Response:
     __slots__ = ("body", "retry_after", "status")
 
@@ -106,14 +110,15 @@
                 refused = isinstance(reason, ConnectionRefusedError)
                 raise (TurnedAway if refused else NotSent)(f"{address}: {error!r}") from error
             stream.close()
-            raise NoResponse(f"{address}{path}: {error!r}") from error
+            kind = Reset if isinstance(error, StreamClosedError) else NoResponse
+            raise kind(f"{address}{path}: {error!r}") from error
         except BaseException:
             if stream is not None:
                 stream.close()
             raise
         if collector.status == 0:
             stream.close()
-            raise NoResponse(f"{address}{path}: closed before a response")
+            raise Reset(f"{address}{path}: closed before a response")
         if not stream.closed():
             self._put(address, stream)
         return Response(collector.status, b"".join(collector.chunks), collector.retry_after)
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -34,7 +34,7 @@
 from badgerseam.rollout.refresh import Refresh
 from badgerseam.sched.planner import Planner
 from badgerseam.settings import Settings, Tunables
-from badgerseam.standby.gate import Gate
+from badgerseam.standby.keeper import Standby
 from badgerseam.store.allotment import Allotment
 from badgerseam.store.client import StateClient
 from badgerseam.store.committer import Committer
@@ -160,10 +160,22 @@
             accounting = AccountingApi(self.model, accounts.book, accounts.log)
         self.peers.take_with(self.member.take)
         self.member.ask_to_take = self.peers.ask_to_take
-        self.gate: Gate | None = None
+        self.standby: Standby | None = None
         if tunables.standby is not None:
-            self.gate = Gate(self.model, self.member, tunables.standby, tunables.claim_ttl_s)
-            self.member.gate = self.gate
+            self.standby = Standby(
+                self.model,
+                self.member,
+                self.state,
+                tunables.standby,
+                tunables,
+                self.peers.ask_standby,
+                f"{settings.node}-{random.getrandbits(64):x}",
+                self.fleet.hiring.blocked,
+            )
+            self.member.gate = self.standby
+            self.deputies.ends_early = True
+            self.peers.standby = self.standby.handle
+            self.control.came = self.standby.watch.worker_came
         self.raising: Raising | None = None
         self.refresh: Refresh | None = None
         self.carrying: Carrying | None = None
@@ -226,6 +238,8 @@
         self._pulse_at = None
         model = self.model
         self.member.review()
+        if self.standby is not None:
+            self.standby.step()
         if self._plan_at is None:
             self._plan()
         self.ledger.flush()
@@ -240,7 +254,7 @@
         """Plan for the shares that something has changed for."""
         model = self.model
         began = self.clock.now()
-        if self.gate is not None and not self.gate.steady():
+        if self.standby is not None and not self.standby.gate.steady():
             # What has to be planned stays noted.
             return
         with model.lock:
@@ -268,8 +282,6 @@
             model = self.model
             self.allotment.review()
             with model.lock:
-                if self.gate is not None:
-                    self.gate.review()
                 for own in model.shares:
                     if own.owned:
                         model.kicks.add(own.index)
@@ -329,6 +341,8 @@
             group.create_task(self.fleet.keep_list())
             group.create_task(self.fleet.keep_fleet())
             group.create_task(self.peers.keep_health())
+            if self.standby is not None:
+                group.create_task(self.standby.keep())
             if self.explainer is not None and self.explainer.samples:
                 group.create_task(self.explainer.keep_samples())
             if self.carrying is not None:
--- a/badgerseam/standby/gate.py
+++ b/badgerseam/standby/gate.py
@@ -57,6 +57,7 @@
     since: float
     stopped_by: str | None = None
     passed: bool = False
+    told: bool = False
 
 
 @dataclass(slots=True)
@@ -70,8 +71,17 @@
 class Gate:
     """Asked by the membership whenever a claim of ours is there to be acted on."""
 
-    def __init__(self, model: Model, member: Member, options: StandbyOptions, ttl_s: float) -> None:
-        """`ttl_s`: the state lease of a controller, in seconds."""
+    def __init__(
+        self,
+        model: Model,
+        member: Member,
+        options: StandbyOptions,
+        ttl_s: float,
+        passed: Callable[[Share | None, Held], None] = lambda share, held: None,
+    ) -> None:
+        """`ttl_s`: the state lease of a controller, in seconds; `passed`: told of each claim that
+        comes through, a share's or (None) the leadership's, before it is acted on."""
+        self._passed = passed
         self._model = model
         self._member = member
         self._clock = model.clock
@@ -175,6 +185,9 @@
         if not passage.passed:
             passage.passed = True
             log.info("%s: passed the gate after %.3f s", key, now - passage.since)
+            if not passage.told:
+                passage.told = True
+                self._passed(share, held)
         return passage, None
 
     def _stopped(self, passage: Passage, name: str | None, now: float) -> None:
--- a/badgerseam/store/client.py
+++ b/badgerseam/store/client.py
@@ -142,6 +142,14 @@
         if status != 200:
             raise Unavailable(f"extend: {status}")
 
+    async def revoke(self, lease: int, deadline_s: float) -> None:
+        """End a lease, whoever holds it, and with it the keys on it; LeaseLost if it has ended."""
+        status, _ = await self._call("DELETE", f"/leases/{lease}", None, deadline_s)
+        if status == 404:
+            raise LeaseLost(str(lease))
+        if status != 200:
+            raise Unavailable(f"revoke: {status}")
+
     async def follow(self, prefix: str, revision: int, wait_s: float) -> wire.Changes:
         """The changes after a revision; TooOld if they are not kept any more."""
         path = f"/follow?under={prefix}&from={revision}&waitMs={round(wait_s * 1000)}"
--- a/badgerseam/wire/state.py
+++ b/badgerseam/wire/state.py
@@ -88,6 +88,8 @@
     least: int = 1
     most: int = 1
     program: str = ""
+    doubts: list[str] = field(default_factory=list)
+    """Controllers that it takes for ended; one that lives answers by writing its own record."""
 
 
 class Holding(Claim, frozen=True, array_like=True):
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -51,6 +51,8 @@
         deputies: Deputies,
     ) -> None:
         self.deputies = deputies
+        self.came: Callable[[str, str], None] | None = None
+        """Told of workers that come to us and not to their owner, where there is a standby."""
         self.hearing = Hearing(model, member, http)
         self._model = model
         self._alone = alone
@@ -86,6 +88,8 @@
             share = model.shares[machine.share]
             if not share.owned:
                 machine.addr = report.addr
+                if self.came is not None and share.held is not None:
+                    self.came(share.held.claim.node, machine.name)
                 if self.deputies.stands_in(share, machine.zone):
                     return self._stand_in(report)
                 return self._redirect(None if share.held is None else share.held.claim.node)
