--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -14,12 +14,13 @@
 
 from badgerseam.http.client import NoResponse, Reset, TurnedAway
 from badgerseam.levels.table import Program
-from badgerseam.model.keys import LEADER_KEY, claim_key
+from badgerseam.model.keys import LEADER_KEY, claim_key, deputy_key
 from badgerseam.options.standby import StandbyOptions
 from badgerseam.standby.keeper import Standby
 from badgerseam.standby.watch import HOLD_S
 from badgerseam.store.client import Unavailable
 from badgerseam.wire import standby as wire
+from badgerseam.wire import state as wire_state
 from tests.stand_ins import Rig
 from tests.trio import BOTH, STEP_S, TTL_S, Controller, Trio, Way
 
@@ -78,6 +79,8 @@
         self.filters: set[frozenset[str]] = set()
         """Pairs that refuse each other's connections."""
         self.loss = 0.0
+        self.mute: set[str] = set()
+        """Those that take connections and give no answer that can be read."""
         self.luck = random.Random(1)
         self._waits: list[tuple[float, asyncio.Future[None]]] = []
 
@@ -122,6 +125,8 @@
         if to not in self.alive or frozenset((asker.process[:3], to)) in self.filters:
             raise TurnedAway(to)
         peer = self.standing(to)
+        if to in self.mute:
+            raise NoResponse("503")
         if self.luck.random() < self.loss:
             await self.wait(gives_up)
             raise NoResponse("lost")
@@ -237,6 +242,18 @@
     play(check)
 
 
+def test_answers_that_cannot_be_read_are_no_sign_of_an_end() -> None:
+    # A program from before standbys, or one that is starting or overloaded; the state service is
+    # lost to it as well, so that its record would not speak for it.
+    async def check(site: Site) -> None:
+        site.mute.add("n-1")
+        site.standing("n-1").way.down = True
+        await site.go_on(3.0)
+        assert site.ends() == 0 and site.actors()[1] == ["n-1"]
+
+    play(check)
+
+
 def test_a_controller_that_one_sibling_cannot_reach_is_not_even_asked() -> None:
     async def check(site: Site) -> None:
         site.filters = {frozenset(("n-1", "n-0"))}
@@ -380,7 +397,11 @@
     machine = rig.machine(share=1 if stale == "moved" else 0)
     term = rig.claim(node="n-1", lease=100)
     standby.hints.look()
-    standby.hints.told("n-1", told(rig, term - (stale == "term")))
+    standby.hints.told("n-1", told(rig, term))
+    if stale == "term":
+        # Held by another since, that has told nothing.
+        rig.claim(node="n-2", lease=101)
+        standby.hints.look()
     rig.clock.time += 60.0 if stale == "age" else 1.0
     rig.lease()
     rig.member.confirmed_at = rig.clock.now()
@@ -397,6 +418,18 @@
     assert machine.addr == "10.1.0.1:9000"
 
 
+def test_an_owner_counts_the_rest_of_the_lease_of_a_deputy_whose_record_goes_early() -> None:
+    # It acts on its record for as long as the lease has to last; ended early, that is longer.
+    rig = Rig()
+    rig.own()
+    rig.set(deputy_key("n-1"), wire_state.Deputy("n-1", 100, ["n-0"]))
+    rig.go_on(1.0)
+    rig.state.remove(deputy_key("n-1"))
+    rig.sync()
+    rig.deputies.look()
+    assert rig.deputies.renewed_until("b") >= rig.clock.now() + TTL_S
+
+
 async def silent() -> bytes:
     raise NoResponse("silent")
 
