--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,7 +9,14 @@
 import pytest
 
 from badgerseam import cli, logs
-from badgerseam.settings import SettingsError, load_settings, load_tunables, tunables_schema
+from badgerseam.settings import (
+    SettingsError,
+    check_tunables,
+    load_settings,
+    load_tunables,
+    tunables_schema,
+)
+from tests.stand_ins import settings as stand_in_settings
 
 GOOD = """
 node = "n-0"
@@ -100,6 +107,13 @@
                 assert not waits, f"{path}:{node.lineno}"
 
 
+def test_a_suspicion_that_takes_longer_than_the_lease_is_refused(tmp_path: Path) -> None:
+    path = tmp_path / "options.json"
+    path.write_text('{"standby": {"answer_s": 3.8}}')
+    with pytest.raises(SettingsError, match=r"standby\.answer_s: .*lower refusals"):
+        check_tunables(load_tunables(str(path)), stand_in_settings(), str(path))
+
+
 def test_sections_that_a_program_may_ignore_do_not_end_it(tmp_path: Path) -> None:
     """An older program that is put back gets the options file of the newer one."""
     path = tmp_path / "options.json"
