--- a/badgerseam/standby/watch.py
+++ b/badgerseam/standby/watch.py
@@ -178,7 +178,8 @@
         finally:
             line.asking = False
         if line.refused:
-            self._judge(name, line, self._clock.now())
+            with self._model.lock:
+                self._judge(name, line, self._clock.now())
 
     def _clear(self, name: str, line: Line) -> None:
         line.refused = 0
@@ -286,7 +287,8 @@
         finally:
             case.asking = False
             if line.case is case and case.agreed:
-                self._judge(name, line, self._clock.now())
+                with self._model.lock:
+                    self._judge(name, line, self._clock.now())
 
     def _summon(self, name: str, case: Case, now: float) -> None:
         """Ask it through the state service."""
