--- a/badgerseam/api/rollout.py
+++ b/badgerseam/api/rollout.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from badgerseam.cluster.member import Away, Member
+from badgerseam.cluster.away import Away
+from badgerseam.cluster.member import Member
 from badgerseam.http.server import Reply, error_reply
 from badgerseam.model.model import Model
 from badgerseam.model.state import STALE_S
--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -16,7 +16,8 @@
 from badgerseam.api.questions import Questions
 from badgerseam.api.rollout import ROLLOUT, RolloutApi
 from badgerseam.api.runs import RUNS, RunsApi
-from badgerseam.cluster.member import Away, Member
+from badgerseam.cluster.away import Away
+from badgerseam.cluster.member import Member
 from badgerseam.http.server import Reply, error_reply
 from badgerseam.model.job import Job, Phase
 from badgerseam.model.keys import job_key
--- a/badgerseam/http/client.py
+++ b/badgerseam/http/client.py
@@ -34,6 +34,10 @@
     """The connection was refused: something is there, and nobody takes it."""
 
 
+class Reset(NoResponse):
+    """The other end closed the connection before it answered."""
+
+
 class Response:
     __slots__ = ("body", "retry_after", "status")
 
@@ -107,7 +111,8 @@
                 raise (TurnedAway if refused else NotSent)(f"{address}: {error!r}") from error
             stream.close()
             self._forget(address)
-            raise NoResponse(f"{address}{path}: {error!r}") from error
+            kind = Reset if isinstance(error, StreamClosedError) else NoResponse
+            raise kind(f"{address}{path}: {error!r}") from error
         except BaseException:
             if stream is not None:
                 stream.close()
@@ -115,7 +120,7 @@
         if collector.status == 0:
             stream.close()
             self._forget(address)
-            raise NoResponse(f"{address}{path}: closed before a response")
+            raise Reset(f"{address}{path}: closed before a response")
         if not stream.closed():
             self._put(address, stream)
         return Response(collector.status, b"".join(collector.chunks), collector.retry_after)
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -21,8 +21,9 @@
 from badgerseam.classes.keeper import Keeper as ClassesKeeper
 from badgerseam.classes.rules import Rules
 from badgerseam.clock import Clock
+from badgerseam.cluster.away import Away
 from badgerseam.cluster.deputies import Deputies
-from badgerseam.cluster.member import Away, Member
+from badgerseam.cluster.member import Member
 from badgerseam.cluster.peers import Peers
 from badgerseam.explain.explainer import Explainer
 from badgerseam.fleet.cloud import Cloud
@@ -42,6 +43,7 @@
 from badgerseam.runs.rules import RunRules
 from badgerseam.sched.planner import Planner
 from badgerseam.settings import Settings, Tunables
+from badgerseam.standby.keeper import Standby
 from badgerseam.store.allotment import Allotment
 from badgerseam.store.client import StateClient
 from badgerseam.store.committer import Committer
@@ -178,6 +180,22 @@
             self.replicas = ReplicasKeeper(self.model, self.planner, tunables.replicas)
         self.peers.take_with(self.member.take)
         self.member.ask_to_take = self.peers.ask_to_take
+        self.standby: Standby | None = None
+        if tunables.standby is not None:
+            self.standby = Standby(
+                self.model,
+                self.member,
+                self.state,
+                tunables.standby,
+                tunables,
+                self.peers.ask_standby,
+                f"{settings.node}-{random.getrandbits(64):x}",
+                self.fleet.hiring.blocked,
+            )
+            self.member.gate = self.standby
+            self.deputies.ends_early = True
+            self.peers.standby = self.standby.handle
+            self.control.came = self.standby.watch.worker_came
         self.raising: Raising | None = None
         self.refresh: Refresh | None = None
         self.carrying: Carrying | None = None
@@ -259,6 +277,8 @@
         self._pulse_at = None
         model = self.model
         self.member.review()
+        if self.standby is not None:
+            self.standby.step()
         if self._plan_at is None:
             self._plan()
         self.ledger.flush()
@@ -273,6 +293,9 @@
         """Plan for the shares that something has changed for."""
         model = self.model
         began = self.clock.now()
+        if self.standby is not None and not self.standby.gate.steady():
+            # What has to be planned stays noted.
+            return
         with model.lock:
             if self.replicas is not None:
                 self.replicas.look()
@@ -361,6 +384,8 @@
             group.create_task(self.fleet.keep_list())
             group.create_task(self.fleet.keep_fleet())
             group.create_task(self.peers.keep_health())
+            if self.standby is not None:
+                group.create_task(self.standby.keep())
             if self.explainer is not None and self.explainer.samples:
                 group.create_task(self.explainer.keep_samples())
             if self.carrying is not None:
--- a/badgerseam/rollout/handover.py
+++ b/badgerseam/rollout/handover.py
@@ -13,7 +13,8 @@
 import logging
 from collections.abc import Callable, Coroutine
 
-from badgerseam.cluster.member import AskToTake, Away, Member
+from badgerseam.cluster.away import Away
+from badgerseam.cluster.member import AskToTake, Member
 from badgerseam.model.keys import LEADER_KEY, claim_key
 from badgerseam.model.model import Model
 
--- a/badgerseam/wire/state.py
+++ b/badgerseam/wire/state.py
@@ -90,6 +90,8 @@
     program: str = ""
     classes: str = ""
     """Digest of the priority classes in its options; empty if it keeps none."""
+    doubts: list[str] = field(default_factory=list)
+    """Controllers that it takes for ended; one that lives answers by writing its own record."""
 
 
 class Holding(Claim, frozen=True, array_like=True):
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -392,3 +392,14 @@
     assert rig.watch() == []
     rig.go_on(17)
     assert rig.watch() == [machine]
+
+
+def test_a_claim_that_is_read_before_the_pages_are_is_not_acted_on() -> None:
+    rig = Rig()
+    rig.model.begin_load()
+    rig.claim()
+    rig.member.review()
+    assert not rig.model.shares[0].owned, "what the pages hold would be placed once more"
+    rig.model.end_load(rig.state.revision, set(rig.model.keys()))
+    rig.member.review()
+    assert rig.model.shares[0].owned
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -11,7 +11,7 @@
 import pytest
 
 from badgerseam.api.users import Api
-from badgerseam.cluster.member import Away
+from badgerseam.cluster.away import Away
 from badgerseam.lab import state as lab_state
 from badgerseam.levels.table import LEVELS, Program
 from badgerseam.model.job import Stage
--- a/tests/trio.py
+++ b/tests/trio.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from badgerseam.cluster.member import Away
+from badgerseam.cluster.away import Away
 from badgerseam.lab.state import StateCore
 from badgerseam.levels.table import LEVELS, Behaviour, Level, Program
 from badgerseam.model.keys import LEADER_KEY, LEVEL_KEY, claim_key
