A new owner carries out evictions whose stops were never sent

Cause (found by reading): placements are durable, stops are not. An owner that ended in between left urgent work on a machine without room for it, and nobody knew any more whom it had evicted: it waited until they ended by themselves. Change: with the first report of a machine after a takeover, low-priority work is stopped for what of high priority was placed and does not fit, the least waste first.

--- a/badgerseam/workers/reports.py
+++ b/badgerseam/workers/reports.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import logging
+import math
 
-from badgerseam.model.job import Attempt, Phase, Stage
+from badgerseam.model.job import HIGH_RANK, Attempt, Phase, Stage
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
 from badgerseam.model.resources import NOTHING
@@ -42,6 +43,7 @@
             # no report of it may have been answered yet, and the machine came up long after it
             # was recorded: it is not to be counted as silent since then.
             machine.answered_at = max(machine.answered_at, now)
+        first = machine.session == 0
         machine.session, machine.seq = mark
         machine.heard_at = now
         machine.shown_token = max(machine.shown_token, report.token)
@@ -94,8 +96,43 @@
             if attempt.stopping or machine.draining or machine.hard_of_hearing:
                 # Launches went there with each answer for ever, and were taken back each time.
                 model.unplace(attempt)
+        if first:
+            self._stop_again(machine, now)
         return True
 
+    def _stop_again(self, machine: Machine, now: float) -> None:
+        """Stop whom an owner before had evicted for what it placed, if it ended in between.
+
+        Placements are durable, stops are not: what it had placed waited for room until tasks of
+        lower priority, of which nobody knew any more that they were to go, had ended by themselves.
+        """
+        room = machine.total.minus(machine.planned_use())
+        if machine.total == NOTHING or NOTHING.fits(room):
+            return
+        staying = [a for a in machine.attempts.values() if not (a.stopping or a.finishing)]
+        claims = [a.job.rank for a in staying if a.stage == Stage.PLACED]
+        most = max(claims, default=0)
+        if most < HIGH_RANK:
+            return
+        victims = [
+            a for a in staying if a.stage >= Stage.FETCHING and a.job.rank < min(most, HIGH_RANK)
+        ]
+        # As in a plan, the greatest waste is spared.
+        for victim in sorted(victims, key=lambda a: (a.job.rank, _waste(a, now))):
+            if NOTHING.fits(room):
+                break
+            room = room.plus(victim.job.need)
+            victim.stopping = True
+            victim.stop_sent = False
+            spec = victim.job.spec
+            victim.grace_s = spec.save_s + 1.0 if spec.checkpoint_s > 0 else 0.0
+            victim.job.touch(victim.task)
+            log.info(
+                "%s is stopped for what an owner before placed on %s", victim.name, machine.name
+            )
+        machine.node = None
+        self._model.pushes.add(machine.index)
+
     def testify(self, machine: Machine, report: wire.Report) -> None:
         """Take over what stays true however late a report comes: that tasks are done."""
         for item in report.tasks:
@@ -163,3 +200,10 @@
                     log.info("%s fails the tasks of many jobs: drained", machine.name)
                     machine.draining = True
         model.unplace(attempt)
+
+
+def _waste(attempt: Attempt, now: float) -> float:
+    """Seconds of work that are lost if it is stopped, by the interval of its checkpoints."""
+    ran_s = now - attempt.started_at if attempt.started_at > 0 else 0.0
+    interval_s = attempt.job.spec.checkpoint_s
+    return math.fmod(ran_s, interval_s) if interval_s > 0 else ran_s
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -403,3 +403,34 @@
     rig.model.end_load(rig.state.revision, set(rig.model.keys()))
     rig.member.review()
     assert rig.model.shares[0].owned
+
+
+def test_an_eviction_whose_owner_ended_before_the_stop_is_carried_out() -> None:
+    rig = Rig()
+    rig.own()
+    rig.machine()
+    worker = Worker()
+    rig.report(worker)
+    low = rig.job(job_id="job-000001", pieces=4)
+    rig.plan()
+    rig.run(rig.settle())
+    for task in range(4):
+        worker.hold(f"{low.id}/{task}")
+    rig.report(worker)
+    urgent = rig.job(job_id="job-000002", rank="high", pieces=2)
+    rig.plan()
+    assert sum(attempt.stopping for attempt in low.attempts.values()) == 2
+    rig.run(rig.settle())
+    # Durable are the placements alone; its owner ends before it has told the worker.
+    heir = Rig(beside=rig, node="n-1")
+    heir.sync()
+    heir.member.lease = 2
+    heir.claim(0, "n-1", 2)
+    heir.member.review()
+    there = heir.model.job(urgent.id)
+    assert there is not None and len(there.attempts) == 2
+    for _ in range(5):
+        heir.report(worker)
+    left = heir.model.job(low.id)
+    assert left is not None and left.live == 2
+    assert {f"{urgent.id}/0", f"{urgent.id}/1"} <= set(worker.tasks), "and have their room"
