--- a/badgerseam/cli/classes.py
+++ b/badgerseam/cli/classes.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import argparse
-import os
 import sys
 from pathlib import Path
 
-from badgerseam.cli.client import DEFAULT_NODE, NODES_VARIABLE, Front, Unreachable, refusal
+from badgerseam.cli.client import Front, Unreachable, ask_options, refusal
 from badgerseam.cli.exits import EXIT_FAILED, EXIT_OK, EXIT_UNREACHABLE, EXIT_USAGE, fail
 from badgerseam.wire import classes as wire
 
@@ -23,14 +22,7 @@
     setting = orders.add_parser("set", help="put others in force, until the options change")
     setting.add_argument("file", help="JSON as in the options' section classes; - for input")
     for order in orders.choices.values():
-        order.add_argument(
-            "--node",
-            default=os.environ.get(NODES_VARIABLE, DEFAULT_NODE),
-            help=f"address of a node, or several with commas ({NODES_VARIABLE} if not given; "
-            f"default {DEFAULT_NODE})",
-        )
-        order.add_argument("--patience", type=float, default=3.0, help="seconds (%(default)s)")
-        order.add_argument("--json", action="store_true", help="print the response as it came")
+        ask_options(order)
 
 
 async def run(options: argparse.Namespace) -> int:
--- a/badgerseam/cli/client.py
+++ b/badgerseam/cli/client.py
@@ -51,20 +51,24 @@
     for command in (show, abort, why):
         command.add_argument("job", help="the job's id, such as job-000412")
     for command in (status, submit, show, abort, why, queue):
-        command.add_argument(
-            "--node",
-            default=os.environ.get(NODES_VARIABLE, DEFAULT_NODE),
-            help="address of a node, or several with commas, asked in turn "
-            f"({NODES_VARIABLE} if not given; default {DEFAULT_NODE})",
-        )
-        command.add_argument(
-            "--patience",
-            type=float,
-            default=60.0 if command in (submit, abort) else 3.0,
-            help="seconds for which a refused or unanswered request is repeated "
-            "(default %(default)s)",
-        )
-        command.add_argument("--json", action="store_true", help="print the response as it came")
+        ask_options(command, 60.0 if command in (submit, abort) else 3.0)
+
+
+def ask_options(command: argparse.ArgumentParser, patience_s: float = 3.0) -> None:
+    """Declare whom a command asks, and for how long."""
+    command.add_argument(
+        "--node",
+        default=os.environ.get(NODES_VARIABLE, DEFAULT_NODE),
+        help="address of a node, or several with commas, asked in turn "
+        f"({NODES_VARIABLE} if not given; default {DEFAULT_NODE})",
+    )
+    command.add_argument(
+        "--patience",
+        type=float,
+        default=patience_s,
+        help="seconds for which a refused or unanswered request is repeated (default %(default)s)",
+    )
+    command.add_argument("--json", action="store_true", help="print the response as it came")
 
 
 class Front:
--- a/badgerseam/cli/rollout.py
+++ b/badgerseam/cli/rollout.py
@@ -4,11 +4,10 @@
 
 import argparse
 import asyncio
-import os
 import shlex
 from typing import TYPE_CHECKING
 
-from badgerseam.cli.client import DEFAULT_NODE, NODES_VARIABLE, Front, Unreachable, refusal
+from badgerseam.cli.client import Front, Unreachable, ask_options, refusal
 from badgerseam.cli.exits import EXIT_FAILED, EXIT_OK, EXIT_UNREACHABLE, EXIT_USAGE, fail
 from badgerseam.wire import rollout as wire
 
@@ -46,14 +45,7 @@
     run.add_argument("--back-s", type=float, default=60.0, help="limit (default %(default)s)")
     run.add_argument("--steady-s", type=float, default=5.0, help="between two (%(default)s)")
     for order in orders.choices.values():
-        order.add_argument(
-            "--node",
-            default=os.environ.get(NODES_VARIABLE, DEFAULT_NODE),
-            help=f"address of a node, or several with commas ({NODES_VARIABLE} if not given; "
-            f"default {DEFAULT_NODE})",
-        )
-        order.add_argument("--patience", type=float, default=3.0, help="seconds (%(default)s)")
-        order.add_argument("--json", action="store_true", help="print the response as it came")
+        ask_options(order)
 
 
 async def run(options: argparse.Namespace) -> int:
--- a/badgerseam/cli/runs.py
+++ b/badgerseam/cli/runs.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import argparse
-import os
 import time
 from urllib.parse import urlencode
 
-from badgerseam.cli.client import DEFAULT_NODE, NODES_VARIABLE, Front, Unreachable, refusal
+from badgerseam.cli.client import Front, Unreachable, ask_options, refusal
 from badgerseam.cli.exits import EXIT_FAILED, EXIT_OK, EXIT_UNREACHABLE, EXIT_USAGE, fail
 from badgerseam.wire import runs as wire
 
@@ -32,14 +31,7 @@
     for order in (show, members, close):
         order.add_argument("run", help="plan and number, such as renewal/12")
     for order in orders.choices.values():
-        order.add_argument(
-            "--node",
-            default=os.environ.get(NODES_VARIABLE, DEFAULT_NODE),
-            help=f"address of a node, or several with commas ({NODES_VARIABLE} if not given; "
-            f"default {DEFAULT_NODE})",
-        )
-        order.add_argument("--patience", type=float, default=3.0, help="seconds (%(default)s)")
-        order.add_argument("--json", action="store_true", help="print the response as it came")
+        ask_options(order)
 
 
 async def run(options: argparse.Namespace) -> int:
