--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -31,6 +31,7 @@
 from badgerseam.fleet.returns import Returns
 from badgerseam.http.client import Client
 from badgerseam.http.server import Handler, Server
+from badgerseam.model.job import Stage
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
 from badgerseam.replicas.keeper import Keeper as ReplicasKeeper
@@ -284,11 +285,20 @@
         self.ledger.flush()
         with model.lock:
             pushes, model.pushes = model.pushes, set()
-            for index in pushes:
+            # Of what one plan has placed on many machines, the higher classes' launches go first.
+            ordered = pushes if model.class_of is None else sorted(pushes, key=self._first_launch)
+            for index in ordered:
                 machine = model.machines.get(index)
                 if machine is not None:
                     self.control.push(machine)
 
+    def _first_launch(self, index: int) -> tuple[int, int]:
+        """Rank, negated, and priority class of the first task that a machine is to be told of."""
+        machine = self.model.machines.get(index)
+        attempts = () if machine is None else machine.attempts.values()
+        waiting = (a for a in attempts if a.stage == Stage.PLACED and not a.sent)
+        return min(((-a.job.rank, self.model.klass(a.job)) for a in waiting), default=(1, 0))
+
     def _plan(self) -> None:
         """Plan for the shares that something has changed for."""
         model = self.model
