--- a/badgerseam/cli/classes.py
+++ b/badgerseam/cli/classes.py
@@ -6,8 +6,8 @@
 import sys
 from pathlib import Path
 
-from badgerseam.cli.client import Front, Unreachable, ask_options, refusal
-from badgerseam.cli.exits import EXIT_FAILED, EXIT_OK, EXIT_UNREACHABLE, EXIT_USAGE, fail
+from badgerseam.cli.client import Front, Unreachable, ask_options, tell
+from badgerseam.cli.exits import EXIT_UNREACHABLE, EXIT_USAGE, fail
 from badgerseam.wire import classes as wire
 
 Commands = argparse._SubParsersAction
@@ -40,15 +40,8 @@
         response = await Front(options.node, options.patience).ask(method, PATH, body)
     except Unreachable as error:
         return fail(str(error), EXIT_UNREACHABLE)
-    if response.status == 404:
-        return fail("no classes are kept there (section classes of the options)", EXIT_FAILED)
-    if response.status != 200:
-        return fail(refusal(response), EXIT_FAILED)
-    if options.json:
-        print(response.body.decode())
-    else:
-        print(describe(wire.view_decoder.decode(response.body)))
-    return EXIT_OK
+    absent = "no classes are kept there (section classes of the options)"
+    return tell(response, options, absent, lambda b: describe(wire.view_decoder.decode(b)))
 
 
 def describe(view: wire.ClassesView) -> str:
--- a/badgerseam/cli/client.py
+++ b/badgerseam/cli/client.py
@@ -8,6 +8,7 @@
 import os
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
@@ -71,6 +72,19 @@
     command.add_argument("--json", action="store_true", help="print the response as it came")
 
 
+def tell(
+    response: Response, options: argparse.Namespace, absent: str, text: Callable[[bytes], str]
+) -> int:
+    """Print an answer, as it came if `options.json` says so; the exit code. `absent`: what a 404
+    means."""
+    if response.status == 404:
+        return fail(absent, EXIT_FAILED)
+    if response.status != 200:
+        return fail(refusal(response), EXIT_FAILED)
+    print(response.body.decode() if options.json else text(response.body))
+    return EXIT_OK
+
+
 class Front:
     """Asks any of several nodes, as users of the protocol do: a request that was refused for now,
     or not answered, is repeated after a second or `Retry-After`, at the next node."""
--- a/badgerseam/cli/rollout.py
+++ b/badgerseam/cli/rollout.py
@@ -7,7 +7,7 @@
 import shlex
 from typing import TYPE_CHECKING
 
-from badgerseam.cli.client import Front, Unreachable, ask_options, refusal
+from badgerseam.cli.client import Front, Unreachable, ask_options, refusal, tell
 from badgerseam.cli.exits import EXIT_FAILED, EXIT_OK, EXIT_UNREACHABLE, EXIT_USAGE, fail
 from badgerseam.wire import rollout as wire
 
@@ -92,15 +92,8 @@
     front: Front, options: argparse.Namespace, method: str, path: str, body: bytes | None
 ) -> int:
     response = await front.ask(method, path, body)
-    if response.status == 404:
-        return fail("rollouts are switched off there (section rollout of the options)", EXIT_FAILED)
-    if response.status != 200:
-        return fail(refusal(response), EXIT_FAILED)
-    if options.json:
-        print(response.body.decode())
-    else:
-        print(describe(wire.view_decoder.decode(response.body)))
-    return EXIT_OK
+    absent = "rollouts are switched off there (section rollout of the options)"
+    return tell(response, options, absent, lambda b: describe(wire.view_decoder.decode(b)))
 
 
 def describe(view: wire.View) -> str:
--- a/badgerseam/cluster/member.py
+++ b/badgerseam/cluster/member.py
@@ -221,9 +221,7 @@
                     log.info("share %d: claim lost", share.index)
                     model.disown(share)
                 if not share.owned and mine and share.held is not None and not share.releasing:
-                    # While all keys are read anew, the claim may be there before the pages: what
-                    # they hold was placed once more, and ran twice.
-                    if model.loading if self.gate is None else self._held_up(share, share.held):
+                    if not self._may_act(share, share.held):
                         continue
                     log.info("share %d: acting under term %d", share.index, share.held.version)
                     others_s = self.others_s(share, share.held)
@@ -251,8 +249,10 @@
             if LEADER_KEY not in self._claiming and self._should_lead(now):
                 self._spawn(self._claim(LEADER_KEY, model.leader))
 
-    def _held_up(self, share: Share, held: Held) -> bool:
-        return self.gate is not None and not self.gate.passes(share, held)
+    def _may_act(self, share: Share, held: Held) -> bool:
+        # While all keys are read anew, the claim may be there before the pages: what they hold was
+        # placed once more, and ran twice. A gate has a check for that.
+        return not self._model.loading if self.gate is None else self.gate.passes(share, held)
 
     def claim_anew(self, share: Share, held: Held) -> None:
         """Replace a claim of ours that tells nothing of the owners before."""
--- a/badgerseam/fleet/demand.py
+++ b/badgerseam/fleet/demand.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, replace
 
-from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.model.resources import Resources, least_of
 from badgerseam.sched import pts
 from badgerseam.wire.cloud import MachineType
 
@@ -21,6 +21,10 @@
     return -request.rank, request.klass
 
 
+def _turn(request: pts.Request) -> tuple[float, ...]:
+    return (*level_of(request), request.order)
+
+
 def in_turn(requests: list[pts.Request]) -> list[pts.Request]:
     """Requests by level, where classes are kept; else as they are."""
     return sorted(requests, key=level_of) if any(r.klass for r in requests) else requests
@@ -77,15 +81,13 @@
         teams: dict[int, pts.TeamUse],
     ) -> None:
         found = [request for request in requests if request.job in waiting]
-        found.sort(key=lambda request: (-request.rank, request.klass, request.order))
+        found.sort(key=_turn)
         self._wants = [_Want(r, waiting[r.job], dict(r.zones)) for r in found if r.span is None]
         if len(self._wants) < len(found):
             self._wants += _replicas(found, waiting)
-            self._wants.sort(
-                key=lambda want: (-want.request.rank, want.request.klass, want.request.order)
-            )
+            self._wants.sort(key=lambda want: _turn(want.request))
         self._left = {index: team.limit.minus(team.used) for index, team in teams.items()}
-        self._least = _least(self._wants)
+        self._least = least_of(want.request.need for want in self._wants)
 
     def __bool__(self) -> bool:
         return bool(self._wants)
@@ -119,7 +121,7 @@
             emptied = emptied or want.count <= 0
         if emptied:
             self._wants = [want for want in self._wants if want.count > 0]
-            self._least = _least(self._wants)
+            self._least = least_of(want.request.need for want in self._wants)
         return placed
 
     def _fits(self, want: _Want, node: pts.Node, room: Resources) -> int:
@@ -184,12 +186,6 @@
         return best
 
 
-def _least(wants: list[_Want]) -> Resources:
-    """What any of the wants takes at least, of each amount."""
-    needs = [want.request.need for want in wants] or [NOTHING]
-    return Resources(*(min(amounts) for amounts in zip(*needs, strict=True)))
-
-
 def _replicas(found: list[pts.Request], waiting: dict[int, int]) -> list[_Want]:
     """The replicas that span machines and found no room, each to be rented for as a whole."""
     left = dict(waiting)
--- a/badgerseam/model/resources.py
+++ b/badgerseam/model/resources.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 SLACK = 1e-6
@@ -44,3 +45,8 @@
 
 
 NOTHING = Resources(0.0, 0.0, 0.0)
+
+
+def least_of(needs: Iterable[Resources]) -> Resources:
+    """What each of them takes at least, of each amount; nothing if there are none."""
+    return Resources(*(min(amounts) for amounts in zip(*(list(needs) or [NOTHING]), strict=True)))
--- a/badgerseam/sched/bench.py
+++ b/badgerseam/sched/bench.py
@@ -8,7 +8,7 @@
 
 from enum import IntFlag
 
-from badgerseam.model.resources import NOTHING, Resources
+from badgerseam.model.resources import NOTHING, Resources, least_of
 from badgerseam.sched.groups import Groups
 from badgerseam.sched.snapshot import (
     Node,
@@ -39,8 +39,7 @@
         }
         self.result = Plan(nodes=self.nodes, teams=self.teams)
         self._own: set[int] = set()
-        needs = [request.need for request in snapshot.requests] or [NOTHING]
-        self._least = Resources(*(min(amounts) for amounts in zip(*needs, strict=True)))
+        self._least = least_of(request.need for request in snapshot.requests)
         self.roomy = {
             position: None
             for position, node in enumerate(self.nodes)
