One harness for meetings of troubles: a lab's site in one process, by the fake clock

Whole controllers (Node), the lab's state service, cloud, machines, users, faults and judge; sockets and processes are replaced. Clients and servers come from an injected Network. Links can be late (what was sent is carried out 2 to 12 s later, never answered), a watch alone can be stuck, open watches of a refused controller wait, machines can be kept from opening connections. What a lossy link carried out is never answered 503 when it is mended.

--- /dev/null
+++ b/badgerseam/http/network.py
@@ -0,0 +1,25 @@
+"""Where clients and servers come from, injected like the clock: sockets, unless told otherwise."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from badgerseam.http.client import Client
+from badgerseam.http.server import Handler, Server
+
+
+class Network:
+    """Sockets."""
+
+    def at(self, host: str) -> Network:
+        """The network as one host has it, by a name that only simulations know."""
+        return self
+
+    def client(self, connect_s: float = 1.5, keep: int | Callable[[], int] = 64) -> Client:
+        return Client(connect_s, keep)
+
+    def server(self, handler: Handler) -> Server:
+        return Server(handler)
+
+
+SOCKETS = Network()
--- a/badgerseam/lab/copies.py
+++ b/badgerseam/lab/copies.py
@@ -5,7 +5,8 @@
 import asyncio
 from random import Random
 
-from badgerseam.http.client import Client, NoResponse
+from badgerseam.http.client import NoResponse
+from badgerseam.http.network import SOCKETS, Network
 from badgerseam.lab.links import Links
 
 SOONEST_S = 1.0
@@ -17,13 +18,20 @@
 class Copies:
     """Keeps copies of some reports under way. They outlive the machine that sent the report."""
 
-    def __init__(self, links: Links, random: Random, nodes: dict[str, str], lease_s: float) -> None:
+    def __init__(
+        self,
+        links: Links,
+        random: Random,
+        nodes: dict[str, str],
+        lease_s: float,
+        network: Network = SOCKETS,
+    ) -> None:
         """`nodes`: addresses of controllers by name."""
         self._links = links
         self._random = random
         self._nodes = nodes
         self._latest_s = LEASES * lease_s
-        self._http = Client(keep=8)
+        self._http = network.client(keep=8)
         self._tasks: set[asyncio.Task[None]] = set()
         self.part = 0.0
         """Of the reports that are copied, from 0 to 1."""
--- a/badgerseam/lab/front.py
+++ b/badgerseam/lab/front.py
@@ -11,7 +11,8 @@
 
 import msgspec
 
-from badgerseam.http.client import Client, NoResponse, NotSent
+from badgerseam.http.client import NoResponse, NotSent
+from badgerseam.http.network import SOCKETS, Network
 from badgerseam.http.server import Reply, Server, error_reply
 from badgerseam.lab.history import History
 from badgerseam.lab.worker import Description
@@ -35,10 +36,11 @@
 class Front:
     """Forwards users' requests, and notes what they asked and were told."""
 
-    def __init__(self, nodes: dict[str, str], history: History) -> None:
+    def __init__(self, nodes: dict[str, str], history: History, network: Network = SOCKETS) -> None:
+        self._network = network
         self._nodes = nodes
         self._history = history
-        self._http = Client(connect_s=0.5, keep=256)
+        self._http = network.client(connect_s=0.5, keep=256)
         self._failures = dict.fromkeys(nodes, 2)
         self._turn = 0
         self._specs: dict[str, wire.Submission] = {}
@@ -47,7 +49,7 @@
         self._probes: asyncio.Task[None] | None = None
 
     def start(self, port: int) -> None:
-        self._server = Server(self._handle)
+        self._server = self._network.server(self.handle)
         self._server.listen(f"127.0.0.1:{port}")
         self._probes = asyncio.ensure_future(self._probe())
 
@@ -95,13 +97,16 @@
 
     # ---- requests ----
 
-    async def _handle(self, method: str, uri: str, body: bytes) -> Reply:
+    async def handle(
+        self, method: str, uri: str, body: bytes, names: list[str] | None = None
+    ) -> Reply:
+        """Pass a user's request on: to the nodes named, or to those that are healthy."""
         path = uri.partition("?")[0]
         if path == "/ready":
             return Reply(200) if self.healthy else error_reply(503, "no node is ready", 1)
         about, job = self._note_request(method, path, body)
         asked = self._history.now()
-        reply = await self._forward(method, uri, body)
+        reply = await self._forward(method, uri, body, names or self.healthy or sorted(self._nodes))
         if about:
             phase = ""
             if reply.status in (200, 201):
@@ -142,8 +147,7 @@
             return "abort", parts[1]
         return "", ""
 
-    async def _forward(self, method: str, uri: str, body: bytes) -> Reply:
-        names = self.healthy or sorted(self._nodes)
+    async def _forward(self, method: str, uri: str, body: bytes, names: list[str]) -> Reply:
         for _ in range(min(TRIES, len(names))):
             node = names[self._turn % len(names)]
             self._turn += 1
--- a/badgerseam/lab/lab.py
+++ b/badgerseam/lab/lab.py
@@ -15,6 +15,7 @@
 from typing import IO, TypeVar, cast
 
 from badgerseam.clock import Clock
+from badgerseam.http.network import SOCKETS, Network
 from badgerseam.http.server import Server
 from badgerseam.lab.checker import Breach, Verdict, judge
 from badgerseam.lab.cloud import CloudCore, Rented
@@ -32,6 +33,7 @@
 from badgerseam.lab.vacancy import Vacancy
 from badgerseam.lab.worker import Identity, Results, WorkerCore
 from badgerseam.model.resources import Resources
+from badgerseam.settings import Settings
 
 log = logging.getLogger("badgerseam.lab")
 
@@ -59,10 +61,12 @@
         options: Path | None = None,
         sources: dict[str, str] | None = None,
         first: str = OWN,
+        network: Network = SOCKETS,
     ) -> None:
         """`sources`: other trees that controllers can run from, by name; `first`: the one that
         they are started from."""
         self.site = site
+        self._network = network
         self.directory = directory
         self.clock = clock
         self.random = random
@@ -143,10 +147,17 @@
             raise LabError(str(error)) from error
         if self._first not in self.trees:
             raise LabError(f"first: {self._first!r}: one of {', '.join(self._sources)}")
-        ports = self._ports()
+        await self._start_site(self._ports())
+        card = {"pid": os.getpid(), "front": f"127.0.0.1:{self.front_port}"}
+        (self.directory / "lab.json").write_text(json.dumps(card | {"nodes": self.addresses}))
+
+    async def _start_site(self, ports: dict[str, Ports]) -> None:
+        network = self._network
         self.addresses = {node: f"127.0.0.1:{ports[node].api}" for node in self.nodes}
-        self.front = Front(self.addresses, self.history)
-        self.copies = Copies(self.links, self.random, self.addresses, self.site.workers.lease_s)
+        self.front = Front(self.addresses, self.history, network)
+        self.copies = Copies(
+            self.links, self.random, self.addresses, self.site.workers.lease_s, network
+        )
         for node in self.nodes:
             own = ports[node]
             for target, handle, port in (
@@ -155,32 +166,37 @@
             ):
                 server = self._listen(
                     lambda p=port, n=node, t=target, h=handle: serve_for(  # type: ignore[misc]
-                        self.links, n, t, h, p
+                        self.links, n, t, h, p, network
                     ),
                     port,
                 )
                 self._servers.append(server)
             for other, port in own.relays.items():
-                relay = Relay(self.links, node, other, ports[other].peer)
-                await relay.listen(port)
-                self._relays.append(relay)
+                await self._relay(node, other, port, ports[other].peer)
         self._listen(lambda: self.front.start(self.front_port), self.front_port)
         for node in self.nodes:
-            path = self.directory / f"{node}.toml"
-            write_settings(controller_settings(self.site, ports, node), path)
-            self.controllers[node] = Controller(
-                node,
-                path,
-                self.trees[self._first],
-                self.directory / f"{node}.log",
-                self.clock,
-                self._note,
-            )
+            self.controllers[node] = self._controller(controller_settings(self.site, ports, node))
             self.controllers[node].start()
         self._drive = asyncio.ensure_future(self._pass())
         self.vacancy.start()
-        card = {"pid": os.getpid(), "front": f"127.0.0.1:{self.front_port}"}
-        (self.directory / "lab.json").write_text(json.dumps(card | {"nodes": self.addresses}))
+
+    async def _relay(self, node: str, other: str, port: int, leads_to: int) -> None:
+        """Have a controller reach another at a port of its own."""
+        relay = Relay(self.links, node, other, leads_to)
+        await relay.listen(port)
+        self._relays.append(relay)
+
+    def _controller(self, settings: Settings) -> Controller:
+        path = self.directory / f"{settings.node}.toml"
+        write_settings(settings, path)
+        return Controller(
+            settings.node,
+            path,
+            self.trees[self._first],
+            self.directory / f"{settings.node}.log",
+            self.clock,
+            self._note,
+        )
 
     def _listen(self, start: Callable[[], T], port: int) -> T:
         try:
@@ -285,7 +301,7 @@
         for name in names:
             rented = self.cloud_core.machines.get(name)
             if rented is not None and not rented.addr:
-                rented.addr = f"127.0.0.1:{free_ports(1)[0]}"
+                rented.addr = f"127.0.0.1:{self._free_port()}"
                 self.history.add(
                     "machine",
                     machine=name,
@@ -294,6 +310,9 @@
                     spot=rented.spot,
                 )
 
+    def _free_port(self) -> int:
+        return free_ports(1)[0]
+
     def _up(self, rented: Rented) -> None:
         rented.started = True
         kind = rented.type
@@ -317,6 +336,7 @@
             self.links,
             self.random,
             self.copies.report,
+            self._network,
         )
         machine.start(int(rented.addr.rpartition(":")[2]))
         self.machines[rented.name] = machine
--- a/badgerseam/lab/links.py
+++ b/badgerseam/lab/links.py
@@ -11,8 +11,11 @@
 
 from badgerseam.http.server import Reply, error_reply
 
-Trouble = Literal["cut", "refused", "lossy", "slow"]
+Trouble = Literal["cut", "refused", "lossy", "slow", "late"]
 SLOW_S = 0.8
+LATE_S = 2.0, 12.0
+"""After which what was sent over a late link is carried out, without an answer."""
+NO_ANSWER_S = 60.0
 LOSSY = 0.3
 """Part of the requests of a lossy link whose answer is lost; half of them are never executed."""
 
@@ -29,6 +32,9 @@
     def __init__(self, random: Random) -> None:
         self._random = random
         self._broken: dict[tuple[str, str], _Broken] = {}
+        self.late_part = 1.0
+        """Of what is sent over a late link and can be late."""
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def break_(self, source: str, target: str, trouble: Trouble) -> None:
         """Break a link in one direction of asking."""
@@ -54,15 +60,32 @@
         while (broken := self._broken.get((source, target))) and broken.trouble == "cut":
             await broken.healed.wait()
 
+    async def answered(self, source: str, target: str) -> None:
+        """Return when the link refuses nothing."""
+        while (broken := self._broken.get((source, target))) and broken.trouble == "refused":
+            await broken.healed.wait()
+
     async def request(
-        self, source: str, target: str, execute: Callable[[], Awaitable[Reply] | Reply]
+        self,
+        source: str,
+        target: str,
+        execute: Callable[[], Awaitable[Reply] | Reply],
+        late: bool = False,
     ) -> Reply:
-        """Execute a request that came over a link, as late as the link brings it."""
+        """Execute a request that came over a link, as late as the link brings it. `late`: it is one
+        that a late link carries out later, behind newer ones."""
         broken = self._broken.get((source, target))
         if broken is None:
             return await _done(execute())
         if broken.trouble == "refused":
             return error_reply(503, "trouble")
+        if broken.trouble == "late":
+            if not late or self._random.random() >= self.late_part:
+                return await _done(execute())
+            task = asyncio.ensure_future(self._later(execute))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            return await _no_answer()
         if broken.trouble == "slow":
             await asyncio.sleep(SLOW_S * self._random.random())
             return await _done(execute())
@@ -72,11 +95,20 @@
         if self._random.random() < LOSSY:
             if self._random.random() < 0.5:
                 await _done(execute())
-            # No answer ever comes; the other side gives up long before.
-            await broken.healed.wait()
-            return error_reply(503, "lost")
+            return await _no_answer()
         return await _done(execute())
 
+    async def _later(self, execute: Callable[[], Awaitable[Reply] | Reply]) -> None:
+        await asyncio.sleep(self._random.uniform(*LATE_S))
+        await _done(execute())
+
+
+async def _no_answer() -> Reply:
+    # The other side gives up long before; a 503, when the link is mended, would say that nothing
+    # was carried out.
+    await asyncio.sleep(NO_ANSWER_S)
+    return error_reply(504, "lost")
+
 
 async def _done(outcome: Awaitable[Reply] | Reply) -> Reply:
     return outcome if isinstance(outcome, Reply) else await outcome
--- a/badgerseam/lab/machines.py
+++ b/badgerseam/lab/machines.py
@@ -10,8 +10,9 @@
 import msgspec
 
 from badgerseam.clock import Clock
-from badgerseam.http.client import Client, NoResponse
-from badgerseam.http.server import Reply, Server, error_reply
+from badgerseam.http.client import NoResponse
+from badgerseam.http.network import SOCKETS, Network
+from badgerseam.http.server import Reply, error_reply
 from badgerseam.lab.links import Links
 from badgerseam.lab.worker import WorkerCore
 from badgerseam.settings import WorkerParams
@@ -26,6 +27,8 @@
 TRY_NEXT_S = 1.0
 ANSWERS = "answers"
 """The other end of the link that brings a machine answers and commands, but not its reports out."""
+CONTROLLERS = "controllers"
+"""The other end of the link by which a machine's own connections reach any controller."""
 
 _orders: msgspec.json.Decoder[wire.Orders] = msgspec.json.Decoder(wire.Orders)
 _direct: msgspec.json.Decoder[wire.DirectOrders] = msgspec.json.Decoder(wire.DirectOrders)
@@ -49,6 +52,7 @@
         links: Links,
         random: Random,
         copied: Callable[[bytes], None] = lambda body: None,
+        network: Network = SOCKETS,
     ) -> None:
         """`copied` is told of every report that is sent."""
         self.core = core
@@ -58,8 +62,8 @@
         self._links = links
         self._random = random
         self._copied = copied
-        self._http = Client(connect_s=1.0, keep=4)
-        self._server = Server(self._handle)
+        self._http = network.client(connect_s=1.0, keep=4)
+        self._server = network.server(self._handle)
         self._gone = False
         self._at = random.choice(sorted(nodes))
         self._tasks: list[asyncio.Task[None]] = []
@@ -151,6 +155,8 @@
         try:
             async with asyncio.timeout(RESPONSE_S):
                 await self._links.passed("workers", self._at)
+                await self._links.passed(name, CONTROLLERS)
+                await self._links.passed(zone_end(core.who.zone), CONTROLLERS)
                 self._copied(body)
                 response = await self._http.request(
                     self._nodes[self._at], "POST", "/checkin", body, RESPONSE_S
--- a/badgerseam/lab/services.py
+++ b/badgerseam/lab/services.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from badgerseam.clock import Clock
-from badgerseam.http.server import Reply, Server, error_reply
+from badgerseam.http.network import Network
+from badgerseam.http.server import Handler, Reply, Server, error_reply
 from badgerseam.lab.cloud import Busy, CloudCore, Full
 from badgerseam.lab.links import Links
 from badgerseam.lab.state import Malformed, StateCore, TooMany
@@ -19,6 +20,8 @@
 
 log = logging.getLogger("badgerseam.lab")
 
+WATCH = "watch"
+"""The other end of a controller's link to the state service for what it follows alone."""
 MOST_WAIT_S = 60.0
 MOST_RELEASED = 100
 
@@ -189,14 +192,24 @@
     links: Links,
     node: str,
     target: str,
-    handle: Callable[[str, str, bytes], object],
+    handle: Handler,
     port: int,
+    network: Network,
 ) -> Server:
     """Listen on an address that one controller uses, so that its link alone can be broken."""
 
-    def handler(method: str, uri: str, body: bytes) -> object:
-        return links.request(node, target, lambda: handle(method, uri, body))  # type: ignore[arg-type, return-value]
-
-    server = Server(handler)  # type: ignore[arg-type]
+    async def handler(method: str, uri: str, body: bytes) -> Reply:
+        if uri.startswith("/follow"):
+            await links.passed(node, WATCH)
+        reply = await links.request(
+            node, target, lambda: handle(method, uri, body), late=uri == "/txn"
+        )
+        if uri.startswith("/follow"):
+            # Who is refused for a while keeps its open watches, which wait as in an outage.
+            await links.answered(node, target)
+            await links.passed(node, WATCH)
+        return reply
+
+    server = network.server(handler)
     server.listen(f"127.0.0.1:{port}")
     return server
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -29,7 +29,7 @@
 from badgerseam.fleet.cloud import Cloud
 from badgerseam.fleet.manager import Fleet
 from badgerseam.fleet.returns import Returns
-from badgerseam.http.client import Client
+from badgerseam.http.network import SOCKETS, Network
 from badgerseam.http.server import Handler, Server
 from badgerseam.model.job import Stage
 from badgerseam.model.machine import Machine
@@ -84,13 +84,19 @@
     """Builds the parts; `run` drives them until cancelled."""
 
     def __init__(
-        self, settings: Settings, tunables: Tunables, clock: Clock, random: Random
+        self,
+        settings: Settings,
+        tunables: Tunables,
+        clock: Clock,
+        random: Random,
+        network: Network = SOCKETS,
     ) -> None:
         self.settings = settings
         self.clock = clock
         self.tunables = tunables
         params = settings.params
-        http = Client(keep=self._keep)
+        self._network = network
+        http = network.client(keep=self._keep)
         self._servers: list[Server] = []
         self.model = Model(settings, clock)
         self.state = StateClient(
@@ -381,9 +387,9 @@
 
     async def run(self) -> None:
         """Serve until cancelled; a loop that fails ends the process."""
-        api = Server(cast(Handler, self.api.dispatch))
+        api = self._network.server(cast(Handler, self.api.dispatch))
         api.listen(self.settings.api_addr)
-        peers = Server(self.peers.handle)
+        peers = self._network.server(self.peers.handle)
         peers.listen(self.settings.cluster_listen)
         self._servers += [api, peers]
         log.info("%s serves on %s", self.settings.node, self.settings.api_addr)
--- a/tests/trio.py
+++ b/tests/trio.py
@@ -45,6 +45,15 @@
     return record.level
 
 
+def holder_of(core: StateCore, key: str) -> str | None:
+    """The controller that a claim names."""
+    entry = core.get(key)
+    if entry is None:
+        return None
+    claim: wire.Claim = msgspec.json.decode(entry.value, type=wire.Claim)
+    return claim.node
+
+
 class Way(FakeState):
     """One controller's way to the state service."""
 
@@ -229,11 +238,7 @@
         return 1 if entry is None else level_of(entry.value)
 
     def holder(self, key: str) -> str | None:
-        entry = self.core.get(key)
-        if entry is None:
-            return None
-        claim: wire.Claim = msgspec.json.decode(entry.value, type=wire.Claim)
-        return claim.node
+        return holder_of(self.core, key)
 
     def holders(self) -> list[str | None]:
         return [self.holder(claim_key(share)) for share in range(3)] + [self.holder(LEADER_KEY)]
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,466 @@
+"""A whole site in one process, by a fake clock: controllers as they are started in production, the
+lab's state service, cloud, machines and users, and its judge of all rules.
+
+A `World` is a lab whose sockets and processes are replaced: requests go straight to handlers, over
+the same links that faults break, and a controller is a `Node` whose end cancels all that it had
+begun. So each of the lab's faults (`Breaker`) can be played here, at any moment, in no time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Awaitable, Callable, Coroutine
+from contextvars import ContextVar
+from pathlib import Path
+from random import Random
+from typing import Any, cast
+
+import msgspec
+
+from badgerseam.http.client import Client, NoResponse, Reset, Response, TurnedAway
+from badgerseam.http.network import Network
+from badgerseam.http.server import Handler, Reply, Server
+from badgerseam.lab.checker import Breach
+from badgerseam.lab.controllers import BACK_S
+from badgerseam.lab.faults import Breaker, Fault
+from badgerseam.lab.front import Truth
+from badgerseam.lab.history import History
+from badgerseam.lab.lab import Lab
+from badgerseam.lab.machines import Machine
+from badgerseam.lab.site import Ports, Site
+from badgerseam.model.keys import LEADER_KEY, claim_key
+from badgerseam.node import Node
+from badgerseam.settings import Settings, StateParams, Team, Tunables, WorkerParams
+from badgerseam.wire.cloud import MachineType
+from tests.fake_time import running_clock
+from tests.stand_ins import submission
+from tests.trio import holder_of
+
+HOP_S = 0.0005, 0.003
+"""What one direction of a request takes."""
+POLL_S = 5.0
+PATIENCE_S = 60.0
+
+SITE = Site(
+    teams=[Team("blue", 16, 48), Team("red", 16, 48), Team("teal", 16, 24)],
+    types=[MachineType("c8", 8, 64, 1.0, ["a", "b"], 0, 0.3, 2.0)],
+    workers=WorkerParams(1.0, 8.0, 30.0),
+    state=StateParams(300.0, 100.0, 16.0, 48),
+    classes=[],
+)
+"""A share each for three teams; nothing is submitted by itself."""
+
+_process: ContextVar[Host | None] = ContextVar("process", default=None)
+
+
+class Host:
+    """A process of the site: whatever it had begun ends with it."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.alive = True
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    def end(self) -> None:
+        self.alive = False
+        for task in list(self.tasks):
+            task.cancel()
+
+
+def _note_task(
+    loop: asyncio.AbstractEventLoop, work: Coroutine[Any, Any, Any], context: Any = None
+) -> asyncio.Task[Any]:
+    task = asyncio.Task(work, loop=loop, context=context)
+    host = _process.get()
+    if host is not None:
+        host.tasks.add(task)
+        task.add_done_callback(host.tasks.discard)
+    return task
+
+
+class Memory(Network):
+    """Requests between handlers, as one host has them."""
+
+    def __init__(
+        self, random: Random, host: Host | None = None, listening: dict[str, Inbox] | None = None
+    ) -> None:
+        self.random = random
+        self.host = host or Host("site")
+        self.listening: dict[str, Inbox] = {} if listening is None else listening
+        """By address."""
+
+    def of(self, host: Host) -> Memory:
+        """The same network for a process that can end."""
+        return Memory(self.random, host, self.listening)
+
+    def client(self, connect_s: float = 1.5, keep: int | Callable[[], int] = 64) -> Client:
+        return cast(Client, Caller(self))
+
+    def server(self, handler: Handler) -> Server:
+        return cast(Server, Inbox(self, handler))
+
+    async def hop(self) -> None:
+        await asyncio.sleep(self.random.uniform(*HOP_S))
+
+
+class Inbox:
+    """What listens at an address."""
+
+    connections = 0
+
+    def __init__(self, network: Memory, handler: Handler) -> None:
+        self._network = network
+        self._handler = handler
+        self.busy = 0
+        self._address = ""
+
+    def listen(self, address: str) -> None:
+        self._address = address
+        self._network.listening[address] = self
+
+    def stop(self) -> None:
+        self._network.listening.pop(self._address, None)
+
+    @property
+    def open(self) -> bool:
+        return self._network.host.alive
+
+    async def serve(self, method: str, path: str, body: bytes | None) -> Response:
+        """Execute a request, whether its sender still waits for it or not."""
+        host = self._network.host
+        await self._network.hop()
+        if not host.alive:
+            raise Reset("it ended")
+        _process.set(host if host.name != "site" else None)
+        task = asyncio.ensure_future(self._handle(method, path, body or b""))
+        host.tasks.add(task)
+        self.busy += 1
+        try:
+            reply = await task
+        except asyncio.CancelledError:
+            if host.alive:
+                raise
+            raise Reset("it ended") from None
+        finally:
+            self.busy -= 1
+            host.tasks.discard(task)
+        await self._network.hop()
+        retry = None if reply.retry_after_s is None else str(reply.retry_after_s)
+        return Response(reply.status, reply.body, retry)
+
+    async def _handle(self, method: str, path: str, body: bytes) -> Reply:
+        outcome = self._handler(method, path, body)
+        return outcome if isinstance(outcome, Reply) else await outcome
+
+
+class Caller:
+    """The client of a host."""
+
+    def __init__(self, network: Memory) -> None:
+        self._network = network
+        self._late: set[asyncio.Future[Any]] = set()
+
+    async def request(
+        self, address: str, method: str, path: str, body: bytes | None, deadline_s: float
+    ) -> Response:
+        if not self._network.host.alive:
+            await asyncio.Event().wait()
+        inbox = self._network.listening.get(address)
+        if inbox is None or not inbox.open:
+            raise TurnedAway(f"{address}: nobody listens")
+        # Not one of the sender's: what was sent arrives, whatever becomes of it.
+        token = _process.set(None)
+        try:
+            task = asyncio.ensure_future(inbox.serve(method, path, body))
+        finally:
+            _process.reset(token)
+        self._late.add(task)
+        task.add_done_callback(self._done)
+        try:
+            async with asyncio.timeout(deadline_s):
+                return await asyncio.shield(task)
+        except TimeoutError:
+            raise NoResponse(f"{address}{path}: no answer in time") from None
+
+    def _done(self, task: asyncio.Future[Any]) -> None:
+        self._late.discard(task)
+        if not task.cancelled():
+            task.exception()
+
+
+class InProcess:
+    """A controller; the lab's own, without a process."""
+
+    def __init__(self, world: World, settings: Settings) -> None:
+        self.node = settings.node
+        self.world = world
+        self.settings = settings
+        self.state = "stopped"
+        self.starts = 0
+        self.unasked = 0
+        self.host = Host(self.node)
+        self.of: Node | None = None
+        self._main: asyncio.Future[None] | None = None
+
+    @property
+    def pid(self) -> int | None:
+        return 1 if self.state == "running" else None
+
+    def start(self) -> None:
+        world = self.world
+        self.host = Host(self.node)
+        self.starts += 1
+        self.state = "running"
+        token = _process.set(self.host)
+        try:
+            self.of = Node(
+                self.settings,
+                world.tunables,
+                world.clock,
+                Random(world.random.random()),
+                world.memory.of(self.host),
+            )
+            self._main = asyncio.ensure_future(self._run(self.of))
+        finally:
+            _process.reset(token)
+
+    async def _run(self, node: Node) -> None:
+        try:
+            await node.run()
+        except Exception as error:
+            self.unasked += 1
+            self.world.notes.append(f"{self.node} ended by itself: {error!r}")
+            self.kill()
+
+    def kill(self, back_s: float = BACK_S) -> bool:
+        """End it; it comes back after so many seconds, by another if it is infinite."""
+        if self.state != "running":
+            return False
+        self.state = "down"
+        self.of = None
+        self.host.end()
+        if back_s < 1e6:
+            asyncio.get_running_loop().call_later(back_s, self.back)
+        return True
+
+    def back(self) -> None:
+        """Started again, unless it is there."""
+        if self.state == "down":
+            self.start()
+
+    async def stop(self) -> None:
+        self.state = "stopped"
+        self.host.end()
+
+
+class World(Lab):
+    """A site that runs by the fake clock of the running loop."""
+
+    controllers: dict[str, InProcess]  # type: ignore[assignment]
+
+    def __init__(self, seed: int = 1, site: Site = SITE, tunables: Tunables | None = None) -> None:
+        random = Random(seed)
+        self.memory = Memory(random)
+        asyncio.get_running_loop().set_task_factory(cast(Any, _note_task))
+        super().__init__(site, Path("/nonexistent"), running_clock(), random, network=self.memory)
+        self.tunables = tunables or Tunables()
+        self.breaker = Breaker(self)
+        self._next_port = itertools.count(10_000)
+        self._users: set[asyncio.Future[Any]] = set()
+        self._called_off: set[str] = set()
+
+    async def start(self) -> None:
+        """Start all of it, and wait until every share has its owner."""
+        self.history = History(self.clock.now)
+        self.history.wall = self.clock.wall()
+        await self._start_site(self._ports())
+        await self.until(lambda: None not in self.holders(), 20.0)
+
+    def _ports(self) -> dict[str, Ports]:
+        port = self._next_port
+        self.front_port = next(port)
+        return {
+            node: Ports(
+                next(port),
+                next(port),
+                next(port),
+                next(port),
+                {other: next(port) for other in self.nodes if other != node},
+            )
+            for node in self.nodes
+        }
+
+    def _free_port(self) -> int:
+        return next(self._next_port)
+
+    async def _relay(self, node: str, other: str, port: int, leads_to: int) -> None:
+        links, caller = self.links, Caller(self.memory)
+
+        async def forward(method: str, path: str, body: bytes) -> Reply:
+            if links.trouble(node, other) == "refused":
+                raise Reset("refused")
+            await links.passed(node, other)
+            try:
+                there = await caller.request(f"127.0.0.1:{leads_to}", method, path, body, 60.0)
+            except NoResponse as error:
+                raise Reset(str(error)) from None
+            await links.passed(other, node)
+            return Reply(there.status, there.body)
+
+        self.memory.server(forward).listen(f"127.0.0.1:{port}")
+
+    def _controller(self, settings: Settings) -> InProcess:  # type: ignore[override]
+        return InProcess(self, settings)
+
+    # ---- what a test does ----
+
+    async def go_on(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+
+    async def until(self, condition: Callable[[], object], most_s: float) -> float:
+        """Go on until something holds; how long that took. An error if it never does."""
+        begun = self.clock.now()
+        while not condition():
+            assert self.clock.now() - begun < most_s, f"not within {most_s} s"
+            await asyncio.sleep(0.05)
+        return self.clock.now() - begun
+
+    def break_(self, do: str, **fields: Any) -> str:
+        """One of the lab's faults, as an experiment's file would give it."""
+        return self.breaker.apply(msgspec.convert({"do": do, **fields}, Fault))
+
+    async def ask(self, method: str, path: str, body: bytes = b"", via: str | None = None) -> Reply:
+        """One request of a user, to a node or to any."""
+        names = None if via is None else [via]
+        request = self.front.handle(method, path, body, names)
+        try:
+            async with asyncio.timeout(5.0 if method == "POST" else 2.0):
+                return await asyncio.shield(asyncio.ensure_future(request))
+        except (TimeoutError, Reset):
+            return Reply(0, b"{}")
+
+    async def insist(
+        self, path: str, body: bytes, via: str | None = None, patience_s: float = PATIENCE_S
+    ) -> Reply:
+        """Repeat a request until it is granted or refused for good, as users do."""
+        until = self.clock.now() + patience_s
+        while True:
+            reply = await self.ask("POST", path, body, via)
+            if reply.status in (200, 201, 400, 404, 422) or self.clock.now() >= until:
+                return reply
+            await asyncio.sleep(max(1.0, float(reply.retry_after_s or 0)))
+
+    async def submit(
+        self, job: str, run_s: float | None = None, via: str | None = None, **changes: Any
+    ) -> Reply:
+        """Have a user submit a job, and ask for its state until it has ended. `run_s`: how long a
+        task really takes."""
+        spec = submission(job, **changes)
+        self.front.truths[job] = Truth(run_s)
+        body = msgspec.json.encode(spec)
+        reply = await self.insist("/submissions", body, via)
+        if reply.status in (200, 201):
+            self._spawn(self._follow(job))
+        return reply
+
+    async def cancel(self, job: str, via: str | None = None) -> Reply:
+        """Have a user call a job off, until that is answered."""
+        reply = await self.insist(f"/submissions/{job}/abort", b"{}", via)
+        if reply.status == 200:
+            # From then on nobody asks, so that no question tells a node of it.
+            self._called_off.add(job)
+        return reply
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.ensure_future(work)
+        self._users.add(task)
+        task.add_done_callback(self._users.discard)
+
+    def at_once(self, *works: Coroutine[Any, Any, Any]) -> None:
+        """Begin all of it now, and don't wait for it."""
+        for work in works:
+            self._spawn(work)
+
+    async def _follow(self, job: str) -> None:
+        while True:
+            await asyncio.sleep(POLL_S * self.random.uniform(0.8, 1.2))
+            if job in self._called_off:
+                return
+            reply = await self.ask("GET", f"/submissions/{job}")
+            if reply.status == 200 and self.phase(reply) in ("done", "withdrawn"):
+                return
+
+    # ---- what a test looks at ----
+
+    @staticmethod
+    def phase(reply: Reply) -> str:
+        """What an answer says of a job."""
+        return str(msgspec.json.decode(reply.body).get("phase", ""))
+
+    def holder(self, key: str) -> str | None:
+        return holder_of(self.state_core, key)
+
+    def holders(self) -> list[str | None]:
+        """Who holds each share, and the leadership."""
+        keys = [claim_key(share) for share in range(self.site.shares)]
+        return [self.holder(key) for key in [*keys, LEADER_KEY]]
+
+    @property
+    def leader(self) -> str:
+        return self.holder(LEADER_KEY) or ""
+
+    def owner(self, team: str) -> str:
+        """Who holds the share of a team."""
+        place = sorted(entry.name for entry in self.site.teams).index(team)
+        count = self.site.shares
+        share = place * count // len(self.site.teams) if len(self.site.teams) >= count else place
+        return self.holder(claim_key(share)) or ""
+
+    def on(self, job: str) -> dict[str, list[str]]:
+        """The machines that each task of a job is on, as the machines have it."""
+        found: dict[str, list[str]] = {}
+        for machine in self.machines.values():
+            for held in machine.core.tasks.values():
+                if held.task.partition("/")[0] == job and held.phase != "exited":
+                    found.setdefault(held.task, []).append(machine.core.who.name)
+        return found
+
+    def machine_of(self, job: str, task: int = 0) -> Machine:
+        """The one that a task is on."""
+        (name,) = self.on(job)[f"{job}/{task}"]
+        return self.machines[name]
+
+    def leases_ended(self) -> int:
+        """How often a lease of a machine that is up has ended."""
+        return sum(machine.core.session - 1 for machine in self.machines.values())
+
+    def breaches(self) -> list[Breach]:
+        verdict = self.judge()
+        return verdict.breaches
+
+
+def play(
+    story: Callable[[World], Awaitable[None]],
+    seed: int = 1,
+    site: Site = SITE,
+    tunables: Tunables | None = None,
+) -> World:
+    """Play a story on a site that has just been started; no rule may be broken by it, and no
+    controller may end by itself."""
+
+    async def whole() -> World:
+        world = World(seed, site, tunables)
+        await world.start()
+        await story(world)
+        assert not world.notes, world.notes
+        breaches = world.breaches()
+        assert not breaches, "\n".join(map(str, breaches))
+        for controller in world.controllers.values():
+            await controller.stop()
+        return world
+
+    with contextlib.suppress(asyncio.CancelledError):
+        return asyncio.run(whole())
+    raise AssertionError("cancelled")
