The gap: leases of workers are renewed only by who knows what is durable, not by who has a lease

Cause: an owner answered reports while its own lease was confirmed within a bound, which tells nothing of what it has followed. With a stuck watch it renewed leases of cancelled tasks without end; after an outage it had its lease again before it followed, and launched what the workers had lost, cancelled by another meanwhile, more than cancel_s after its user was told. One definition now, Member.may_renew: the older of the confirmed renewal and of the latest answered request to follow, for owners and deputies alike. Without a change a watch returns after 1 s (2 before), after a failure at once, so that no lease ends earlier in an outage for all. The lab's state service let leases end in an outage, which hid it: mended.

--- a/badgerseam/cluster/deputies.py
+++ b/badgerseam/cluster/deputies.py
@@ -93,8 +93,7 @@
             return False
         if not self._unreachable(held.claim.node):
             return False
-        if not member.fresh(self._model.cut_bound_s):
-            # Tasks cancelled elsewhere could outlast their time.
+        if not member.may_renew:
             return False
         if held.claim.node in self._announced and member.connected:
             recent = self._clock.now() - self._model.followed_at < STALE_S
@@ -105,11 +104,7 @@
         """Whether owners count with our answers in a zone without a word of ours: our record must
         have ended with its lease, and the bound must not."""
         member = self._member
-        return (
-            zone == self._zone
-            and not member.fresh(self._ttl_s + SLACK_S)
-            and member.fresh(self._model.cut_bound_s)
-        )
+        return zone == self._zone and not member.fresh(self._ttl_s + SLACK_S) and member.may_renew
 
     def review(self) -> None:
         """Say that we stand in, or that we don't any more; called a few times a second."""
--- a/badgerseam/cluster/member.py
+++ b/badgerseam/cluster/member.py
@@ -104,19 +104,22 @@
         """Whether the state service has renewed our lease within its time."""
         return self.fresh(self._ttl)
 
-    def entitled(self, share: Share) -> bool:
-        """Whether reports of the share's workers may be answered.
+    @property
+    def may_renew(self) -> bool:
+        """Whether leases of workers may be renewed here, whoever owns them.
 
-        Beyond the bound a cancellation made elsewhere could come too late for tasks whose lease
-        we would renew.
+        That the state service has confirmed our lease tells nothing of what it holds: a controller
+        whose watch was stuck renewed the leases of tasks that were cancelled elsewhere without end,
+        and one that renewed before it followed again after an outage launched them once more.
         """
+        model = self._model
+        known_s = self._clock.now() - model.followed_at
+        return self.fresh(model.cut_bound_s) and known_s < model.known_bound_s
+
+    def entitled(self, share: Share) -> bool:
+        """Whether reports of the share's workers may be answered."""
         held = share.held
-        return (
-            share.owned
-            and held is not None
-            and held.version == share.term
-            and self.fresh(self._model.cut_bound_s)
-        )
+        return share.owned and held is not None and held.version == share.term and self.may_renew
 
     def home(self, share: Share) -> str:
         return self.order[share.index % len(self.order)]
--- a/badgerseam/lab/faults.py
+++ b/badgerseam/lab/faults.py
@@ -28,6 +28,7 @@
     "refused",
     "lossy",
     "slow",
+    "late",
     "state-down",
     "cloud-down",
     "no-capacity",
@@ -45,7 +46,7 @@
 ]
 DEEDS: tuple[str, ...] = Deed.__args__  # type: ignore[attr-defined]
 LOOK_S = 0.05
-LINKED = ("cut", "refused", "lossy", "slow")
+LINKED = ("cut", "refused", "lossy", "slow", "late")
 
 
 class Fault(Struct, frozen=True, forbid_unknown_fields=True):
@@ -297,6 +298,8 @@
                 f"{fault.do}: between controllers only `cut` and `refused` are made, from workers "
                 "only `cut`"
             )
+        if fault.do == "late" and fault.to != "state":
+            raise LabError(f"to: {fault.to!r}: only what is sent to `state` is made late")
         name = f"{fault.target} to {fault.to} {fault.do}"
         return self._break(fault, name, pairs, fault.do)  # type: ignore[arg-type]
 
--- a/badgerseam/lab/services.py
+++ b/badgerseam/lab/services.py
@@ -71,22 +71,21 @@
     def __init__(self, core: StateCore, clock: Clock) -> None:
         self._core = core
         self._clock = clock
-        self._down = False
 
     @property
     def down(self) -> bool:
-        return self._down
+        return self._core.down
 
     def outage(self, down: bool) -> None:
         """Begin or end an outage: every request gets 503, open watches stay open."""
-        if self._down and not down:
+        if self.down and not down:
             # Every lease has its full time again.
             self._core.renew_all()
-        self._down = down
+        self._core.down = down
 
     async def handle(self, method: str, uri: str, body: bytes) -> Reply:
         """One request."""
-        if self._down:
+        if self.down:
             return error_reply(503, "trouble")
         path, _, text = uri.partition("?")
         query = dict(parse_qsl(text, keep_blank_values=True))
@@ -137,7 +136,7 @@
         wait_s = min(_number(query, "waitMs", 0) / 1000, MOST_WAIT_S)
         until = self._clock.now() + wait_s
         while True:
-            if not self._down:
+            if not self.down:
                 found = self._core.changes(prefix, revision)
                 if found.events or self._clock.now() >= until:
                     return _json(200, found)
--- a/badgerseam/lab/state.py
+++ b/badgerseam/lab/state.py
@@ -55,6 +55,8 @@
         self._requests = Budget(clock, params.rps)
         self._writes = Budget(clock, params.write_rps)
         self._changed = asyncio.Event()
+        self.down = False
+        """An outage: nothing is executed, and no lease ends."""
 
     # ---- limits ----
 
@@ -177,7 +179,10 @@
         self._end([lease])
 
     def expire(self) -> None:
-        """End the leases whose time is over."""
+        """End the leases whose time is over; in an outage none ends, since each has its full time
+        again when that is over."""
+        if self.down:
+            return
         now = self._clock.now()
         over = [lease for lease, held in self.leases.items() if held.until < now]
         if over:
--- a/badgerseam/model/records.py
+++ b/badgerseam/model/records.py
@@ -43,6 +43,7 @@
     from badgerseam.model.watch import JobWatch
 
 
+KNOWN_MARGIN_S = 2.0
 MOST_ARRIVALS = 20_000
 """Against a leader that never looks; one that leads forgets what is too old to count."""
 
@@ -182,13 +183,23 @@
 
     @property
     def cut_bound_s(self) -> float:
-        """How long an owner that cannot reach the state service goes on answering reports.
+        """How long after its last confirmed renewal a controller that cannot reach the state
+        service may go on answering reports; others count with that."""
+        return max(0.0, self._renewable_s - 4.0)
 
-        Whatever happens meanwhile to a job elsewhere, its tasks are gone by bound + lease_s, which
-        has to stay below cancel_s.
+    @property
+    def known_bound_s(self) -> float:
+        """How long leases of workers may be renewed after the time up to which everything durable
+        is known: a task that was cancelled later is gone by this and lease_s, within cancel_s.
+
+        More than the bound for others, since what is known is as old as a request to follow.
         """
+        return max(0.0, self._renewable_s - KNOWN_MARGIN_S)
+
+    @property
+    def _renewable_s(self) -> float:
         workers = self.settings.params.workers
-        return max(0.0, workers.cancel_s - workers.lease_s * 1.001 - 4.0)
+        return workers.cancel_s - workers.lease_s * 1.001
 
     def capacity(self, type_name: str) -> Resources:
         entry = self.types.get(type_name)
--- a/badgerseam/store/replica.py
+++ b/badgerseam/store/replica.py
@@ -15,7 +15,7 @@
 
 log = logging.getLogger("badgerseam.store")
 
-WAIT_S = 2.0
+WAIT_S = 1.0
 """How long a request to follow waits for a change: an answer, changes or none, tells that what is
 known is no older than that."""
 
@@ -62,7 +62,9 @@
                     if not loaded:
                         continue
                 asked = model.clock.now()
-                changes = await self._state.follow(PREFIX, model.revision, WAIT_S)
+                # After a failure, that nothing has changed is to be known at once.
+                wait_s = 0.0 if failures else WAIT_S
+                changes = await self._state.follow(PREFIX, model.revision, wait_s)
                 failures = 0
             except TooOld:
                 log.info("the changes to follow are no longer kept; reading all keys again")
--- a/tests/world.py
+++ b/tests/world.py
@@ -19,6 +19,7 @@
 
 import msgspec
 
+from badgerseam.clock import Clock
 from badgerseam.http.client import Client, NoResponse, Reset, Response, TurnedAway
 from badgerseam.http.network import Network
 from badgerseam.http.server import Handler, Reply, Server
@@ -190,6 +191,20 @@
             task.exception()
 
 
+class Skewed(Clock):
+    """A steady clock that runs fast or slow."""
+
+    def __init__(self, clock: Clock, rate: float) -> None:
+        self._clock = clock
+        self._rate = rate
+
+    def now(self) -> float:
+        return self._clock.now() * self._rate
+
+    def wall(self) -> float:
+        return self._clock.wall()
+
+
 class InProcess:
     """A controller; the lab's own, without a process."""
 
@@ -218,7 +233,7 @@
             self.of = Node(
                 self.settings,
                 world.tunables,
-                world.clock,
+                Skewed(world.clock, world.rates.get(self.node, 1.0)),
                 Random(world.random.random()),
                 world.memory.of(self.host),
             )
@@ -270,6 +285,8 @@
         self._next_port = itertools.count(10_000)
         self._users: set[asyncio.Future[Any]] = set()
         self._called_off: set[str] = set()
+        self.rates: dict[str, float] = {}
+        """Of the clocks of controllers that are started from now on."""
 
     async def start(self) -> None:
         """Start all of it, and wait until every share has its owner."""
@@ -319,6 +336,14 @@
     async def go_on(self, seconds: float) -> None:
         await asyncio.sleep(seconds)
 
+    async def restart_all(self, *rates: float) -> None:
+        """Every controller anew, with clocks of these rates, and each share with its home again."""
+        self.rates = dict(zip(self.nodes, rates, strict=False))
+        for controller in self.controllers.values():
+            controller.kill(0.1)
+        await self.go_on(6.0)
+        await self.until(lambda: None not in self.holders(), 20.0)
+
     async def until(self, condition: Callable[[], object], most_s: float) -> float:
         """Go on until something holds; how long that took. An error if it never does."""
         begun = self.clock.now()
