--- a/badgerseam/lab/lab.py
+++ b/badgerseam/lab/lab.py
@@ -148,6 +148,7 @@
         if self._first not in self.trees:
             raise LabError(f"first: {self._first!r}: one of {', '.join(self._sources)}")
         await self._start_site(self._ports())
+        self.vacancy.start()
         card = {"pid": os.getpid(), "front": f"127.0.0.1:{self.front_port}"}
         (self.directory / "lab.json").write_text(json.dumps(card | {"nodes": self.addresses}))
 
@@ -178,7 +179,6 @@
             self.controllers[node] = self._controller(controller_settings(self.site, ports, node))
             self.controllers[node].start()
         self._drive = asyncio.ensure_future(self._pass())
-        self.vacancy.start()
 
     async def _relay(self, node: str, other: str, port: int, leads_to: int) -> None:
         """Have a controller reach another at a port of its own."""
