--- a/badgerseam/api/users.py
+++ b/badgerseam/api/users.py
@@ -367,9 +367,12 @@
                         return wire.JobStatus(job_id, "pending", 0, 0)
                 continue
             # Another node may have told the user of an end that has not reached us.
-            if await self._confirm.unchanged(job_key(job_id), seen[0]):
+            if not await self._confirm.unchanged(job_key(job_id), seen[0]):
+                await self._ledger.read(job_id, SPARED)
+            elif job_id not in model.ended:
+                # Else it ended while the comparison's answer was on its way, and its user may have
+                # been told.
                 return seen[1]
-            await self._ledger.read(job_id, SPARED)
         return error_reply(503, "changing", RETRY_S)
 
     async def _abort(self, job_id: str) -> Reply:
