--- a/badgerseam/cli/lab.py
+++ b/badgerseam/cli/lab.py
@@ -363,6 +363,8 @@
     console.print(f"failures by what was served: {len(served.failures)}")
     for text in served.failures:
         console.print(text)
+    console.print(f"starts after a confirmed cancellation: {report.started_cancelled}")
+    console.print(f"jobs accepted that can't run or lack a field: {report.accepted_odd}")
     console.print(f"broken rules: {len(report.breaches)}")
     for breach in report.breaches:
         console.print(breach)
--- a/badgerseam/lab/checker.py
+++ b/badgerseam/lab/checker.py
@@ -11,8 +11,10 @@
 
 from badgerseam.lab.history import Event
 from badgerseam.lab.served import Served, Tally
+from badgerseam.lab.waiting import LEFT_S, LOOK_S, Waiting, Wanted, never_runs
 from badgerseam.model.resources import Resources
 from badgerseam.settings import Team
+from badgerseam.wire.cloud import MachineType
 from badgerseam.wire.users import Submission
 
 FORGOTTEN_S = 75.0
@@ -48,6 +50,17 @@
     live: int = 0
     """Tasks on machines."""
     released: bool = False
+    place: int = 0
+    """In the order in which jobs were submitted."""
+
+
+class Counts(NamedTuple):
+    """What breaks no rule and is counted."""
+
+    started_cancelled: int = 0
+    """Starts after a confirmed cancellation."""
+    accepted_odd: int = 0
+    """Jobs accepted though they can't run or lack a field."""
 
 
 class Checker:
@@ -63,10 +76,22 @@
         cancel_s: float,
         wall: float = 0.0,
         aside: Collection[str] = (),
+        types: Collection[MachineType] = (),
+        grouped: Collection[str] = (),
     ) -> None:
         """`wall`: time of day at which the history begins, for begin times; `aside`: jobs that
-        were submitted with a mistake, which nobody can serve."""
+        were submitted with a mistake, which nobody can serve; `types`: of machines, without which
+        nobody is called left waiting or odd; `grouped`: classes whose tasks operators have bound
+        to one another, so that the job alone does not tell where they fit."""
         self._wall = wall
+        self._aside = aside
+        self._teams = teams
+        self._types = types
+        self._grouped = grouped
+        self._waiting = Waiting(teams, types)
+        self._open: dict[str, _Job] = {}
+        """Accepted and not ended; their users have not asked to cancel them."""
+        self._next_look = 0.0
         self._tally = Tally(teams, aside)
         self._limits = {t.name: Resources(*t.limits, float("inf")) for t in teams}
         self._cancel_s = cancel_s
@@ -82,6 +107,9 @@
         """Since when nothing is broken on purpose; None while something is."""
         self._begun: set[str] = set()
         self.started = 0
+        self.started_cancelled = 0
+        self._odd: set[str] = set()
+        """Accepted though they can't run or lack a field."""
         self.breaches: list[Breach] = []
 
     def _breach(self, event: Event, rule: str, subject: str, text: str) -> None:
@@ -89,6 +117,7 @@
 
     def take(self, event: Event) -> None:
         """Look at the next event."""
+        self._look(event)
         self._tally.take(event)
         for late, until in list(self._late.items()):
             if event.t > until:
@@ -99,7 +128,8 @@
                     self._breach(event, "ran_cancelled", left[0], text)
         if event.kind == "submit" and event.spec is not None:
             if event.job not in self._jobs:
-                self._jobs[event.job] = _Job(msgspec.convert(event.spec, Submission))
+                spec = msgspec.convert(event.spec, Submission)
+                self._jobs[event.job] = _Job(spec, place=len(self._jobs))
         elif event.kind == "release" and event.job in self._jobs:
             self._jobs[event.job].released = True
         elif event.kind == "machine":
@@ -107,6 +137,7 @@
         elif event.kind == "abort" and event.job in self._jobs:
             job = self._jobs[event.job]
             job.asked_abort = event.t if job.asked_abort is None else job.asked_abort
+            self._open.pop(event.job, None)
         elif event.kind == "answer":
             self._answer(event)
         elif event.kind == "trouble":
@@ -117,6 +148,34 @@
             self._start(event)
         elif event.kind == "off":
             self._stop(event)
+        about = self._jobs.get(_job(event.job))
+        self._waiting.take(event, None if about is None else about.spec)
+
+    def _look(self, event: Event) -> None:
+        """Who is left waiting, at each look until an event."""
+        while self._next_look < event.t:
+            t = self._next_look
+            self._next_look += LOOK_S
+            wanted = {} if self._calm_since is None else self._wanted(t)
+            for name in self._waiting.look(t, wanted):
+                text = f"left waiting for {LEFT_S:.0f} s beside room, and nothing was broken"
+                self.breaches.append(Breach(t, "left_waiting", name, text))
+
+    def _wanted(self, t: float) -> dict[str, Wanted]:
+        """The jobs of which tasks wait that may start."""
+        found: dict[str, Wanted] = {}
+        for name, job in self._open.items():
+            spec, live = job.spec, self._waiting.live(name)
+            count = spec.tasks - len(job.done) - live
+            terms = spec.terms
+            if terms is not None:
+                if self._held_back(job, t):
+                    continue
+                if terms.throttle is not None:
+                    count = min(count, terms.throttle - live)
+            if count > 0:
+                found[name] = Wanted(spec, job.place, count)
+        return found
 
     def finish(self, t: float) -> list[Breach]:
         """The history is over; all that was found."""
@@ -143,6 +202,7 @@
             self._breach(event, "ran_cancelled", task, "started after the time for it")
         elif job.cancelled_at is not None:
             self._late.setdefault(name, job.cancelled_at + self._cancel_s)
+        self.started_cancelled += job.cancelled_at is not None
         job.live += 1
         broken = self._terms(job, event)
         if broken:
@@ -162,14 +222,21 @@
     def _terms(self, job: _Job, event: Event) -> str:
         """Which of a job's terms a start breaks: the users' rules know none, the service does."""
         terms = job.spec.terms
+        if terms is None:
+            return ""
+        if terms.throttle is not None and job.live > terms.throttle:
+            return f"{job.live} tasks at once, {terms.throttle} allowed"
+        return self._held_back(job, event.t + SLACK_S)
+
+    def _held_back(self, job: _Job, t: float) -> str:
+        """Which of a job's terms is against any start of it at a time."""
+        terms = job.spec.terms
         if terms is None:
             return ""
         if terms.hold and not job.released:
             return "started while it was held"
-        if terms.begin_at is not None and self._wall + event.t < terms.begin_at - SLACK_S:
+        if terms.begin_at is not None and self._wall + t < terms.begin_at:
             return "started before its begin time"
-        if terms.throttle is not None and job.live > terms.throttle:
-            return f"{job.live} tasks at once, {terms.throttle} allowed"
         for entry in terms.depends:
             other = self._jobs.get(entry.job)
             if other is None:
@@ -219,6 +286,10 @@
     # ---- answers ----
 
     def _answer(self, event: Event) -> None:
+        if event.about == "malformed":
+            if event.status in (200, 201):
+                self._odd.add(event.job)
+            return
         job = self._jobs.get(event.job)
         if event.status == 200 and job is None:
             self._breach(event, "invented", event.job, "answered 200, and nobody submitted it")
@@ -228,7 +299,7 @@
             return
         if event.about == "submit":
             if event.status in (200, 201):
-                job.accepted = True
+                self._accept(event.job, job)
             elif event.status in (400, 422) and job.accepted:
                 self._breach(event, "forgotten", event.job, f"submitted again: {event.status}")
         elif event.status == 404 and job.accepted:
@@ -236,6 +307,19 @@
         if event.status in (200, 201):
             self._phase(event, job)
 
+    def _accept(self, name: str, job: _Job) -> None:
+        if job.accepted:
+            return
+        job.accepted = True
+        if self._types and never_runs(job.spec, self._teams, self._types):
+            self._odd.add(name)
+        elif (
+            job.asked_abort is None
+            and name not in self._aside
+            and job.spec.job_class not in self._grouped
+        ):
+            self._open[name] = job
+
     def _phase(self, event: Event, job: _Job) -> None:
         phase = event.phase
         if job.ended and phase != job.ended:
@@ -252,6 +336,7 @@
                     self._late[event.job] = event.t + self._cancel_s
         if phase in ("done", "withdrawn"):
             job.ended = phase
+            self._open.pop(event.job, None)
 
     def _poll(self, event: Event, job: _Job | None) -> None:
         """A job about which no question is answered for long, however others fare.
@@ -276,6 +361,10 @@
             # Told once for each time that it is too long, not at every poll from now on.
             job.unanswered_since = event.t
 
+    def counts(self) -> Counts:
+        """What was counted so far."""
+        return Counts(self.started_cancelled, len(self._odd))
+
     def served(self, t: float) -> Served:
         """What was served until t, the day's end."""
         return self._tally.table(t)
@@ -297,6 +386,7 @@
     silent: list[str]
     """Jobs whose latest question was not answered; the history is too short to call them
     forgotten."""
+    counts: Counts
 
 
 def judge(
@@ -305,14 +395,16 @@
     cancel_s: float,
     wall: float = 0.0,
     aside: Collection[str] = (),
+    types: Collection[MachineType] = (),
+    grouped: Collection[str] = (),
 ) -> Verdict:
-    """Judge a history that began at a time of day; `aside` as for `Checker`."""
-    checker = Checker(teams, cancel_s, wall, aside)
+    """Judge a history that began at a time of day; the others as for `Checker`."""
+    checker = Checker(teams, cancel_s, wall, aside, types, grouped)
     t = 0.0
     for event in events:
         checker.take(event)
         t = event.t
-    return Verdict(checker.finish(t), checker.served(t), checker.silent())
+    return Verdict(checker.finish(t), checker.served(t), checker.silent(), checker.counts())
 
 
 def check(
--- a/badgerseam/lab/faults.py
+++ b/badgerseam/lab/faults.py
@@ -9,15 +9,13 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from badgerseam.cli.client import Front, Unreachable, refusal
-from badgerseam.cli.rollout import ask_view
 from badgerseam.lab.controllers import BACK_S, Controller
 from badgerseam.lab.lab import Lab, LabError
 from badgerseam.lab.links import Trouble
-from badgerseam.lab.machines import ANSWERS, zone_end
+from badgerseam.lab.machines import ANSWERS, CONTROLLERS, zone_end
+from badgerseam.lab.rolling import LabSite
 from badgerseam.lab.trees import Tree
 from badgerseam.rollout.choreography import Choreography, Stopped
-from badgerseam.wire.rollout import View
 
 Deed = Literal[
     "kill",
@@ -36,16 +34,25 @@
     "notice",
     "die",
     "deaf",
+    "mute",
     "copies",
+    "late-writes",
     "island",
     "hang-machine",
     "slow-machine",
     "faulty-machine",
     "burst",
     "night",
+    "cancel-now",
+    "cancel-at-end",
+    "odd-requests",
 ]
 DEEDS: tuple[str, ...] = Deed.__args__  # type: ignore[attr-defined]
 LOOK_S = 0.05
+NO_EXCUSE = ("burst", "cancel-at-end", "odd-requests")
+"""What users do, however much it is."""
+MOST_HUNG = 8
+"""Machines of cancelled jobs that hang."""
 LINKED = ("cut", "refused", "lossy", "slow", "late")
 
 
@@ -57,7 +64,8 @@
         str,
         Meta(
             description="a controller, several with commas between, `all`, `each` (one after the "
-            "other), or `workers`; of `deaf` a zone or a machine, of `night` a class of jobs"
+            "other), or `workers`; of `deaf` and `mute` a zone or a machine, of `night` a class "
+            "of jobs"
         ),
     ] = ""
     to: Annotated[
@@ -68,13 +76,27 @@
         ),
     ] = ""
     count: Annotated[
-        int, Meta(ge=1, description="machines, chosen by chance; of `night` members")
+        int,
+        Meta(
+            ge=1,
+            description="machines, chosen by chance; of `night` members, of `cancel-now` jobs",
+        ),
     ] = 1
     for_s: Annotated[
-        float, Meta(ge=0, description="mended after so long; 0: when it is mended by hand")
+        float,
+        Meta(
+            ge=0,
+            description="mended after so long; 0: when it is mended by hand. Of `cancel-now`: how "
+            "long machines hang, 0: none does",
+        ),
     ] = 0.0
     factor: Annotated[
-        float, Meta(gt=0, description="of speed, or of arrivals; of `copies` the part of reports")
+        float,
+        Meta(
+            gt=0,
+            description="of speed, or of arrivals; the part of reports, transactions, or jobs that "
+            "end, of `copies`, `late-writes`, `cancel-at-end`",
+        ),
     ] = 0.3
     every_s: Annotated[float, Meta(gt=0, description="between one and the next of `each`")] = 6.0
     within_s: Annotated[
@@ -85,32 +107,6 @@
     ] = BACK_S
 
 
-class LabSite:
-    """A lab, as a rollout is played on it."""
-
-    def __init__(self, lab: Lab, tree: Tree) -> None:
-        self._lab = lab
-        self._tree = tree
-
-    async def view(self, node: str) -> View | None:
-        """How a controller sees the site; None if it does not answer."""
-        return await ask_view(self._lab.addresses[node])
-
-    async def leave(self, node: str) -> str | None:
-        """Ask a controller to leave; why it refused, or None."""
-        try:
-            response = await Front(self._lab.addresses[node], 1.0).ask(
-                "POST", "/rollout/leave", b"{}"
-            )
-        except Unreachable as error:
-            return str(error)
-        return None if response.status == 200 else refusal(response)
-
-    async def replace(self, node: str) -> None:
-        """End a controller's process, and have it start from the new program."""
-        self._lab.controllers[node].replace(self._tree)
-
-
 class Breaker:
     """Breaks and mends one lab."""
 
@@ -132,8 +128,17 @@
             text = self._controllers(fault)
         elif fault.do == "island":
             text = self._island(fault)
-        elif fault.do == "deaf":
-            text = self._deaf(fault)
+        elif fault.do in ("deaf", "mute"):
+            text = self._one_way(fault)
+        elif fault.do == "late-writes":
+            text = self._late_writes(fault)
+        elif fault.do == "cancel-now":
+            text = self._cancel_now(fault)
+        elif fault.do == "cancel-at-end":
+            text = self._cancel_at_end(fault)
+        elif fault.do == "odd-requests":
+            lab.meddlers.odd(True)
+            text = self._until(fault, "odd requests", lambda: lab.meddlers.odd(False))
         elif fault.do == "copies":
             text = self._copies(fault)
         elif fault.do == "night":
@@ -168,8 +173,7 @@
 
     def _until(self, fault: Fault, name: str, mend: Callable[[], None]) -> str:
         self._mending[name] = mend
-        if fault.do != "burst":
-            # Many jobs are no excuse.
+        if fault.do not in NO_EXCUSE:
             self._begin(name)
         if fault.for_s:
             self._later(fault.for_s, lambda: self._mend(name))
@@ -330,33 +334,83 @@
         how: Trouble = "refused" if fault.to == "refused" else "cut"
         return self._break(fault, f"{node} an island, {how}", pairs, how)
 
-    def _deaf(self, fault: Fault) -> str:
-        """Reports of machines arrive; answers and commands don't reach them."""
-        lab = self._lab
+    def _one_way(self, fault: Fault) -> str:
+        """Machines that are deaf: reports arrive, answers and commands don't reach them; or mute:
+        they reach no controller, and commands reach them."""
+        lab, do = self._lab, fault.do
+
+        def link(end: str) -> tuple[str, str]:
+            return (ANSWERS, end) if do == "deaf" else (end, CONTROLLERS)
+
         if fault.target in lab.site.zones:
-            name = f"zone {fault.target} deaf"
-            return self._break(fault, name, [(ANSWERS, zone_end(fault.target))], "cut")
+            name = f"zone {fault.target} {do}"
+            return self._break(fault, name, [link(zone_end(fault.target))], "cut")
         if fault.target and fault.target not in lab.machines:
             raise LabError(
                 f"target: {fault.target!r}: a zone ({', '.join(lab.site.zones)}), a machine that "
                 "is up, or empty for --count by chance"
             )
         if not lab.machines:
-            raise LabError("deaf: no machine is up")
+            raise LabError(f"{do}: no machine is up")
         up = sorted(lab.machines)
         chosen = [fault.target]
         if not fault.target:
             chosen = sorted(lab.random.sample(up, min(fault.count, len(up))))
         for name in chosen:
-            self._break(fault, f"{name} deaf", [(ANSWERS, name)], "cut")
-        return f"deaf {', '.join(chosen)}"
+            self._break(fault, f"{name} {do}", [link(name)], "cut")
+        return f"{do} {', '.join(chosen)}"
+
+    def _part(self, fault: Fault, what: str) -> float:
+        if fault.factor > 1:
+            raise LabError(f"factor: {fault.factor:g}: a part of the {what}, at most 1")
+        return fault.factor
+
+    def _late_writes(self, fault: Fault) -> str:
+        """A part of all controllers' transactions has no answer, and is carried out late."""
+        links = self._lab.links
+        links.late_part = self._part(fault, "transactions")
+        pairs = [(node, "state") for node in self._lab.nodes]
+        text = self._break(fault, "late writes", pairs, "late")
+        heal = self._mending["late writes"]
+
+        def end() -> None:
+            heal()
+            links.late_part = 1.0
+            self._over_once("late writes under way", lambda: not links.under_way)
+
+        self._mending["late writes"] = end
+        return text
+
+    def _cancel_now(self, fault: Fault) -> str:
+        """Users call off jobs that run and have long to go, all at about the same time."""
+        lab = self._lab
+        jobs = lab.meddlers.long_to_go(fault.count)
+        if not jobs:
+            raise LabError("cancel-now: no job runs")
+        lab.meddlers.cancel_now(list(jobs))
+        hung: list[str] = []
+        if fault.for_s:
+            names = sorted({name for on in jobs.values() for name in on})
+            hung = sorted(lab.random.sample(names, min(MOST_HUNG, len(names))))
+            for name in hung:
+                machine = lab.machines[name]
+                machine.hang()
+                self._until(fault, f"{name} hung", machine.go_on)
+        also = f"; {', '.join(hung)} hung for {fault.for_s:g} s" if hung else ""
+        return f"cancelled {', '.join(jobs)}{also}"
+
+    def _cancel_at_end(self, fault: Fault) -> str:
+        """A part of the jobs that end is called off at that moment."""
+        meddlers = self._lab.meddlers
+        meddlers.at_end_part = self._part(fault, "jobs that end")
+        return self._until(
+            fault, "cancellations at the end", lambda: setattr(meddlers, "at_end_part", 0.0)
+        )
 
     def _copies(self, fault: Fault) -> str:
         """Copies of a part of the reports come late, also after this is mended."""
         copies = self._lab.copies
-        if fault.factor > 1:
-            raise LabError(f"factor: {fault.factor:g}: a part of the reports, at most 1")
-        copies.part = fault.factor
+        copies.part = self._part(fault, "reports")
 
         def end() -> None:
             copies.part = 0.0
@@ -410,6 +464,7 @@
             elif fault.do == "notice":
                 left = (fault.for_s or 10.0) * lab.random.uniform(0.5, 1.5)
                 rented.notice_at = core.notice_at = lab.clock.now() + left
+                lab.history.add("unfit", machine=name)
                 core.changed = True
                 self._over_once(f"{name} noticed", lambda n=name: n not in lab.machines)  # type: ignore[misc]
             elif fault.do == "hang-machine":
@@ -420,6 +475,7 @@
                 self._until(fault, f"{name} slow", lambda c=core, b=before: setattr(c, "speed", b))  # type: ignore[misc]
             else:
                 core.faulty = True
+                lab.history.add("unfit", machine=name)
                 self._until(fault, f"{name} faulty", lambda c=core: setattr(c, "faulty", False))  # type: ignore[misc]
         return f"{fault.do} {', '.join(sorted(chosen))}"
 
--- a/badgerseam/lab/front.py
+++ b/badgerseam/lab/front.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -45,6 +46,8 @@
         self._turn = 0
         self._specs: dict[str, wire.Submission] = {}
         self.truths: dict[str, Truth] = {}
+        self.phases: dict[str, str] = {}
+        """What was last said of each job."""
         self._server: Server | None = None
         self._probes: asyncio.Task[None] | None = None
 
@@ -78,6 +81,14 @@
 
     # ---- jobs ----
 
+    def spec(self, job: str) -> wire.Submission | None:
+        """What its user submitted first."""
+        return self._specs.get(job)
+
+    def specs(self) -> Iterable[wire.Submission]:
+        """All that was submitted."""
+        return self._specs.values()
+
     def describe(self, task: str) -> Description | None:
         """What a worker fetches of a task's job."""
         spec = self._specs.get(task.partition("/")[0])
@@ -111,6 +122,7 @@
             phase = ""
             if reply.status in (200, 201):
                 phase = str(msgspec.json.decode(reply.body).get("phase", ""))
+                self.phases[job] = phase
             self._history.add(
                 "answer",
                 job=job,
@@ -127,7 +139,7 @@
             try:
                 spec = wire.submission_decoder.decode(body)
             except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-                return "", ""
+                return "malformed", _id_of(body)
             self._specs.setdefault(spec.id, spec)
             self._history.add("submit", job=spec.id, spec=msgspec.to_builtins(spec))
             return "submit", spec.id
@@ -164,3 +176,11 @@
             after = int(retry) if retry is not None and retry.isdecimal() else None
             return Reply(response.status, response.body, after)
         return error_reply(503, "no node takes the request", 1)
+
+
+def _id_of(body: bytes) -> str:
+    """What a submission that lacks something calls itself, if it says so."""
+    try:
+        return str(msgspec.json.decode(body, type=dict[str, object]).get("id", ""))
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return ""
--- a/badgerseam/lab/history.py
+++ b/badgerseam/lab/history.py
@@ -16,6 +16,8 @@
     "abort",  # a user asks for a cancellation
     "release",  # a user asks for the end of a hold
     "machine",  # a machine is rented; its type, zone, kind
+    "up",  # a machine is up, and takes tasks
+    "unfit",  # it is faulty or given notice on purpose: nobody need use it any more
     "gone",  # a machine and all on it is gone
     "launch",  # a machine takes a task: its room is taken, and it may wait for its image
     "drop",  # a task that was launched is gone before it had its image
@@ -42,7 +44,7 @@
     machine: str = ""
     attempt: int = 0
     about: str = ""
-    """submit, poll or abort for `answer`; what is broken for `fault`."""
+    """submit, malformed, poll or abort for `answer`; what is broken for `fault`."""
     status: int = 0
     """0: no response."""
     phase: str = ""
--- a/badgerseam/lab/lab.py
+++ b/badgerseam/lab/lab.py
@@ -26,6 +26,7 @@
 from badgerseam.lab.links import Links, Relay
 from badgerseam.lab.load import Load
 from badgerseam.lab.machines import Machine
+from badgerseam.lab.meddlers import Meddlers
 from badgerseam.lab.services import CloudService, StateService, serve_for
 from badgerseam.lab.site import Ports, Site, controller_settings, write_settings
 from badgerseam.lab.state import StateCore
@@ -108,6 +109,7 @@
         self.history: History
         self.front: Front
         self.copies: Copies
+        self.meddlers: Meddlers
         self.front_port = 0
 
     # ---- beginning and end ----
@@ -158,6 +160,7 @@
         self.copies = Copies(
             self.links, self.random, self.addresses, self.site.workers.lease_s, network
         )
+        self.meddlers = Meddlers(self.front, self.clock, self.random, self.machines)
         for node in self.nodes:
             own = ports[node]
             for target, handle, port in (
@@ -258,6 +261,7 @@
             machine.stop()
         if hasattr(self, "copies"):
             self.copies.stop()
+            self.meddlers.stop()
         if self.front_port and hasattr(self, "front"):
             self.front.stop()
         for server in self._servers:
@@ -340,6 +344,7 @@
         )
         machine.start(int(rented.addr.rpartition(":")[2]))
         self.machines[rented.name] = machine
+        self.history.add("up", machine=rented.name)
 
     def _gone(self, rented: Rented) -> None:
         machine = self.machines.pop(rented.name, None)
@@ -349,6 +354,8 @@
 
     def _watch(self, event: str, machine: str, task: str, attempt: int) -> None:
         text = "done" if event == "done" else ""
+        if text:
+            self.meddlers.task_done(task, self.results.done)
         self.history.add(
             "off" if event == "done" else cast(Kind, event),
             machine=machine,
@@ -385,6 +392,8 @@
             self.site.workers.cancel_s,
             self.history.wall,
             {job for job, truth in self.front.truths.items() if truth.broken},
+            self.site.types,
+            {entry.name for entry in self.site.classes if entry.replica > 1},
         )
 
     def status(self) -> dict[str, object]:
--- a/badgerseam/lab/links.py
+++ b/badgerseam/lab/links.py
@@ -47,6 +47,11 @@
         if broken is not None:
             broken.healed.set()
 
+    @property
+    def under_way(self) -> int:
+        """How much that was made late has not been carried out."""
+        return len(self._tasks)
+
     def trouble(self, source: str, target: str) -> Trouble | None:
         broken = self._broken.get((source, target))
         return None if broken is None else broken.trouble
--- a/badgerseam/lab/report.py
+++ b/badgerseam/lab/report.py
@@ -69,6 +69,10 @@
     silent: list[str] = field(default_factory=list)
     """Accepted jobs about which the latest question was not answered, for too short a time to call
     them forgotten."""
+    started_cancelled: int = 0
+    """Starts after a confirmed cancellation."""
+    accepted_odd: int = 0
+    """Jobs accepted though they can't run or lack a field."""
     jumps: list[str] = field(default_factory=list)
     """Starts of lower-class work past higher-class work, if the experiment says an order."""
     longest_jump_s: float = 0.0
@@ -143,6 +147,8 @@
         [str(breach) for breach in verdict.breaches],
         verdict.served,
         verdict.silent,
+        verdict.counts.started_cancelled,
+        verdict.counts.accepted_odd,
         [str(jump) for jump in jumps],
         max((jump.waited_s for jump in jumps), default=0.0),
         {str(status): count for status, count in sorted(asker.statuses.items())},
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -7,9 +7,10 @@
 import msgspec
 import pytest
 
-from badgerseam.lab.checker import check, judge
+from badgerseam.lab.checker import Verdict, check, judge
 from badgerseam.lab.history import Event
 from badgerseam.settings import Team
+from badgerseam.wire.cloud import MachineType
 from tests.stand_ins import submission
 
 CANCEL_S = 30.0
@@ -203,3 +204,158 @@
     ]
     verdict = judge(events, [Team("red", 16, 4)], CANCEL_S)
     assert (verdict.breaches, verdict.silent) == ([], ["job-000001"])
+
+
+TYPES = [MachineType("c8", 8, 64, 1.0, ["a", "b"], 0, 0.3, 2.0)]
+TEAMS = [Team("red", 16, 16), Team("blue", 4, 4)]
+
+
+def judged(*steps: tuple[float, str, dict[str, Any]], grouped: tuple[str, ...] = ()) -> Verdict:
+    """What is said of a history that knows the types of machines."""
+    events = [msgspec.convert({"t": t, "kind": kind, **fields}, Event) for t, kind, fields in steps]
+    return judge(events, TEAMS, CANCEL_S, types=TYPES, grouped=grouped)
+
+
+def waiting(*steps: tuple[float, str, dict[str, Any]], **changes: Any) -> list[str]:
+    """The jobs left waiting if one is submitted beside two machines that are up."""
+    begin = (machine(), up(), machine("m-2", zone="b"), up("m-2"))
+    rest = sorted((submit(1, **changes), answer(1.1), *steps, (110, "note", {})), key=_time)
+    found = judged(*begin, *rest).breaches
+    return [breach.subject for breach in found if breach.rule == "left_waiting"]
+
+
+def _time(step: tuple[float, str, dict[str, Any]]) -> float:
+    return step[0]
+
+
+def up(name: str = "m-1", t: float = 0.0) -> tuple[float, str, dict[str, Any]]:
+    return t, "up", {"machine": name}
+
+
+def full(t: float, until: float = 0.0, where: str = "m-1") -> list[Any]:
+    """Another's task takes the whole of a machine for a while."""
+    job = f"job-0000{where[-1]}0"
+    spec = msgspec.to_builtins(submission(job, pieces=1, cpus=8.0))
+    on_it = {"job": f"{job}/0", "machine": where}
+    steps = [(t, "submit", {"job": job, "spec": spec}), (t, "launch", on_it)]
+    return [*steps, (until, "off", on_it)] if until else steps
+
+
+LEFT = ["job-000001"]
+
+
+@pytest.mark.parametrize(
+    ("left", "steps", "changes"),
+    [
+        (LEFT, [], {}),
+        # Seen to by a launch, of which the image may still be on its way.
+        ([], [(80, "launch", {"job": "job-000001/0", "machine": "m-1"})], {}),
+        (LEFT, [(10, "launch", {"job": "job-000001/0", "machine": "m-1"})], {}),
+        # 90 s of calm.
+        ([], [(20, "trouble", {}), (30, "calm", {})], {}),
+        (LEFT, [(5, "trouble", {}), (15, "calm", {})], {}),
+        # Not waiting any more.
+        ([], [(50, "abort", {"job": "job-000001"})], {}),
+        ([], [answer(50, "poll", 200, "done")], {}),
+        # No room: others have it, and what comes between two of them is none.
+        ([], [*full(2), *full(2, where="m-2")], {}),
+        ([], [*full(2), *full(2, 60, "m-2"), *full(63, where="m-2")], {}),
+        (LEFT, [*full(2)], {}),
+        # No machine that takes tasks: booting, faulty, gone.
+        ([], [(50, "unfit", {"machine": "m-1"}), (50, "gone", {"machine": "m-2"})], {}),
+        (LEFT, [(50, "unfit", {"machine": "m-1"})], {}),
+        # The job's own rules.
+        ([], [], {"breeds": ["g8"]}),
+        (LEFT, [], {"breeds": ["c8"]}),
+        ([], full(2), {"sett": "a"}),
+        (LEFT, full(2), {"sett": "b"}),
+        ([], [], {"cpus": 9.0}),
+        # The limit of its team.
+        ([], full(2), {"cpus": 8.0, "pieces": 1, "owner": "blue"}),
+        (LEFT, [], {"cpus": 4.0, "pieces": 1, "owner": "blue"}),
+        ([], [], {"cpus": 4.5, "pieces": 1, "owner": "blue"}),
+        # A gang has room if all of it has.
+        (LEFT, [], {"shape": "group", "pieces": 2, "cpus": 8.0}),
+        ([], full(2), {"shape": "group", "pieces": 2, "cpus": 8.0}),
+        (LEFT, full(2), {"shape": "standing", "pieces": 2, "cpus": 8.0}),
+        (LEFT, [], {"shape": "group", "pieces": 2, "cpus": 4.0, "oneZone": True}),
+        ([], [], {"shape": "group", "pieces": 2, "cpus": 8.0, "oneZone": True}),
+        ([], full(2), {"shape": "group", "pieces": 2, "cpus": 4.0, "scatter": True}),
+        # Terms.
+        ([], [], {"terms": {"hold": True}}),
+        (LEFT, [(3, "release", {"job": "job-000001"})], {"terms": {"hold": True}}),
+        ([], [], {"terms": {"beginAt": 60.0}}),
+        ([], [], {"terms": {"depends": [{"kind": "afterok", "job": "job-000009"}]}}),
+        (
+            [],
+            [(2, "launch", {"job": "job-000001/0", "machine": "m-1"})],
+            {"terms": {"throttle": 1}},
+        ),
+    ],
+)
+def test_a_job_is_left_waiting_beside_room(
+    left: list[str], steps: list[Any], changes: dict[str, Any]
+) -> None:
+    assert waiting(*steps, **changes) == left
+
+
+@pytest.mark.parametrize("spot", [False, True])
+def test_room_that_a_job_may_not_use_or_that_still_boots_is_none(spot: bool) -> None:
+    begin = (machine(spot=spot), submit(1, loaned=False), answer(1.1))
+    booting = judged(*begin, up(t=50), (110, "note", {})).breaches
+    assert "left_waiting" not in {breach.rule for breach in booting}
+    later = judged(*begin, up(t=2), (110, "note", {})).breaches
+    assert ("left_waiting" in {breach.rule for breach in later}) is not spot
+    bound = judged(*begin, up(t=2), (110, "note", {}), grouped=("train",)).breaches
+    assert "left_waiting" not in {breach.rule for breach in bound}
+
+
+def test_a_job_bound_to_a_zone_by_its_tasks_has_room_there_only() -> None:
+    first = (2, "launch", {"job": "job-000001/0", "machine": "m-1"})
+    assert waiting(first, *full(2.1, where="m-2"), oneZone=True) == LEFT
+    whole = (2, "launch", {"job": "job-000001/0", "machine": "m-1"})
+    assert not waiting(whole, oneZone=True, cpus=8.0, pieces=2)
+
+
+def test_a_cancelled_task_that_goes_on_after_its_machine_hung() -> None:
+    told = answer(4, "abort", 200, "withdrawn")
+    hung = (5, "trouble", {}), (5, "fault", {"about": "hang-machine"})
+    assert not history(*CANCELLED, told, *hung, off(33, text=""), (34, "calm", {}))
+    for end in (off(36, text=""), off(36)):
+        assert history(*CANCELLED, told, *hung, (35, "calm", {}), end) == ["ran_cancelled"]
+
+
+def test_starts_after_a_confirmed_cancellation_are_counted_and_no_breach_in_time() -> None:
+    told = answer(4, "abort", 200, "withdrawn")
+    before = judged(*CANCELLED, off(3.5, text=""), on(3.9), told, off(9, text=""))
+    assert (before.breaches, before.counts.started_cancelled) == ([], 0)
+    after = judged(*CANCELLED, off(3.5, text=""), told, on(4.1), off(9, text=""))
+    assert (after.breaches, after.counts.started_cancelled) == ([], 1)
+
+
+@pytest.mark.parametrize(
+    ("odd", "changes"),
+    [
+        (1, {"owner": "nobody"}),
+        (1, {"breeds": ["g8"]}),
+        (1, {"cpus": 9.0}),
+        (1, {"accelerators": 1.0}),
+        (1, {"sett": "c"}),
+        (1, {"owner": "blue", "cpus": 5.0}),
+        (1, {"shape": "standing", "pieces": 3, "cpus": 8.0}),
+        (0, {"shape": "sweep", "pieces": 3, "cpus": 8.0}),
+        (0, {"shape": "standing", "pieces": 2, "cpus": 8.0}),
+    ],
+)
+def test_jobs_accepted_though_they_cannot_run_are_counted(
+    odd: int, changes: dict[str, Any]
+) -> None:
+    begin = (machine(), submit(1, **changes))
+    assert judged(*begin, answer(1.1), answer(2, status=200)).counts.accepted_odd == odd
+    assert judged(*begin, answer(1.1, status=422)).counts.accepted_odd == 0
+
+
+def test_jobs_accepted_without_a_field_are_counted() -> None:
+    for status, odd in ((201, 1), (200, 1), (400, 0), (503, 0)):
+        verdict = judged(answer(1, "malformed", status, ""))
+        assert (verdict.breaches, verdict.counts.accepted_odd) == ([], odd)
