--- a/badgerseam/lab/waiting.py
+++ b/badgerseam/lab/waiting.py
@@ -2,8 +2,7 @@
 
 Whether a task fits is the plan's own say (`sched/pts.py`), over a snapshot made of the history:
 jobs that wait take room in the plan's order, a gang all of its tasks at once, nobody is evicted.
-What comes and goes is no room: it counts as free once it has stood so for some seconds, and what a
-team used within them counts as used.
+What comes and goes is no room: it counts once it has stood for some seconds.
 """
 
 from __future__ import annotations
@@ -35,7 +34,7 @@
     spec: Submission
     place: int
     """In the order of acceptance."""
-    count: int
+    tasks: int
 
 
 @dataclass(slots=True)
@@ -63,9 +62,10 @@
         self._held: dict[str, dict[str, str]] = {}
         """Of each job, the machines of tasks that were launched."""
         self._used: dict[str, Resources] = {}
-        self._uses: deque[dict[str, Resources]] = deque(maxlen=STANDS)
         self._since: dict[str, float] = {}
         """Since when jobs could have started a task, and none was launched."""
+        self._stood: dict[str, float] = {}
+        """When jobs last could have by room that had stood."""
 
     def take(self, event: Event, spec: Submission | None) -> None:
         """Look at the next event; `spec`: of the job that it is about."""
@@ -116,27 +116,29 @@
             for need in machine.held.values():
                 free = free.minus(need)
             machine.free.append(free)
-        self._uses.append(dict(self._used))
-        could = self._could(t, wanted) if wanted else set()
+        could = self._could(t, wanted, STANDS) if wanted else set()
+        self._stood |= dict.fromkeys(could, t)
+        if self._since.keys() - could:
+            # Where other room has just come in place of what was taken, there was room throughout.
+            moved = {j for j in self._since if t - self._stood[j] < STANDS * LOOK_S}
+            could |= moved & self._could(t, wanted, 1)
         self._since = {job: self._since.get(job, t) for job in could}
         left = sorted(job for job, since in self._since.items() if t - since >= LEFT_S)
         for job in left:
             del self._since[job]
         return left
 
-    def _could(self, t: float, wanted: Mapping[str, Wanted]) -> set[str]:
-        """The jobs of which a plan would start something now."""
+    def _could(self, t: float, wanted: Mapping[str, Wanted], looks: int) -> set[str]:
+        """The jobs of which a plan would start something, by the room of so many looks."""
         nodes = [
-            _node(number, machine)
+            _node(number, machine, list(machine.free)[-looks:])
             for number, machine in enumerate(self._machines.values())
-            if machine.fit and len(machine.free) == STANDS
+            if machine.fit and len(machine.free) >= looks
         ]
         if not nodes:
             return set()
         teams = {
-            place: TeamUse(
-                _most([use.get(name, NOTHING) for use in self._uses]), *self._shares[place]
-            )
+            place: TeamUse(self._used.get(name, NOTHING), *self._shares[place])
             for name, place in self._teams.items()
         }
         names = [name for name, entry in wanted.items() if entry.spec.team in self._teams]
@@ -154,7 +156,7 @@
         rank = RANKS[spec.priority]
         return Request(
             number,
-            wanted.count,
+            wanted.tasks,
             _need(spec),
             rank,
             rank >= HIGH_RANK,
@@ -177,18 +179,14 @@
     return Resources(spec.cpus, spec.gpus, spec.memory_gb)
 
 
-def _node(number: int, machine: _Machine) -> Node:
-    about, free = machine.about, machine.free
+def _node(number: int, machine: _Machine, free: list[Resources]) -> Node:
+    about = machine.about
     least = Resources(*(min(amounts) for amounts in zip(*free, strict=True)))
     return Node(
         number, about.type, about.zone, about.spot, machine.total, least, 0.0, 0.0, 0, set()
     )
 
 
-def _most(uses: list[Resources]) -> Resources:
-    return Resources(*(max(amounts) for amounts in zip(*uses, strict=True)))
-
-
 def never_runs(spec: Submission, teams: Collection[Team], types: Collection[MachineType]) -> str:
     """Why a job can never run by the users' protocol; empty if it can."""
     team = next((team for team in teams if team.name == spec.team), None)
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -206,7 +206,10 @@
     assert (verdict.breaches, verdict.silent) == ([], ["job-000001"])
 
 
-TYPES = [MachineType("c8", 8, 64, 1.0, ["a", "b"], 0, 0.3, 2.0)]
+TYPES = [
+    MachineType("c8", 8, 64, 1.0, ["a", "b"], 0, 0.3, 2.0),
+    MachineType("d8", 8, 64, 1.0, ["a", "b"], 0, 0.3, 2.0),
+]
 TEAMS = [Team("red", 16, 16), Team("blue", 4, 4)]
 
 
@@ -254,6 +257,7 @@
         # 90 s of calm.
         ([], [(20, "trouble", {}), (30, "calm", {})], {}),
         (LEFT, [(5, "trouble", {}), (15, "calm", {})], {}),
+        ([], [(20.5, "trouble", {}), (20.5, "calm", {})], {}),
         # Not waiting any more.
         ([], [(50, "abort", {"job": "job-000001"})], {}),
         ([], [answer(50, "poll", 200, "done")], {}),
@@ -265,7 +269,7 @@
         ([], [(50, "unfit", {"machine": "m-1"}), (50, "gone", {"machine": "m-2"})], {}),
         (LEFT, [(50, "unfit", {"machine": "m-1"})], {}),
         # The job's own rules.
-        ([], [], {"breeds": ["g8"]}),
+        ([], [], {"breeds": ["d8"]}),
         (LEFT, [], {"breeds": ["c8"]}),
         ([], full(2), {"sett": "a"}),
         (LEFT, full(2), {"sett": "b"}),
@@ -299,6 +303,32 @@
     assert waiting(*steps, **changes) == left
 
 
+@pytest.mark.parametrize(("stays_s", "left"), [(3.0, []), (20.0, LEFT)])
+def test_room_that_does_not_stand_on_any_machine_is_none(stays_s: float, left: list[str]) -> None:
+    # One of the two machines is free at any time.
+    spec = msgspec.to_builtins(submission("job-000050", pieces=100, cpus=8.0))
+    steps: list[Any] = [(1, "submit", {"job": "job-000050", "spec": spec})]
+    t, task = 2.0, 0
+    while t < 108:
+        on_it = {"job": f"job-000050/{task}", "machine": f"m-{1 + task % 2}"}
+        steps += [(t, "launch", on_it), (t + stays_s, "off", on_it)]
+        t, task = t + stays_s, task + 1
+    assert waiting(*steps) == left
+
+
+@pytest.mark.parametrize(("pause_s", "left"), [(2.0, []), (104.0, LEFT)])
+def test_room_within_a_limit_that_a_team_uses_again_and_again_is_none(
+    pause_s: float, left: list[str]
+) -> None:
+    spec = msgspec.to_builtins(submission("job-000050", pieces=1, cpus=4.0, owner="blue"))
+    steps: list[Any] = [(1, "submit", {"job": "job-000050", "spec": spec})]
+    on_it, t = {"job": "job-000050/0", "machine": "m-1"}, 2.0
+    while t < 106:
+        steps += [(t, "launch", on_it), (t + 3.0, "off", on_it)]
+        t += 3.0 + pause_s
+    assert waiting(*steps, owner="blue", pieces=1, cpus=4.0) == left
+
+
 @pytest.mark.parametrize("spot", [False, True])
 def test_room_that_a_job_may_not_use_or_that_still_boots_is_none(spot: bool) -> None:
     begin = (machine(spot=spot), submit(1, loaned=False), answer(1.1))
@@ -319,7 +349,7 @@
 
 def test_a_cancelled_task_that_goes_on_after_its_machine_hung() -> None:
     told = answer(4, "abort", 200, "withdrawn")
-    hung = (5, "trouble", {}), (5, "fault", {"about": "hang-machine"})
+    hung: list[Any] = [(5, "trouble", {}), (5, "fault", {"about": "hang-machine"})]
     assert not history(*CANCELLED, told, *hung, off(33, text=""), (34, "calm", {}))
     for end in (off(36, text=""), off(36)):
         assert history(*CANCELLED, told, *hung, (35, "calm", {}), end) == ["ran_cancelled"]
