Who stands in renews no lease while a launch of a cancelled task may be held back on its way

Between zones that had lost each other, a deputy kept session and token of a machine valid for as long as the cut lasted, so that a launch that the owner had sent just before was carried out when it healed, long after its cancellation.

The harness can hold back what goes between controllers and the machines of a zone.

--- a/badgerseam/cluster/deputies.py
+++ b/badgerseam/cluster/deputies.py
@@ -13,6 +13,9 @@
 - One that has not lost it says first for which owners it stands in, by a record on its lease, and
   acts on that no longer than the lease must last, and than it follows the state service. As long as
   the record names an owner, none of its machines' leases is known to have ended.
+- Session and token stay valid by that, and with them whatever the owner has sent that is held back.
+  So a machine is not answered where a launch of a cancelled task may be among it: where the pages
+  place one that the machine does not show. Its lease ends, and the launch is refused.
 - Before an owner concludes from silence that a lease has ended, it has the state service compare
   these records with what it knows, at a time at which the lease would have ended already.
 """
@@ -25,12 +28,15 @@
 
 from badgerseam.cluster.island import Island
 from badgerseam.cluster.member import Member
+from badgerseam.model.job import Phase
 from badgerseam.model.keys import deputy_key, node_key
+from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
 from badgerseam.model.state import STALE_S, Share
 from badgerseam.store.client import LeaseLost, Refused, StateClient, Unavailable
 from badgerseam.store.committer import Committer, Dropped, Urgency
 from badgerseam.wire import state as wire
+from badgerseam.wire.workers import Report
 
 log = logging.getLogger("badgerseam.cluster")
 
@@ -39,6 +45,10 @@
 VERIFY_S = 0.3
 """Between comparisons."""
 DEADLINE_S = 2.0
+HELD_S = 2.0 + 2.0
+"""What a direct command may go without an answer before the owner raises the token, and a margin."""
+LOOK_S = 1.0
+"""Between two looks at most, of a process that did not stand still."""
 
 
 class Deputies:
@@ -78,6 +88,15 @@
         """Owners that our record names, while we may act on it."""
         self._announced_on: int | None = None
         """The lease that this record stands on."""
+        self._looked_at = -1e9
+        self._whole_s: dict[str, float] = {}
+        """For how long nobody can have stood in for each sibling."""
+        self._since: dict[str, float] = {}
+        """Since when somebody may do so, where that is known."""
+        self._refused: dict[str, int] = {}
+        """The session in which each machine was not answered, by name."""
+        self._settled_s = model.settings.params.workers.cancel_s + HELD_S
+        """After which a cancellation is over where nobody has stood in."""
         self.ends_early = False
         """Whether siblings' leases are ended before their time here."""
         self._loads = 0
@@ -100,6 +119,27 @@
             return recent and self._announced_on == member.lease
         return self.counted_in(zone)
 
+    def launch_held(self, machine: Machine, report: Report) -> bool:
+        """Whether a launch of a cancelled task may be held back on its way to a machine whose lease
+        we would renew, without end and with the token of that launch.
+
+        Rows of tasks that are gone stay in a page until it is written anew. So only those count
+        whose cancellation may have been new when somebody began to stand in: before, the owner's
+        answers have fenced the launch, or the lease has ended. Of a session later than one that
+        ended for lack of our answer, nothing can be in flight.
+        """
+        held = self._model.shares[machine.share].held
+        if held is None or report.session > self._refused.get(machine.name, report.session):
+            return False
+        since = self._since.get(held.claim.node, -1e9) - self._settled_s
+        shown = {(item.task, item.attempt) for item in report.tasks}
+        for attempt in machine.attempts.values():
+            if attempt.job.phase == Phase.WITHDRAWN and attempt.job.ended_at > since:
+                if (attempt.name, attempt.number) not in shown:
+                    self._refused[machine.name] = report.session
+                    return True
+        return False
+
     def counted_in(self, zone: str) -> bool:
         """Whether owners count with our answers in a zone without a word of ours: our record must
         have ended with its lease, and the bound must not."""
@@ -182,6 +222,22 @@
                 late = self._ttl_s + SLACK_S if gone else 0.0
                 self._named_until = max(self._named_until, now + late)
             self._named[name] = named_at, still
+        self._look_apart(now)
+
+    def _look_apart(self, now: float) -> None:
+        """Take note of since when siblings' workers may be answered by others. What was not looked
+        at, since we began or stood still, does not count as whole."""
+        passed_s = min(now - self._looked_at, LOOK_S)
+        self._looked_at = now
+        alone = any(now <= until for until in self._apart.values())
+        named = {owner for d in self._model.deputies.values() for owner in d.claim.owners}
+        for name in self._siblings:
+            if not (alone or name in named or self._unreachable(name)):
+                self._whole_s[name] = self._whole_s.get(name, 0.0) + passed_s
+                continue
+            if self._whole_s.get(name, 0.0) > self._settled_s:
+                self._since[name] = now
+            self._whole_s[name] = 0.0
 
     def renewed_until(self, zone: str) -> float:
         """Until when somebody may have renewed leases of ours in a zone."""
--- a/badgerseam/lab/machines.py
+++ b/badgerseam/lab/machines.py
@@ -157,11 +157,13 @@
                 await self._links.passed("workers", self._at)
                 await self._links.passed(name, CONTROLLERS)
                 await self._links.passed(zone_end(core.who.zone), CONTROLLERS)
+                await self._links.passed(self._at, zone_end(core.who.zone))
                 self._copied(body)
                 response = await self._http.request(
                     self._nodes[self._at], "POST", "/checkin", body, RESPONSE_S
                 )
                 await self._links.passed("workers", self._at)
+                await self._links.passed(self._at, zone_end(core.who.zone))
                 await self._heard()
         except (NoResponse, TimeoutError):
             self._next()
--- a/badgerseam/model/job.py
+++ b/badgerseam/model/job.py
@@ -165,6 +165,8 @@
     """Where tasks whose standing changes are put down, of a job whose replicas span machines: the
     job's index and the task."""
     seen_at: float = 0.0
+    ended_at: float = 0.0
+    """When it was seen to have ended."""
     meter: Meter | None = None
     """Only where accounts are kept."""
 
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -130,10 +130,12 @@
             job = self.job(job_id)
             if job is not None:
                 job.phase = phase
+                job.ended_at = self.clock.now()
             return
         if job is not None:
             job.version = version
             job.phase = phase
+            job.ended_at = self.clock.now()
             self.settle(job)
 
     def begin_load(self) -> None:
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -97,7 +97,7 @@
                 if self.deputies.stands_in(
                     share, machine.zone
                 ) and not self.deputies.island.passes_by(share, machine, report.token):
-                    return self._stand_in(report)
+                    return self._stand_in(machine, report)
                 return self._redirect(None if share.held is None else share.held.claim.node)
             proven = machine.proven(report.token)
             newer = proven and (report.session, report.seq) > (machine.session, machine.seq)
@@ -119,7 +119,7 @@
                 # worker would stay with us until its lease ends.
                 return self._redirect(None if share.held is None else share.held.claim.node)
             if word is Word.STAND_IN:
-                return self._stand_in(report)
+                return self._stand_in(machine, report)
             if not proven:
                 reply = self._unproven(machine, report)
             elif newer:
@@ -211,8 +211,11 @@
             if report is not None and report.machine == name and self._member.is_leader:
                 self._model.unknown[name] = report
 
-    def _stand_in(self, report: wire.Report) -> Reply:
+    def _stand_in(self, machine: Machine, report: wire.Report) -> Reply:
         """Let the worker's lease go on; what was cancelled is halted, nothing else is ordered."""
+        if self.deputies.launch_held(machine, report):
+            # It was carried out when the zones met again, long after the cancellation.
+            return error_reply(503, "a cancelled launch may be held back", 1)
         halts = []
         for item in report.tasks:
             ended = self._model.ended.get(item.task.partition("/")[0])
--- a/tests/world.py
+++ b/tests/world.py
@@ -11,7 +11,7 @@
 import asyncio
 import contextlib
 import itertools
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from contextvars import ContextVar
 from pathlib import Path
 from random import Random
@@ -29,7 +29,7 @@
 from badgerseam.lab.front import Truth
 from badgerseam.lab.history import History
 from badgerseam.lab.lab import Lab
-from badgerseam.lab.machines import Machine
+from badgerseam.lab.machines import Machine, zone_end
 from badgerseam.lab.site import Ports, Site
 from badgerseam.model.keys import LEADER_KEY, claim_key
 from badgerseam.node import Node
@@ -91,10 +91,14 @@
         self.host = host or Host("site")
         self.listening: dict[str, Inbox] = {} if listening is None else listening
         """By address."""
+        self.held: Callable[[str, str], Awaitable[None]] | None = None
+        """Returns when nothing holds packets of a controller to an address back."""
 
     def of(self, host: Host) -> Memory:
         """The same network for a process that can end."""
-        return Memory(self.random, host, self.listening)
+        network = Memory(self.random, host, self.listening)
+        network.held = self.held
+        return network
 
     def client(self, connect_s: float = 1.5, keep: int | Callable[[], int] = 64) -> Client:
         return cast(Client, Caller(self))
@@ -174,7 +178,7 @@
         # Not one of the sender's: what was sent arrives, whatever becomes of it.
         token = _process.set(None)
         try:
-            task = asyncio.ensure_future(inbox.serve(method, path, body))
+            task = asyncio.ensure_future(self._arrive(inbox, address, method, path, body))
         finally:
             _process.reset(token)
         self._late.add(task)
@@ -185,6 +189,17 @@
         except TimeoutError:
             raise NoResponse(f"{address}{path}: no answer in time") from None
 
+    async def _arrive(
+        self, inbox: Inbox, address: str, method: str, path: str, body: bytes | None
+    ) -> Response:
+        held, name = self._network.held, self._network.host.name
+        if held is None:
+            return await inbox.serve(method, path, body)
+        await held(name, address)
+        response = await inbox.serve(method, path, body)
+        await held(name, address)
+        return response
+
     def _done(self, task: asyncio.Future[Any]) -> None:
         self._late.discard(task)
         if not task.cancelled():
@@ -280,6 +295,7 @@
         self.memory = Memory(random)
         asyncio.get_running_loop().set_task_factory(cast(Any, _note_task))
         super().__init__(site, Path("/nonexistent"), running_clock(), random, network=self.memory)
+        self.memory.held = self._held
         self.tunables = tunables or Tunables()
         self.breaker = Breaker(self)
         self._next_port = itertools.count(10_000)
@@ -328,6 +344,13 @@
 
         self.memory.server(forward).listen(f"127.0.0.1:{port}")
 
+    async def _held(self, source: str, address: str) -> None:
+        """Return when nothing is held back between a controller and the machine at an address, by
+        a cut of (controller, machine's zone)."""
+        zone = next((m.zone for m in self.cloud_core.machines.values() if m.addr == address), None)
+        if zone is not None:
+            await self.links.passed(source, zone_end(zone))
+
     def _controller(self, settings: Settings) -> InProcess:  # type: ignore[override]
         return InProcess(self, settings)
 
@@ -356,6 +379,21 @@
         """One of the lab's faults, as an experiment's file would give it."""
         return self.breaker.apply(msgspec.convert({"do": do, **fields}, Fault))
 
+    def part(self, nodes: Iterable[str], zone: str, *others: str) -> Callable[[], None]:
+        """Have controllers lose a zone's machines, and others; what mends it."""
+        ends = [(node, zone_end(zone)) for node in nodes]
+        ends += [pair for node in nodes for o in others for pair in ((node, o), (o, node))]
+        for end in ends:
+            self.links.break_(*end, "cut")
+        self.history.add("trouble")
+
+        def mend() -> None:
+            for end in ends:
+                self.links.heal(*end)
+            self.history.add("calm")
+
+        return mend
+
     async def ask(self, method: str, path: str, body: bytes = b"", via: str | None = None) -> Reply:
         """One request of a user, to a node or to any."""
         names = None if via is None else [via]
