--- a/badgerseam/cluster/deputies.py
+++ b/badgerseam/cluster/deputies.py
@@ -46,7 +46,7 @@
 """Between comparisons."""
 DEADLINE_S = 2.0
 HELD_S = 2.0 + 2.0
-"""What a direct command may go without an answer before the owner raises the token, and a margin."""
+"""For what a direct command may wait before the owner raises the token, and a margin."""
 LOOK_S = 1.0
 """Between two looks at most, of a process that did not stand still."""
 
@@ -133,12 +133,15 @@
             return False
         since = self._since.get(held.claim.node, -1e9) - self._settled_s
         shown = {(item.task, item.attempt) for item in report.tasks}
-        for attempt in machine.attempts.values():
-            if attempt.job.phase == Phase.WITHDRAWN and attempt.job.ended_at > since:
-                if (attempt.name, attempt.number) not in shown:
-                    self._refused[machine.name] = report.session
-                    return True
-        return False
+        held_back = any(
+            attempt.job.phase == Phase.WITHDRAWN
+            and attempt.job.ended_at > since
+            and (attempt.name, attempt.number) not in shown
+            for attempt in machine.attempts.values()
+        )
+        if held_back:
+            self._refused[machine.name] = report.session
+        return held_back
 
     def counted_in(self, zone: str) -> bool:
         """Whether owners count with our answers in a zone without a word of ours: our record must
--- a/badgerseam/model/machine.py
+++ b/badgerseam/model/machine.py
@@ -83,6 +83,8 @@
     probing: bool = False
     given_up: bool = False
     """Silent, and to be released to be certain that its tasks are gone."""
+    mute: int = 0
+    """The session in which it answered questions while its reports did not come; 0: they come."""
     lost: bool = False
     """Its lease has certainly ended; reports are not answered any more."""
     response_open: bool = False
@@ -137,6 +139,7 @@
         self.probing = False
         self.given_up = False
         self.lost = False
+        self.mute = 0
         self.response_open = False
         self.spoke_at = None
         self.reported = (0, 0)
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -205,7 +205,8 @@
             return "draining"
         if machine.hard_of_hearing:
             return "deaf"
-        if now - machine.heard_at >= 3 * self._model.settings.params.workers.report_s + 0.5:
+        report_s = self._model.settings.params.workers.report_s
+        if machine.mute or now - machine.heard_at >= 3 * report_s + 0.5:
             return "silent"
         if machine.failures >= 3:
             return "unreachable"
--- a/badgerseam/workers/control.py
+++ b/badgerseam/workers/control.py
@@ -133,6 +133,7 @@
         """Take over a report, and answer it with what there is to do."""
         now = self._clock.now()
         self._obedience.reported(machine, report, now)
+        machine.mute = 0
         # A worker sends one report at a time, so that a newer one tells that the commands of
         # the response before it were either executed or given up.
         machine.response_open = False
@@ -274,6 +275,9 @@
                 continue
             if attempt.stage != Stage.PLACED or attempt.sending or attempt.sent:
                 continue
+            if machine.mute:
+                # It would be killed with the lease, which nothing renews, and given once more.
+                continue
             if attempt.job.phase == Phase.OPEN and not attempt.held:
                 starts.append(attempt)
         starts.sort(key=lambda a: (-a.job.rank, model.klass(a.job), a.planned_at))
--- a/badgerseam/workers/reports.py
+++ b/badgerseam/workers/reports.py
@@ -93,7 +93,8 @@
                 attempt.stage = Stage.PLACED
                 machine.node = None
                 attempt.job.touch(attempt.task)
-            if attempt.stopping or machine.draining or machine.hard_of_hearing:
+            unfit = machine.draining or machine.hard_of_hearing or machine.mute
+            if attempt.stopping or unfit:
                 # Launches went there with each answer for ever, and were taken back each time.
                 model.unplace(attempt)
         if first:
--- a/badgerseam/workers/silence.py
+++ b/badgerseam/workers/silence.py
@@ -171,8 +171,13 @@
             if machine.term != term or machine.heard_at != heard_at:
                 return
             if report is not None and report.machine == machine.name:
-                # It lives, and finds no way to us by itself: what it says counts all the same.
+                # It lives, and finds no way to us by itself: what it says counts all the same. That
+                # renews no lease: when one has ended for want of reports, others would as well.
                 machine.heard_at = self._clock.now()
+                if report.session > machine.mute > 0:
+                    log.info("%s answers and does not report: given up", machine.name)
+                    machine.given_up = machine.draining = True
+                machine.mute = machine.mute or max(machine.session, report.session)
                 self._reports.apply(machine, report, direct=True)
                 self._model.kicks.add(machine.share)
                 self._model.pushes.add(machine.index)
