What has ended and is not placed anew is told by the records, and shunning ends

A share's leader that does not own it saw tasks that had failed or been evicted, and cancelled ones, as placed until their page was written for something else: it rented nothing for them and kept their machines. Owners write such pages anew behind everything urgent (store/leavings.py), and a leader counts no room on a machine that a task has just ended on. A job is kept off machines on which it failed for 50 s only.

test_explain: a shunned machine is set up by what sets it in the code, with its time.

--- a/badgerseam/model/job.py
+++ b/badgerseam/model/job.py
@@ -45,6 +45,9 @@
 FIRST_PAUSE_S = 0.25
 MOST_PAUSE_S = 30.0
 MOST_DOUBLED = 8
+SHUN_S = 50.0
+"""How long a job that waits is kept off machines on which it has failed: about what a new machine
+takes, and there may be none to be had."""
 
 
 class Stage(IntEnum):
@@ -220,6 +223,11 @@
         was ever done anywhere."""
         return self.failing and self.finished == 0
 
+    def shuns(self, now: float) -> set[int]:
+        """The machines on which it is not to be tried now. Without an end to that it waited for
+        ever where these were all that had room."""
+        return set() if self.failing or now > self.retry_at + SHUN_S else self.shunned
+
     def failed(self, now: float, machine: int | None, after_s: float = 0.0) -> None:
         """A task of it has failed, and others are put off; `machine`: where that may tell whose
         fault it is, `after_s`: how long it ran."""
@@ -233,6 +241,14 @@
         pause_s = FIRST_PAUSE_S * 2 ** min(self.tries_failed, MOST_DOUBLED)
         self.retry_at = now + min(pause_s, MOST_PAUSE_S)
 
+    def ended_on(self, now: float, machine: int) -> None:
+        """The records show that an attempt has ended and its owner has not placed the task anew,
+        which may be for a reason that only the owner knows. Taken for room, the machine kept a
+        leader from renting. (Of a job that fails everywhere a few tell enough.)"""
+        if len(self.shunned) < SEVERAL:
+            self.shunned.add(machine)
+            self.retry_at = now
+
     def worked(self) -> None:
         """A task of it has completed, or runs on where others had failed by then."""
         self.errors = self.tries_failed = 0
--- a/badgerseam/model/model.py
+++ b/badgerseam/model/model.py
@@ -268,6 +268,8 @@
                 if index == attempt.machine.index and attempt.number == row.attempt:
                     self._set_start(attempt, starts.get(task))
                     continue
+                if row.machine is None and attempt.number == row.attempt:
+                    job.ended_on(self.clock.now(), attempt.machine.index)
                 self.unplace(attempt)
             if index is not None:
                 placed = self.place(job, task, row.attempt, self.machines[index], Stage.PLACED)
--- a/badgerseam/replicas/keeper.py
+++ b/badgerseam/replicas/keeper.py
@@ -244,7 +244,7 @@
             if (
                 machine is not None
                 and machine.share == job.share
-                and machine.index not in job.shunned
+                and machine.index not in job.shuns(now)
                 and self._planner.usable(machine, now)
             ):
                 found.append(machine.index)
--- a/badgerseam/sched/planner.py
+++ b/badgerseam/sched/planner.py
@@ -339,7 +339,7 @@
             spec.spot,
             spec.image,
             job.zones,
-            set() if job.failing else job.shunned,
+            job.shuns(self._clock.now()),
             order,
             job.gang,
             self.wait_s(job),
--- /dev/null
+++ b/badgerseam/store/leavings.py
@@ -0,0 +1,65 @@
+"""Telling the others what has ended and is not placed anew.
+
+A row is written when a task is placed, and again with whatever its page is written for. Of an
+attempt that ended without being done, a controller that does not own the share would know only
+then. On a quiet site that was never: the leader rented nothing for tasks that had been evicted or
+had failed, and kept machines that it took for occupied by cancelled ones.
+"""
+
+from __future__ import annotations
+
+from badgerseam.model.job import FINISHED, Phase
+from badgerseam.model.model import Model
+from badgerseam.model.state import Page, Share
+from badgerseam.store.committer import Committer, Urgency
+from badgerseam.store.ledger import Ledger
+
+LOOKED_AT = 8
+"""Pages of a share at a time."""
+
+
+class Leavings:
+    """Of the shares that this controller owns."""
+
+    def __init__(self, model: Model, ledger: Ledger, committer: Committer) -> None:
+        self._model = model
+        self._ledger = ledger
+        self._committer = committer
+        self._turn: dict[int, int] = {}
+
+    def review(self) -> None:
+        """Write at most one page of each share anew, behind everything urgent; called about once a
+        second, with the lock held."""
+        for share in self._model.shares:
+            free = share.owned and not share.committing and not share.planned
+            if free and self._committer.wait_s(Urgency.UPKEEP) <= 0:
+                self._look(share)
+
+    def _look(self, share: Share) -> None:
+        pages = self._model.pages[share.index]
+        turn = self._turn.get(share.index, -1)
+        for number in sorted(pages, key=lambda number: (number <= turn, number))[:LOOKED_AT]:
+            self._turn[share.index] = number
+            if misleads(self._model, pages[number]) and self._ledger.refresh(share, number):
+                return
+
+
+def misleads(model: Model, page: Page) -> bool:
+    """Whether a page places a task that is on no machine, and may be started or is cancelled."""
+    now = model.clock.now()
+    for entry in page.jobs.values():
+        job = model.job(entry.job)
+        if job is None:
+            # Ended, with nothing left. Where it is done, its bits tell that of every row.
+            ended = model.ended.get(entry.job)
+            if ended is not None and ended[0] == Phase.WITHDRAWN and entry.rows:
+                return True
+            continue
+        # What its owner does not start is nothing to rent for.
+        if job.phase == Phase.OPEN and (job.failing or now < job.retry_at or not job.waiting()):
+            continue
+        for row in entry.rows:
+            placed = row.machine is not None and job.status[row.task] != FINISHED
+            if placed and row.task not in job.attempts:
+                return True
+    return False
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -148,7 +148,7 @@
 def _shunned(rig: Site) -> Job:
     rig.up()
     job = rig.job()
-    job.shunned.add(rig.model.machine_index["m-1"])
+    job.ended_on(rig.clock.now(), rig.model.machine_index["m-1"])
     return job
 
 
