Machine types that a leader knew before it led are made durable

A controller fetches them for itself before there is a leader; the leader then found nothing new to write. One that was started again while the cloud was out knew no types, and used no machine. Tests of owners that end have spare machines, and a cloud that can't release others.

--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -134,7 +134,8 @@
                 try:
                     types = await self._cloud.types()
                     await self._publish(types)
-                    pause = TYPES_S
+                    if self._member.is_leader:
+                        pause = TYPES_S
                 except CloudTrouble as error:
                     log.debug("machine types: %s", error)
             await asyncio.sleep(pause * (0.8 + 0.4 * self._random.random()))
@@ -142,10 +143,14 @@
     async def _publish(self, types: list[cloud_wire.MachineType]) -> None:
         model = self._model
         held = model.leader
-        if {entry.name: entry for entry in types} == model.types:
+        leads = held is not None and self._member.is_leader
+        known = {entry.name: entry for entry in types} == model.types
+        # Known to a leader from before it led they are not durable yet: a controller that was
+        # started again while the cloud was out had none, and used no machine.
+        if known and (TYPES_KEY in model.versions or not leads):
             return
         value = wire.raw(types)
-        if held is None or not self._member.is_leader:
+        if held is None or not leads:
             with model.lock:
                 if not model.types:
                     model.set_types(types)
--- a/tests/test_meetings_takeover.py
+++ b/tests/test_meetings_takeover.py
@@ -15,7 +15,7 @@
 from badgerseam.wire import workers as wire
 from tests.world import Caller, World, play
 
-JOB, NEXT = "job-000001", "job-000002"
+JOB, NEXT, SPARE = "job-000001", "job-000002", "job-000003"
 LONG_S = 900.0
 AWAY_S = 1e9
 
@@ -30,6 +30,13 @@
     return world.owner(str(fields["owner"]))
 
 
+async def spare(world: World, team: str) -> None:
+    """Have empty machines, and a cloud that can make nothing certain by releasing others."""
+    await world.submit(SPARE, 3.0, owner=team, pieces=3, cpus=8.0, guessS=3.0, sett="b")
+    await world.until(lambda: len(finished(world)) == 3, 25.0)
+    world.break_("cloud-down")
+
+
 def hosts(world: World, job: str = JOB) -> list[Machine]:
     names = sorted({name for names in world.on(job).values() for name in names})
     return [world.machines[name] for name in names]
@@ -99,6 +106,7 @@
 ) -> None:
     async def story(world: World) -> None:
         owner = await running(world, cpus=4.0)
+        await spare(world, "blue")
         apart = hosts(world)[:1]
         if after_s < 0:
             part(world, apart[0], how)
@@ -123,6 +131,7 @@
     # Its machines hear it alone: what the others command does not reach them.
     async def story(world: World) -> None:
         owner = await running(world, cpus=4.0)
+        await spare(world, "blue")
         machines = hosts(world)
         listening = {at: world.memory.listening.pop(at) for at in map(address, machines)}
         world.break_("island", target=owner, to=to, for_s=60.0)
@@ -202,6 +211,7 @@
 ) -> None:
     async def story(world: World) -> None:
         owner = await running(world, owner="teal", pieces=3, cpus=8.0)
+        await spare(world, "blue")
         await world.submit(NEXT, LONG_S, owner="teal", pieces=3, cpus=8.0, guessS=LONG_S)
         apart = hosts(world)[:2]
         for machine in apart:
@@ -288,6 +298,36 @@
     play(story, round(back_s) + 1)
 
 
+@pytest.mark.parametrize("seed, cause", [(1, "error"), (2, "halted")])
+def test_a_report_from_before_a_session_s_end_is_the_first_that_a_new_owner_hears(
+    seed: int, cause: str
+) -> None:
+    # Its attempt was launched again since, and runs.
+    async def story(world: World) -> None:
+        owner = await running(world, pieces=2, cpus=5.0)
+        await spare(world, "blue")
+        machine = world.machine_of(JOB)
+        core = machine.core
+        core._exit(core.tasks[f"{JOB}/0"], cause)
+        body = wire.encode(core.report())
+        core.end_session()
+        await world.go_on(5.0)
+        assert world.machine_of(JOB) is machine
+        world.controllers[owner].kill(AWAY_S)
+        part(world, machine, "mute")
+        listening = world.memory.listening.pop(address(machine))
+        second = await taken(world, "blue", owner)
+        for _ in range(20):
+            await arrive(world, second, body)
+            await world.go_on(0.1)
+        world.memory.listening[address(machine)] = listening
+        join(world, machine)
+        await world.go_on(8.0)
+        assert len(world.on(JOB)) == 2
+
+    play(story, seed)
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_reports_of_earlier_sessions_attempts_and_owners_come_again_and_again(seed: int) -> None:
     async def story(world: World) -> None:
@@ -396,3 +436,17 @@
         await world.until(lambda: not world.machines, 75.0)
 
     play(story)
+
+
+def test_an_owner_that_was_started_again_while_the_cloud_is_out_uses_the_machines() -> None:
+    async def story(world: World) -> None:
+        await running(world, cpus=4.0)
+        await spare(world, "blue")
+        for controller in world.controllers.values():
+            controller.kill(0.5)
+        await world.go_on(1.0)
+        await world.until(lambda: None not in world.holders(), 20.0)
+        await world.submit(NEXT, LONG_S, owner="blue", pieces=3, cpus=8.0, guessS=LONG_S)
+        await world.until(lambda: len(world.on(NEXT)) == 3, 15.0)
+
+    play(story)
