--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -363,7 +363,7 @@
 
 
 def test_the_record_of_a_machine_that_is_gone_and_comes_back_late_goes_again() -> None:
-    # An adoption has no order to stand on: silence ends it, and nothing is placed there for good.
+    # An adoption has no order to stand on.
     async def story(world: World) -> None:
         ghost = wire.StoredMachine("m-000999", 0, "c8", "a", False, "10.9.9.9:1", 0.0)
         write = wire.Write(put=group_key("n-9-1-1"), value=wire.raw([ghost]))
