--- a/tests/test_meetings_machines.py
+++ b/tests/test_meetings_machines.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import msgspec
@@ -24,6 +25,22 @@
     return world.controllers[node].settings.zone
 
 
+def part(world: World, nodes: Iterable[str], zone: str, *others: str) -> Callable[[], None]:
+    """Have controllers lose a zone's machines, and others; what mends it."""
+    ends = [(node, zone_end(zone)) for node in nodes]
+    ends += [pair for node in nodes for o in others for pair in ((node, o), (o, node))]
+    for end in ends:
+        world.links.break_(*end, "cut")
+    world.history.add("trouble")
+
+    def mend() -> None:
+        for end in ends:
+            world.links.heal(*end)
+        world.history.add("calm")
+
+    return mend
+
+
 async def far_machine(world: World, **changes: Any) -> tuple[str, str, list[str]]:
     """A machine with a running job in a zone that is not its owner's: the owner, that zone, and
     the other controllers of the owner's zone."""
@@ -44,7 +61,7 @@
     async def story(world: World) -> None:
         team, _, near = await far_machine(world)
         far = [node for node in world.nodes if node not in near]
-        mend = world.part(near, "b", *far)
+        mend = part(world, near, "b", *far)
         await world.go_on(after_s)
         await world.submit(JOB, 900.0, via=near[0], owner=team, sett="b", pieces=1)
         await world.go_on(1.0)
@@ -69,7 +86,7 @@
         far = [node for node in world.nodes if node not in near]
         rows = world.controllers[far[0]].of.model.job(JOB)  # type: ignore[union-attr]
         assert rows is not None and rows.attempts, "else this shows nothing"
-        mend = world.part(near, "b", *far)
+        mend = part(world, near, "b", *far)
         await world.go_on(3 * LEASE_S)
         mend()
         await world.go_on(10.0)
@@ -87,7 +104,7 @@
         await world.submit(JOB, 900.0, owner=team, pieces=8, cpus=4.0)
         await world.go_on(8.0)
         far = [node for node in world.nodes if node not in near]
-        mend = world.part(near, "b", *far)
+        mend = part(world, near, "b", *far)
         for node in far:
             world.break_("cut", target=node, to="state", for_s=CANCEL_S + 8.0)
         await world.go_on(after_s)
@@ -334,7 +351,7 @@
         off = [f"job-00000{own}", f"job-00000{own % 3 + 1}"]
         left = f"job-00000{(own + 1) % 3 + 1}"
         world.break_("island", target=leader, to=how, for_s=50.0)
-        mend = [world.part(others, zone) for zone in "ab" if not reached]
+        mend = [part(world, others, zone) for zone in "ab" if not reached]
         await world.go_on(after_s)
         for job, node in zip(off, others, strict=True):
             world.at_once(world.cancel(job, via=node))
--- a/tests/world.py
+++ b/tests/world.py
@@ -11,7 +11,7 @@
 import asyncio
 import contextlib
 import itertools
-from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from collections.abc import Awaitable, Callable, Coroutine
 from contextvars import ContextVar
 from pathlib import Path
 from random import Random
@@ -91,7 +91,7 @@
         self.host = host or Host("site")
         self.listening: dict[str, Inbox] = {} if listening is None else listening
         """By address."""
-        self.held: Callable[[str, str], Awaitable[None]] | None = None
+        self.held: Callable[[str, str], Awaitable[None]]
         """Returns when nothing holds packets of a controller to an address back."""
 
     def of(self, host: Host) -> Memory:
@@ -193,8 +193,6 @@
         self, inbox: Inbox, address: str, method: str, path: str, body: bytes | None
     ) -> Response:
         held, name = self._network.held, self._network.host.name
-        if held is None:
-            return await inbox.serve(method, path, body)
         await held(name, address)
         response = await inbox.serve(method, path, body)
         await held(name, address)
@@ -379,21 +377,6 @@
         """One of the lab's faults, as an experiment's file would give it."""
         return self.breaker.apply(msgspec.convert({"do": do, **fields}, Fault))
 
-    def part(self, nodes: Iterable[str], zone: str, *others: str) -> Callable[[], None]:
-        """Have controllers lose a zone's machines, and others; what mends it."""
-        ends = [(node, zone_end(zone)) for node in nodes]
-        ends += [pair for node in nodes for o in others for pair in ((node, o), (o, node))]
-        for end in ends:
-            self.links.break_(*end, "cut")
-        self.history.add("trouble")
-
-        def mend() -> None:
-            for end in ends:
-                self.links.heal(*end)
-            self.history.add("calm")
-
-        return mend
-
     async def ask(self, method: str, path: str, body: bytes = b"", via: str | None = None) -> Reply:
         """One request of a user, to a node or to any."""
         names = None if via is None else [via]
