--- a/badgerseam/cluster/member.py
+++ b/badgerseam/cluster/member.py
@@ -183,17 +183,9 @@
         """What siblings are to know of us now."""
         if self.lease is None:
             return None
-        program = self._model.program
-        return wire.Presence(
-            self.node,
-            self.lease,
-            bool(self._away),
-            program.least,
-            program.most,
-            __version__,
-            self.classes_digest,
-            sorted(self.doubts),
-        )
+        program, away = self._model.program, bool(self._away)
+        known = program.least, program.most, __version__, self.classes_digest
+        return wire.Presence(self.node, self.lease, away, *known, sorted(self.doubts))
 
     def announce_again(self) -> None:
         """Write our own record once more, now."""
@@ -376,7 +368,7 @@
         return [name for name in self._by_load() if name != self.node]
 
     def hand_on(self) -> bool:
-        """Have others act for our shares, until `hear_again`; False if there is nobody else."""
+        """Have others act for our shares, until `come_back`; False if there is nobody else."""
         if self.deaf or self.lease is None or not self.others():
             return False
         self._away.add(Away.DEAF)
@@ -391,10 +383,6 @@
                 if share.owned and self._away:
                     self.resign(share)
 
-    def hear_again(self) -> None:
-        """Take shares as before."""
-        self.come_back(Away.DEAF)
-
     def go_away(self, why: Away) -> None:
         """Take no share from now on. What is held is for the caller to pass on."""
         self._away.add(why)
--- a/badgerseam/workers/hearing.py
+++ b/badgerseam/workers/hearing.py
@@ -13,6 +13,7 @@
 from collections.abc import Coroutine
 from itertools import islice
 
+from badgerseam.cluster.away import Away
 from badgerseam.cluster.member import Member
 from badgerseam.http.client import Client
 from badgerseam.model.model import Model
@@ -117,4 +118,4 @@
             log.info("workers are heard again")
             self._steady_s = min(2 * self._steady_s, MOST_S)
             self._silent_s = 0.0
-            self._member.hear_again()
+            self._member.come_back(Away.DEAF)
--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -344,7 +344,7 @@
             member.go_away(Away.DEAF)
             member.announce_again()
             await world.go_on(world.random.uniform(0.1, 2.5))
-            member.hear_again()
+            member.come_back(Away.DEAF)
             member.announce_again()
             await world.go_on(world.random.uniform(0.1, 2.5))
         world.at_once(world.cancel("job-000001"))
--- a/tests/test_meetings_takeover.py
+++ b/tests/test_meetings_takeover.py
@@ -13,7 +13,8 @@
 from badgerseam.http.client import NoResponse
 from badgerseam.lab.machines import ANSWERS, CONTROLLERS, Machine
 from badgerseam.wire import workers as wire
-from tests.world import Caller, World, play
+from tests.memory import Caller
+from tests.world import World, play
 
 JOB, NEXT, SPARE = "job-000001", "job-000002", "job-000003"
 LONG_S = 900.0
--- a/tests/test_meetings_users.py
+++ b/tests/test_meetings_users.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from badgerseam.cluster.away import Away
 from badgerseam.model.keys import job_key
 from badgerseam.wire import state as wire
 from tests.stand_ins import Rig, submission
@@ -142,7 +143,7 @@
             assert controller is not None
             controller.member.hand_on()
             await world.go_on(world.random.choice([0.1, 0.5, 1.0]))
-            controller.member.hear_again()
+            controller.member.come_back(Away.DEAF)
         first, *others = world.random.sample(world.nodes, 3)
         world.controllers[first].kill(back_s)
         for place, node in enumerate(others):
--- a/tests/world.py
+++ b/tests/world.py
@@ -12,7 +12,6 @@
 import contextlib
 import itertools
 from collections.abc import Awaitable, Callable, Coroutine
-from contextvars import ContextVar
 from pathlib import Path
 from random import Random
 from typing import Any, cast
@@ -20,9 +19,8 @@
 import msgspec
 
 from badgerseam.clock import Clock
-from badgerseam.http.client import Client, NoResponse, Reset, Response, TurnedAway
-from badgerseam.http.network import Network
-from badgerseam.http.server import Handler, Reply, Server
+from badgerseam.http.client import NoResponse, Reset
+from badgerseam.http.server import Reply
 from badgerseam.lab.checker import Breach
 from badgerseam.lab.controllers import BACK_S
 from badgerseam.lab.faults import Breaker, Fault
@@ -36,11 +34,10 @@
 from badgerseam.settings import Settings, StateParams, Team, Tunables, WorkerParams
 from badgerseam.wire.cloud import MachineType
 from tests.fake_time import running_clock
+from tests.memory import Caller, Host, Memory, note_task, process
 from tests.stand_ins import submission
 from tests.trio import holder_of
 
-HOP_S = 0.0005, 0.003
-"""What one direction of a request takes."""
 POLL_S = 5.0
 PATIENCE_S = 60.0
 
@@ -53,156 +50,6 @@
 )
 """A share each for three teams; nothing is submitted by itself."""
 
-_process: ContextVar[Host | None] = ContextVar("process", default=None)
-
-
-class Host:
-    """A process of the site: whatever it had begun ends with it."""
-
-    def __init__(self, name: str) -> None:
-        self.name = name
-        self.alive = True
-        self.tasks: set[asyncio.Task[Any]] = set()
-
-    def end(self) -> None:
-        self.alive = False
-        for task in list(self.tasks):
-            task.cancel()
-
-
-def _note_task(
-    loop: asyncio.AbstractEventLoop, work: Coroutine[Any, Any, Any], context: Any = None
-) -> asyncio.Task[Any]:
-    task = asyncio.Task(work, loop=loop, context=context)
-    host = _process.get()
-    if host is not None:
-        host.tasks.add(task)
-        task.add_done_callback(host.tasks.discard)
-    return task
-
-
-class Memory(Network):
-    """Requests between handlers, as one host has them."""
-
-    def __init__(
-        self, random: Random, host: Host | None = None, listening: dict[str, Inbox] | None = None
-    ) -> None:
-        self.random = random
-        self.host = host or Host("site")
-        self.listening: dict[str, Inbox] = {} if listening is None else listening
-        """By address."""
-        self.held: Callable[[str, str], Awaitable[None]]
-        """Returns when nothing holds packets of a controller to an address back."""
-
-    def of(self, host: Host) -> Memory:
-        """The same network for a process that can end."""
-        network = Memory(self.random, host, self.listening)
-        network.held = self.held
-        return network
-
-    def client(self, connect_s: float = 1.5, keep: int | Callable[[], int] = 64) -> Client:
-        return cast(Client, Caller(self))
-
-    def server(self, handler: Handler) -> Server:
-        return cast(Server, Inbox(self, handler))
-
-    async def hop(self) -> None:
-        await asyncio.sleep(self.random.uniform(*HOP_S))
-
-
-class Inbox:
-    """What listens at an address."""
-
-    connections = 0
-
-    def __init__(self, network: Memory, handler: Handler) -> None:
-        self._network = network
-        self._handler = handler
-        self.busy = 0
-        self._address = ""
-
-    def listen(self, address: str) -> None:
-        self._address = address
-        self._network.listening[address] = self
-
-    def stop(self) -> None:
-        self._network.listening.pop(self._address, None)
-
-    @property
-    def open(self) -> bool:
-        return self._network.host.alive
-
-    async def serve(self, method: str, path: str, body: bytes | None) -> Response:
-        """Execute a request, whether its sender still waits for it or not."""
-        host = self._network.host
-        await self._network.hop()
-        if not host.alive:
-            raise Reset("it ended")
-        _process.set(host if host.name != "site" else None)
-        task = asyncio.ensure_future(self._handle(method, path, body or b""))
-        host.tasks.add(task)
-        self.busy += 1
-        try:
-            reply = await task
-        except asyncio.CancelledError:
-            if host.alive:
-                raise
-            raise Reset("it ended") from None
-        finally:
-            self.busy -= 1
-            host.tasks.discard(task)
-        await self._network.hop()
-        retry = None if reply.retry_after_s is None else str(reply.retry_after_s)
-        return Response(reply.status, reply.body, retry)
-
-    async def _handle(self, method: str, path: str, body: bytes) -> Reply:
-        outcome = self._handler(method, path, body)
-        return outcome if isinstance(outcome, Reply) else await outcome
-
-
-class Caller:
-    """The client of a host."""
-
-    def __init__(self, network: Memory) -> None:
-        self._network = network
-        self._late: set[asyncio.Future[Any]] = set()
-
-    async def request(
-        self, address: str, method: str, path: str, body: bytes | None, deadline_s: float
-    ) -> Response:
-        if not self._network.host.alive:
-            await asyncio.Event().wait()
-        inbox = self._network.listening.get(address)
-        if inbox is None or not inbox.open:
-            raise TurnedAway(f"{address}: nobody listens")
-        # Not one of the sender's: what was sent arrives, whatever becomes of it.
-        token = _process.set(None)
-        try:
-            task = asyncio.ensure_future(self._arrive(inbox, address, method, path, body))
-        finally:
-            _process.reset(token)
-        self._late.add(task)
-        task.add_done_callback(self._done)
-        try:
-            async with asyncio.timeout(deadline_s):
-                return await asyncio.shield(task)
-        except TimeoutError:
-            raise NoResponse(f"{address}{path}: no answer in time") from None
-
-    async def _arrive(
-        self, inbox: Inbox, address: str, method: str, path: str, body: bytes | None
-    ) -> Response:
-        held, name = self._network.held, self._network.host.name
-        await held(name, address)
-        response = await inbox.serve(method, path, body)
-        await held(name, address)
-        return response
-
-    def _done(self, task: asyncio.Future[Any]) -> None:
-        self._late.discard(task)
-        if not task.cancelled():
-            task.exception()
-
 
 class Skewed(Clock):
     """A steady clock that runs fast or slow."""
@@ -241,7 +88,7 @@
         self.host = Host(self.node)
         self.starts += 1
         self.state = "running"
-        token = _process.set(self.host)
+        token = process.set(self.host)
         try:
             self.of = Node(
                 self.settings,
@@ -252,7 +99,7 @@
             )
             self._main = asyncio.ensure_future(self._run(self.of))
         finally:
-            _process.reset(token)
+            process.reset(token)
 
     async def _run(self, node: Node) -> None:
         try:
@@ -291,7 +138,7 @@
     def __init__(self, seed: int = 1, site: Site = SITE, tunables: Tunables | None = None) -> None:
         random = Random(seed)
         self.memory = Memory(random)
-        asyncio.get_running_loop().set_task_factory(cast(Any, _note_task))
+        asyncio.get_running_loop().set_task_factory(cast(Any, note_task))
         super().__init__(site, Path("/nonexistent"), running_clock(), random, network=self.memory)
         self.memory.held = self._held
         self.tunables = tunables or Tunables()
