Machine types that are durable are not written again by a leader at each look at the cloud

What asked whether they are durable looked at a table that does not hold them, so that a leader wrote them every 20 s, and every controller took all machines for changed. It goes by their stamp now. The test fails without it.

--- a/badgerseam/fleet/manager.py
+++ b/badgerseam/fleet/manager.py
@@ -147,7 +147,7 @@
         known = {entry.name: entry for entry in types} == model.types
         # Known to a leader from before it led they are not durable yet: a controller that was
         # started again while the cloud was out had none, and used no machine.
-        if known and (TYPES_KEY in model.versions or not leads):
+        if known and (model.types_version or not leads):
             return
         value = wire.raw(types)
         if held is None or not leads:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -104,6 +104,16 @@
     assert groups == {"n-0-1-1": ["m-7"], "n-0-1-9": ["m-8"]}
 
 
+def test_machine_types_that_are_durable_are_not_written_again() -> None:
+    # A leader did so with each look at the cloud, and every controller took its machines for new.
+    rig = Rig()
+    rented = fleet(rig, FakeHttp())
+    assert rented._member.is_leader
+    before = rig.state.revision
+    rig.run(rented._publish(list(rig.model.types.values())))
+    assert rig.state.revision == before
+
+
 def test_unknown_machines_are_adopted_and_failed_ones_released() -> None:
     rig, http = Rig(), FakeHttp()
     rented = fleet(rig, http)
