One way to write pages anew in turn, one request of a user, one wait for a link's trouble

Refresh and the rows of what has ended looked through a share's pages by two copies of one loop: store/rewriting.py. The lab's meddlers and the harness each had a user's request with its patience: Front.ask. Links.answered was Links.passed for another trouble. Network.at had no caller. The harness takes a team's share from the model.

--- a/badgerseam/http/network.py
+++ b/badgerseam/http/network.py
@@ -11,10 +11,6 @@
 class Network:
     """Sockets."""
 
-    def at(self, host: str) -> Network:
-        """The network as one host has it, by a name that only simulations know."""
-        return self
-
     def client(self, connect_s: float = 1.5, keep: int | Callable[[], int] = 64) -> Client:
         return Client(connect_s, keep)
 
--- a/badgerseam/lab/front.py
+++ b/badgerseam/lab/front.py
@@ -15,7 +15,7 @@
 from badgerseam.http.client import NoResponse, NotSent
 from badgerseam.http.network import SOCKETS, Network
 from badgerseam.http.server import Reply, Server, error_reply
-from badgerseam.lab.history import History
+from badgerseam.lab.history import WAITS_S, History
 from badgerseam.lab.worker import Description
 from badgerseam.model.resources import Resources
 from badgerseam.wire import users as wire
@@ -23,6 +23,8 @@
 PROBE_S = 1.0
 TRIES = 3
 RESPONSE_S = 6.0
+FINAL = (200, 201, 400, 404, 422)
+"""Answers after which a user does not repeat a request."""
 
 
 @dataclass(slots=True)
@@ -108,6 +110,18 @@
 
     # ---- requests ----
 
+    async def ask(
+        self, method: str, uri: str, body: bytes = b"", names: list[str] | None = None
+    ) -> Reply:
+        """One request of a user who waits no longer than users do; status 0 if it has no answer.
+        Given up, it is answered all the same."""
+        request = asyncio.ensure_future(self.handle(method, uri, body, names))
+        try:
+            async with asyncio.timeout(WAITS_S["poll" if method == "GET" else "submit"]):
+                return await asyncio.shield(request)
+        except (TimeoutError, NoResponse):
+            return Reply(0)
+
     async def handle(
         self, method: str, uri: str, body: bytes, names: list[str] | None = None
     ) -> Reply:
--- a/badgerseam/lab/links.py
+++ b/badgerseam/lab/links.py
@@ -60,14 +60,9 @@
         """All that is broken."""
         return [(a, b, broken.trouble) for (a, b), broken in sorted(self._broken.items())]
 
-    async def passed(self, source: str, target: str) -> None:
-        """Return when nothing holds packets back."""
-        while (broken := self._broken.get((source, target))) and broken.trouble == "cut":
-            await broken.healed.wait()
-
-    async def answered(self, source: str, target: str) -> None:
-        """Return when the link refuses nothing."""
-        while (broken := self._broken.get((source, target))) and broken.trouble == "refused":
+    async def passed(self, source: str, target: str, trouble: Trouble = "cut") -> None:
+        """Return when nothing holds packets back, or when the link has not that trouble."""
+        while (broken := self._broken.get((source, target))) and broken.trouble == trouble:
             await broken.healed.wait()
 
     async def request(
--- a/badgerseam/lab/meddlers.py
+++ b/badgerseam/lab/meddlers.py
@@ -14,19 +14,16 @@
 import msgspec
 
 from badgerseam.clock import Clock
-from badgerseam.http.client import NoResponse
-from badgerseam.lab.front import Front, Truth
+from badgerseam.lab.front import FINAL, Front, Truth
 from badgerseam.lab.load import PATIENCE_S
 from badgerseam.lab.machines import Machine
 from badgerseam.wire.users import Submission
 
-WAITS_S = 5.0
 AT_ONCE_S = 0.2
 """Within which jobs are called off together."""
 AT_END_S = 0.5
 """After the end of a job's last task, within which it is called off."""
 ODD_EVERY_S = 0.4
-FINAL = (200, 201, 400, 404, 422)
 HUGE = 1e5
 """Processors of a task that fits no machine."""
 
@@ -69,14 +66,8 @@
         until = self._clock.now() + PATIENCE_S
         self.asked += 1
         while self._clock.now() < until:
-            request = asyncio.ensure_future(self._front.handle("POST", path, body))
-            try:
-                async with asyncio.timeout(WAITS_S):
-                    # Given up by its user, it is answered all the same.
-                    if (await asyncio.shield(request)).status in FINAL:
-                        return
-            except (TimeoutError, NoResponse):
-                pass
+            if (await self._front.ask("POST", path, body)).status in FINAL:
+                return
             await asyncio.sleep(self._random.uniform(1.0, 1.2))
 
     def _cancel(self, job: str, within_s: float) -> None:
--- a/badgerseam/lab/services.py
+++ b/badgerseam/lab/services.py
@@ -205,7 +205,7 @@
         )
         if uri.startswith("/follow"):
             # Who is refused for a while keeps its open watches, which wait as in an outage.
-            await links.answered(node, target)
+            await links.passed(node, target, "refused")
             await links.passed(node, WATCH)
         return reply
 
--- a/badgerseam/node.py
+++ b/badgerseam/node.py
@@ -48,7 +48,7 @@
 from badgerseam.store.allotment import Allotment
 from badgerseam.store.client import StateClient
 from badgerseam.store.committer import Committer
-from badgerseam.store.leavings import Leavings
+from badgerseam.store.leavings import leavings
 from badgerseam.store.ledger import Ledger
 from badgerseam.store.replica import Replica
 from badgerseam.store.roster import Roster
@@ -204,7 +204,7 @@
             self.deputies.ends_early = True
             self.peers.standby = self.standby.handle
             self.control.came = self.standby.watch.worker_came
-        self.leavings = Leavings(self.model, self.ledger, self.committer)
+        self.leavings = leavings(self.model, self.ledger, self.committer)
         self.raising: Raising | None = None
         self.refresh: Refresh | None = None
         self.carrying: Carrying | None = None
--- a/badgerseam/rollout/refresh.py
+++ b/badgerseam/rollout/refresh.py
@@ -12,10 +12,10 @@
 
 from badgerseam.levels.table import Behaviour
 from badgerseam.model.model import Model
-from badgerseam.model.state import Share
-from badgerseam.store.committer import Committer, Urgency
+from badgerseam.store.committer import Committer
 from badgerseam.store.ledger import Ledger
 from badgerseam.store.pages import lacking
+from badgerseam.store.rewriting import Rewriting
 from badgerseam.wire.rollout import Refreshing
 
 RAN_S = 20.0
@@ -27,31 +27,14 @@
 
     def __init__(self, model: Model, ledger: Ledger, committer: Committer) -> None:
         self._model = model
-        self._ledger = ledger
-        self._committer = committer
-        self._turn: dict[int, int] = {}
-        self.written = 0
+        self._pages = Rewriting(
+            model, ledger, committer, lambda page: lacking(model, page, RAN_S) > 0
+        )
 
     def review(self) -> None:
         """Look at one page of each owned share; called about once a second, with the lock held."""
-        model = self._model
-        if not model.active(Behaviour.ATTEMPT_STARTS):
-            return
-        for share in model.shares:
-            if share.owned and not share.committing and not share.planned:
-                self._look(share)
-
-    def _look(self, share: Share) -> None:
-        if self._committer.wait_s(Urgency.UPKEEP) > 0:
-            return
-        pages = self._model.pages[share.index]
-        turn = self._turn.get(share.index, -1)
-        number = min((n for n in pages if n > turn), default=min(pages, default=None))
-        if number is None:
-            return
-        self._turn[share.index] = number
-        if lacking(self._model, pages[number], RAN_S) and self._ledger.refresh(share, number):
-            self.written += 1
+        if self._model.active(Behaviour.ATTEMPT_STARTS):
+            self._pages.review()
 
     def view(self) -> Refreshing:
         """How far it has come; looks at all pages, and is for operators' questions only."""
@@ -63,4 +46,4 @@
             for page in model.pages[share.index].values():
                 rows += sum(len(entry.rows) for entry in page.jobs.values())
                 behind += lacking(model, page, RAN_S)
-        return Refreshing(rows, behind, self.written)
+        return Refreshing(rows, behind, self._pages.written)
--- a/badgerseam/store/leavings.py
+++ b/badgerseam/store/leavings.py
@@ -10,38 +10,18 @@
 
 from badgerseam.model.job import FINISHED, Phase
 from badgerseam.model.model import Model
-from badgerseam.model.state import Page, Share
-from badgerseam.store.committer import Committer, Urgency
+from badgerseam.model.state import Page
+from badgerseam.store.committer import Committer
 from badgerseam.store.ledger import Ledger
+from badgerseam.store.rewriting import Rewriting
 
 LOOKED_AT = 8
 """Pages of a share at a time."""
 
 
-class Leavings:
-    """Of the shares that this controller owns."""
-
-    def __init__(self, model: Model, ledger: Ledger, committer: Committer) -> None:
-        self._model = model
-        self._ledger = ledger
-        self._committer = committer
-        self._turn: dict[int, int] = {}
-
-    def review(self) -> None:
-        """Write at most one page of each share anew, behind everything urgent; called about once a
-        second, with the lock held."""
-        for share in self._model.shares:
-            free = share.owned and not share.committing and not share.planned
-            if free and self._committer.wait_s(Urgency.UPKEEP) <= 0:
-                self._look(share)
-
-    def _look(self, share: Share) -> None:
-        pages = self._model.pages[share.index]
-        turn = self._turn.get(share.index, -1)
-        for number in sorted(pages, key=lambda number: (number <= turn, number))[:LOOKED_AT]:
-            self._turn[share.index] = number
-            if misleads(self._model, pages[number]) and self._ledger.refresh(share, number):
-                return
+def leavings(model: Model, ledger: Ledger, committer: Committer) -> Rewriting:
+    """What writes such pages anew."""
+    return Rewriting(model, ledger, committer, lambda page: misleads(model, page), LOOKED_AT)
 
 
 def misleads(model: Model, page: Page) -> bool:
--- a/tests/world.py
+++ b/tests/world.py
@@ -24,12 +24,14 @@
 from badgerseam.lab.checker import Breach
 from badgerseam.lab.controllers import BACK_S
 from badgerseam.lab.faults import Breaker, Fault
-from badgerseam.lab.front import Truth
+from badgerseam.lab.front import FINAL, Truth
 from badgerseam.lab.history import History
 from badgerseam.lab.lab import Lab
+from badgerseam.lab.load import PATIENCE_S
 from badgerseam.lab.machines import Machine, zone_end
 from badgerseam.lab.site import Ports, Site
 from badgerseam.model.keys import LEADER_KEY, claim_key
+from badgerseam.model.model import Model
 from badgerseam.node import Node
 from badgerseam.settings import Settings, StateParams, Team, Tunables, WorkerParams
 from badgerseam.wire.cloud import MachineType
@@ -39,7 +41,6 @@
 from tests.trio import holder_of
 
 POLL_S = 5.0
-PATIENCE_S = 60.0
 
 SITE = Site(
     teams=[Team("blue", 16, 48), Team("red", 16, 48), Team("teal", 16, 24)],
@@ -154,6 +155,8 @@
         self.history = History(self.clock.now)
         self.history.wall = self.clock.wall()
         await self._start_site(self._ports())
+        settings = self.controllers[self.nodes[0]].settings
+        self._share_of = {t.name: t.share for t in Model(settings, self.clock).teams}
         await self.until(lambda: None not in self.holders(), 20.0)
 
     def _ports(self) -> dict[str, Ports]:
@@ -226,13 +229,7 @@
 
     async def ask(self, method: str, path: str, body: bytes = b"", via: str | None = None) -> Reply:
         """One request of a user, to a node or to any."""
-        names = None if via is None else [via]
-        request = self.front.handle(method, path, body, names)
-        try:
-            async with asyncio.timeout(5.0 if method == "POST" else 2.0):
-                return await asyncio.shield(asyncio.ensure_future(request))
-        except (TimeoutError, Reset):
-            return Reply(0, b"{}")
+        return await self.front.ask(method, path, body, None if via is None else [via])
 
     async def insist(
         self, path: str, body: bytes, via: str | None = None, patience_s: float = PATIENCE_S
@@ -241,7 +238,7 @@
         until = self.clock.now() + patience_s
         while True:
             reply = await self.ask("POST", path, body, via)
-            if reply.status in (200, 201, 400, 404, 422) or self.clock.now() >= until:
+            if reply.status in FINAL or self.clock.now() >= until:
                 return reply
             await asyncio.sleep(max(1.0, float(reply.retry_after_s or 0)))
 
@@ -306,10 +303,7 @@
 
     def owner(self, team: str) -> str:
         """Who holds the share of a team."""
-        place = sorted(entry.name for entry in self.site.teams).index(team)
-        count = self.site.shares
-        share = place * count // len(self.site.teams) if len(self.site.teams) >= count else place
-        return self.holder(claim_key(share)) or ""
+        return self.holder(claim_key(self._share_of[team])) or ""
 
     def on(self, job: str) -> dict[str, list[str]]:
         """The machines that each task of a job is on, as the machines have it."""
