--- a/tests/fake_time.py
+++ b/tests/fake_time.py
@@ -99,7 +99,7 @@
         """From now on; timers that run already keep what is left of them."""
         # Nothing is due yet: without this, what is rounded would depend on how long the machine is
         # up, and with it which of two timers at the same moment comes first.
-        self._ahead_s = self.time() - clock.now() if self._scheduled else 0.0
+        self._ahead_s = self.time() - clock.now() if self._scheduled else 0.0  # type: ignore[attr-defined]
         self._waiting.clock = clock
 
     def time(self) -> float:
