--- a/review/standins.py
+++ b/review/standins.py
@@ -685,10 +685,10 @@
 
     async def stop(self) -> None:
         """Ends all processes that were started, and removes the folder."""
-        for node in self.nodes:
-            await self.kill(node)
         for task in list(self._tasks):
             task.cancel()
+        for node in self.nodes:
+            await self.kill(node)
         if not os.environ.get("KEEP"):
             shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -820,7 +820,7 @@
         try:
             async with asyncio.timeout(119.0):
                 return await case(record, trouble)
-        except Exception:
+        except (Exception, asyncio.CancelledError):
             record(traceback.format_exc())
             return 2
 
@@ -831,8 +831,13 @@
 
 
 async def _ended(work: Awaitable[int]) -> int:
-    asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-    return await work
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda *_: None)
+    task = asyncio.ensure_future(work)
+    for sign in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        # A case that is ended from outside ends its processes too.
+        loop.add_signal_handler(sign, task.cancel)
+    return await task
 
 
 def job_spec(number: int, **changes: Any) -> dict[str, Any]:
