--- a/badgerseam/lab/message_faults.py
+++ b/badgerseam/lab/message_faults.py
@@ -12,7 +12,7 @@
 
 
 class MessageFaults:
-    """Duplicates heartbeats and delays direct commands."""
+    """Duplicates heartbeats and answered direct commands, and delays direct commands."""
 
     def __init__(self, lab: Lab, active: ActiveFaults) -> None:
         self._lab = lab
@@ -20,7 +20,11 @@
 
     def handlers(self) -> dict[str, FaultHandler]:
         """Returns the handler of each kind of fault."""
-        return {"copies": self._copy_heartbeats, "late-commands": self._delay_commands}
+        return {
+            "copies": self._copy_heartbeats,
+            "late-commands": self._delay_commands,
+            "command-copies": self._copy_commands,
+        }
 
     def _copy_heartbeats(self, fault: Fault) -> str:
         """Delivers copies of a fraction of the heartbeats late, some of them after the revert."""
@@ -49,3 +53,14 @@
             )
 
         return self._active.add(fault, "late commands", revert)
+
+    def _copy_commands(self, fault: Fault) -> str:
+        """Delivers copies of a fraction of the answered direct commands late, some of them after
+        the revert."""
+        late_commands = self._lab.late_commands
+        late_commands.copied_fraction = fraction_of(fault, "answered direct commands")
+
+        def revert() -> None:
+            late_commands.copied_fraction = 0.0
+
+        return self._active.add(fault, "copies of commands", revert)
