--- a/badgerseam/controller_loops.py
+++ b/badgerseam/controller_loops.py
@@ -257,6 +257,8 @@
             if shard.owned:
                 self._tasks.spawn(self._components.ledger.write_counts(shard))
         log.debug("commit statistics reported %s", self._components.committer.report())
+        history = self._components.worker_manager.command_history
+        log.debug("command statistics reported %s", history.report())
         self._components.committer.log_overdue()
 
 
--- a/badgerseam/workers/command_queue.py
+++ b/badgerseam/workers/command_queue.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import logging
+
 from badgerseam.model.job import Attempt, Job, Phase, Stage
 from badgerseam.model.machine import Machine
 from badgerseam.model.model import Model
 from badgerseam.model.resources import Resources
 from badgerseam.wire import workers as wire
+from badgerseam.workers.command_history import CommandHistory
 from badgerseam.workers.heartbeats import EXITED
 
+log = logging.getLogger("badgerseam.workers")
+
 LAUNCH = "launch"
 HALT = "halt"
 REAP = "reap"
@@ -24,8 +29,9 @@
     Callers must hold the model's lock.
     """
 
-    def __init__(self, model: Model) -> None:
+    def __init__(self, model: Model, history: CommandHistory) -> None:
         self._model = model
+        self._history = history
 
     def collect(self, machine: Machine, direct: bool) -> list[wire.Command]:
         """Returns the commands to send now, and marks them as sent.
@@ -38,8 +44,18 @@
         if machine.command_in_flight:
             return []
         commands = self._reaps_and_halts_of_reported_tasks(machine, direct)
+        self._history.record_reaps(machine, [c for c in commands if c.op == REAP], direct)
         commands += self._halts_of_stopping_attempts(machine, direct)
         commands += self._launches(machine, direct)
+        if commands:
+            log.debug(
+                "commands sent machine=%s token=%d incarnation=%d direct=%s commands=%s",
+                machine.name,
+                machine.fencing_token,
+                machine.incarnation,
+                direct,
+                _Summary(commands),
+            )
         return commands
 
     def _reaps_and_halts_of_reported_tasks(
@@ -106,6 +122,7 @@
                 continue
             free = free.minus(attempt.job.demand)
             _mark_launch_sent(machine, attempt, direct)
+            self._history.record_launch(machine, attempt.name, attempt.number, direct)
             commands.append(wire.Command(LAUNCH, attempt.name, attempt.number))
         return commands
 
@@ -120,6 +137,16 @@
         return attempt.job.demand.fits_in(free) and self._model.may_launch(attempt)
 
 
+class _Summary:
+    """The text of commands in a log line, which is composed only if the line is written."""
+
+    def __init__(self, commands: list[wire.Command]) -> None:
+        self._commands = commands
+
+    def __str__(self) -> str:
+        return ",".join(f"{c.op}:{c.task}@{c.attempt}" for c in self._commands)
+
+
 def halt_immediately(status: wire.TaskStatus) -> wire.Command:
     """Returns a halt without a grace period for a task that a worker has reported."""
     return wire.Command(HALT, status.task, status.attempt, 0.0)
--- a/badgerseam/workers/heartbeats.py
+++ b/badgerseam/workers/heartbeats.py
@@ -12,6 +12,7 @@
 from badgerseam.tunables import Tunables
 from badgerseam.wire import workers as wire
 from badgerseam.workers import fault_attribution
+from badgerseam.workers.command_history import CommandHistory
 from badgerseam.workers.inherited_evictions import repeat_evictions
 
 log = logging.getLogger("badgerseam.workers")
@@ -46,8 +47,9 @@
 class HeartbeatProcessor:
     """Updates machines and their attempts from heartbeats. Callers must hold the model's lock."""
 
-    def __init__(self, model: Model, tunables: Tunables) -> None:
+    def __init__(self, model: Model, tunables: Tunables, history: CommandHistory) -> None:
         self._model = model
+        self._history = history
         self._clock = model.clock
         self._tunables = tunables
 
@@ -93,6 +95,8 @@
         for status in heartbeat.tasks:
             found = self._model.find_task(status.task)
             if found is None:
+                if status.state != EXITED:
+                    self._history.on_untracked_task(machine, status)
                 continue
             job, task = found
             attempt = _unfinished_attempt(machine, job, task, status)
@@ -100,6 +104,7 @@
                 matched.attempts.add((job.index, task))
                 self._apply_status(machine, attempt, status, now)
             elif status.state != EXITED:
+                self._history.on_untracked_task(machine, status)
                 team_use = matched.untracked_use.get(job.team, NOTHING)
                 matched.untracked_use[job.team] = team_use.plus(job.demand)
         return matched
--- a/badgerseam/workers/worker_manager.py
+++ b/badgerseam/workers/worker_manager.py
@@ -16,6 +16,7 @@
 from badgerseam.model.state import Shard
 from badgerseam.tunables import Tunables
 from badgerseam.wire import workers as wire
+from badgerseam.workers.command_history import CommandHistory
 from badgerseam.workers.command_queue import CommandQueue
 from badgerseam.workers.direct_commands import DirectCommandSender
 from badgerseam.workers.heartbeat_reception import HeartbeatReception
@@ -53,8 +54,9 @@
         self.on_redirected_worker: Callable[[str, str], None] | None = None
         """Called with the owner's node and the machine's name for each heartbeat of a worker that
         belongs to another owner; None without a standby."""
-        heartbeats = HeartbeatProcessor(model, tunables)
-        self.command_queue = CommandQueue(model)
+        self.command_history = CommandHistory(model.clock)
+        heartbeats = HeartbeatProcessor(model, tunables, self.command_history)
+        self.command_queue = CommandQueue(model, self.command_history)
         self.direct_commands = DirectCommandSender(
             model, membership, http, self.command_queue, heartbeats, on_change
         )
--- a/tests/workers/test_fencing.py
+++ b/tests/workers/test_fencing.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from typing import Any
 
 import msgspec
@@ -484,3 +485,33 @@
     assert not (machine.given_up)
     assert not (machine.incarnation_without_heartbeats)
     assert not (machine.incarnation)
+
+
+# ---- copies of answered launches ----
+
+
+def launched_directly() -> tuple[ControllerFixture, Machine, Worker, dict[str, Any]]:
+    """A machine with a running task, and the answered message that launched it."""
+    fixture, machine, worker = verified_machine()
+    fixture.model.place(fixture.job(pieces=1), 0, 1, machine, Stage.PLACED)
+    fixture.http.script = [worker.do]
+    asyncio.run(fixture.push(machine))
+    fixture.report(worker)
+    return fixture, machine, worker, fixture.http.sent[0][2]
+
+
+def test_the_log_tells_how_a_reaped_task_could_start_again(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    fixture, machine, worker, launch = launched_directly()
+    worker.finish(TASK, "error")
+    fixture.report(worker)
+    fixture.clock.time += 2.0
+    worker.do(launch)
+    token = machine.fencing_token
+    with caplog.at_level(logging.INFO, logger="badgerseam.workers"):
+        fixture.report(worker)
+        fixture.report(worker)
+    (line,) = [e.getMessage() for e in caplog.records if "active again" in e.getMessage()]
+    assert f"launch=direct,token:{token},age_s:2.00" in line
+    assert f"reap=response,token:{token},age_s:2.00" in line
