--- a/badgerseam/model/machine.py
+++ b/badgerseam/model/machine.py
@@ -12,6 +12,10 @@
 
 BUMP_BITS = 24
 """Number of low bits of a fencing token that count how often it was raised within a term."""
+MAX_TOKEN_BUMP = (1 << BUMP_BITS) - 1
+"""Maximum number of raises within a term: one more would give the token of a later term."""
+MAX_DIRECT_TOKEN_BUMP = MAX_TOKEN_BUMP - (1 << 16)
+"""Number of raises from which nothing is sent directly any more; the rest is for lost answers."""
 
 
 @dataclass(slots=True, eq=False)
@@ -53,6 +57,10 @@
     sequence: int = 0
     acknowledged_token: int = 0
     """Highest fencing token that the worker has reported."""
+    highest_launch_token: int = -1
+    """Highest token of any launch sent on `/do`; -1 if there was none."""
+    launch_incarnation: int = 0
+    """Latest incarnation to which a launch was sent on `/do`."""
     highest_unsettled_token: int = -1
     """Highest token of any command that may still be in flight on `/do`."""
     unsettled_incarnation: int | None = None
@@ -143,6 +151,8 @@
         self.incarnation = 0
         self.sequence = 0
         self.acknowledged_token = 0
+        self.highest_launch_token = -1
+        self.launch_incarnation = 0
         self.last_heartbeat_at = -1e9
         self.reclaim_at = None
         self.reported_tasks = {}
@@ -174,6 +184,38 @@
         raised."""
         return (self.term << BUMP_BITS) + self.token_bump
 
+    @property
+    def accepts_direct_commands(self) -> bool:
+        """Whether the token can still be raised as often as direct commands may require.
+
+        Otherwise all commands wait for the next response to a heartbeat, until the next term.
+        """
+        return self.token_bump < MAX_DIRECT_TOKEN_BUMP
+
+    def raise_token(self) -> None:
+        """Raises the fencing token within the term, so that a worker that has seen it refuses all
+        commands sent before."""
+        self.token_bump = min(self.token_bump + 1, MAX_TOKEN_BUMP)
+
+    def record_direct_launch(self) -> None:
+        """Records that a launch is sent on `/do` with the present token.
+
+        A copy of it may arrive at any later time, even if it was answered, and is executed as long
+        as its token and incarnation are valid.
+        """
+        self.highest_launch_token = self.fencing_token
+        self.launch_incarnation = self.incarnation
+
+    def may_repeat_launches(self, token: int, incarnation: int) -> bool:
+        """Whether a worker that reports these would execute a copy of an earlier direct launch."""
+        return incarnation <= self.launch_incarnation and token <= self.highest_launch_token
+
+    def fence_launches(self) -> None:
+        """Raises the token if a worker that has seen it would execute a copy of an earlier direct
+        launch."""
+        if self.may_repeat_launches(self.fencing_token, self.incarnation):
+            self.raise_token()
+
     @property
     def heartbeat_position(self) -> tuple[int, int]:
         """Incarnation and sequence number of the newest message applied."""
--- a/badgerseam/workers/command_acks.py
+++ b/badgerseam/workers/command_acks.py
@@ -73,8 +73,8 @@
         )
         return passed_s > self._late_s or is_lease_lost_early
 
-    def on_response(self, machine: Machine, now: float) -> None:
-        """Records that a heartbeat is about to be answered with 200; may raise the token first."""
+    def raise_token_if_missed(self, machine: Machine) -> None:
+        """Raises the token before an answer, if the one before seems to have been missed."""
         if (
             machine.missed_answers
             and machine.fencing_token <= machine.acknowledged_token
@@ -82,7 +82,10 @@
         ):
             # Once the worker has the higher token, it refuses everything with a lower one, which
             # then counts as unanswered.
-            machine.token_bump += 1
+            machine.raise_token()
+
+    def on_response(self, machine: Machine, now: float) -> None:
+        """Records that a heartbeat is answered with 200 and the present token."""
         machine.last_answer_token = (
             machine.fencing_token if machine.fencing_token > machine.acknowledged_token else 0
         )
--- a/badgerseam/workers/command_history.py
+++ b/badgerseam/workers/command_history.py
@@ -45,6 +45,8 @@
     direct_launches: int = 0
     response_launches: int = 0
     reaps: int = 0
+    token_raises: int = 0
+    """Raises of a token before a reap."""
 
 
 class CommandHistory:
@@ -65,9 +67,15 @@
             self._counts.response_launches += 1
         self._entry(machine, task, attempt).launch = self._command(machine, direct)
 
-    def record_reaps(self, machine: Machine, reaps: list[wire.Command], direct: bool) -> None:
-        """Records that reaps are sent with the machine's present token."""
+    def record_reaps(
+        self, machine: Machine, reaps: list[wire.Command], direct: bool, raised: bool
+    ) -> None:
+        """Records that reaps are sent with the machine's present token.
+
+        `raised`: whether the token was raised for them.
+        """
         self._counts.reaps += len(reaps)
+        self._counts.token_raises += raised
         command = self._command(machine, direct)
         for reap in reaps:
             self._entry(machine, reap.task, reap.attempt).reap = command
@@ -104,7 +112,7 @@
         counts, self._counts = self._counts, CommandCounts()
         return (
             f"direct_launches={counts.direct_launches} response_launches={counts.response_launches}"
-            f" reaps={counts.reaps}"
+            f" reaps={counts.reaps} token_raises={counts.token_raises}"
         )
 
     def _entry(self, machine: Machine, task: str, attempt: int) -> _AttemptCommands:
--- a/badgerseam/workers/command_queue.py
+++ b/badgerseam/workers/command_queue.py
@@ -44,7 +44,7 @@
         if machine.command_in_flight:
             return []
         commands = self._reaps_and_halts_of_reported_tasks(machine, direct)
-        self._history.record_reaps(machine, [c for c in commands if c.op == REAP], direct)
+        self._fence_reaps(machine, commands, direct)
         commands += self._halts_of_stopping_attempts(machine, direct)
         commands += self._launches(machine, direct)
         if commands:
@@ -58,6 +58,19 @@
             )
         return commands
 
+    def _fence_reaps(self, machine: Machine, commands: list[wire.Command], direct: bool) -> None:
+        """Raises the token if a copy of an earlier launch could start a task that is reaped.
+
+        The worker knows no reaped attempt any more. With the token of the message that contains the
+        reap, it refuses such copies.
+        """
+        reaps = [command for command in commands if command.op == REAP]
+        if not reaps:
+            return
+        token = machine.fencing_token
+        machine.fence_launches()
+        self._history.record_reaps(machine, reaps, direct, machine.fencing_token > token)
+
     def _reaps_and_halts_of_reported_tasks(
         self, machine: Machine, direct: bool
     ) -> list[wire.Command]:
@@ -169,6 +182,7 @@
     attempt.sent = True
     if direct:
         attempt.sending = True
+        machine.record_direct_launch()
     else:
         attempt.sent_at_heartbeat = max(attempt.sent_at_heartbeat, machine.heartbeat_position)
         machine.response_open = True
--- a/badgerseam/workers/direct_commands.py
+++ b/badgerseam/workers/direct_commands.py
@@ -68,6 +68,8 @@
         """
         if machine.command_in_flight or self._clock.now() < machine.next_push_at:
             return
+        if not machine.accepts_direct_commands:
+            return
         if not self._membership.may_answer_heartbeats_for(self._model.shards[machine.shard]):
             return
         if machine.incarnation == 0:
@@ -86,7 +88,9 @@
             return
         machine.contacted = True
         machine.command_in_flight = True
-        self._tasks.spawn(self._send(machine, commands))
+        message = wire.DirectCommands(machine.fencing_token, machine.incarnation, commands)
+        machine.highest_direct_token = max(machine.highest_direct_token, message.fencing_token)
+        self._tasks.spawn(self._send(machine, machine.term, message))
 
     def _start_inspection(self, machine: Machine) -> None:
         machine.command_in_flight = True
@@ -109,11 +113,8 @@
                 self._model.machines_to_push.add(machine.index)
         self._on_change()
 
-    async def _send(self, machine: Machine, commands: list[wire.Command]) -> None:
-        """Sends commands and applies their outcome."""
-        term = machine.term
-        message = wire.DirectCommands(machine.fencing_token, machine.incarnation, commands)
-        machine.highest_direct_token = max(machine.highest_direct_token, message.fencing_token)
+    async def _send(self, machine: Machine, term: int, message: wire.DirectCommands) -> None:
+        """Sends commands that were composed under a term, and applies their outcome."""
         outcome = await self._request(machine, message)
         with self._model.lock:
             if not self._is_owned_under(machine, term):
@@ -197,4 +198,4 @@
     """
     machine.highest_unsettled_token = max(machine.highest_unsettled_token, message.fencing_token)
     machine.unsettled_incarnation = max(machine.unsettled_incarnation or 0, message.incarnation)
-    machine.token_bump += 1
+    machine.raise_token()
--- a/badgerseam/workers/heartbeat_responder.py
+++ b/badgerseam/workers/heartbeat_responder.py
@@ -93,8 +93,9 @@
             return refuse_given_up()
         machine.lease_renewed_at = max(machine.lease_renewed_at, now)
         machine.answered_heartbeat = position_of(heartbeat)
-        self._command_acks.on_response(machine, now)
+        self._command_acks.raise_token_if_missed(machine)
         commands = self._command_queue.collect(machine, direct=False)
+        self._command_acks.on_response(machine, now)
         return _response(machine.fencing_token, commands)
 
     def _answer_older(self, machine: Machine, heartbeat: wire.Heartbeat) -> Reply:
--- a/badgerseam/workers/heartbeats.py
+++ b/badgerseam/workers/heartbeats.py
@@ -124,6 +124,9 @@
     ) -> None:
         """Handles attempts that a heartbeat sent after their last launch does not list."""
         is_settled = machine.settles_commands(heartbeat.fencing_token, heartbeat.incarnation)
+        may_repeat_launches = machine.may_repeat_launches(
+            heartbeat.fencing_token, heartbeat.incarnation
+        )
         position = position_of(heartbeat)
         for key, attempt in list(machine.attempts.items()):
             if key in present or attempt.finishing or attempt.stage == Stage.PLANNED:
@@ -133,9 +136,15 @@
             attempt.sent = False
             # If the attempt runs again, it starts from the beginning.
             attempt.started_at = 0.0
-            if is_settled:
-                self._apply_absence(machine, attempt)
-            # Otherwise a launch with an older token may still be in flight: nothing is concluded.
+            if not is_settled:
+                # A launch with an older token may still be in flight: nothing is concluded.
+                continue
+            if attempt.launched and may_repeat_launches:
+                # A copy of the launch would start the attempt, wherever its task is by then.
+                if not machine.command_in_flight:
+                    machine.fence_launches()
+                continue
+            self._apply_absence(machine, attempt)
 
     def _apply_absence(self, machine: Machine, attempt: Attempt) -> None:
         """Handles an attempt that is certainly not on its machine and has no launch in flight."""
--- a/badgerseam/workers/lease_expiry.py
+++ b/badgerseam/workers/lease_expiry.py
@@ -199,7 +199,7 @@
             _log_given_up(machine, "unacknowledging")
             machine.unacknowledging = machine.given_up = True
             # A heartbeat that shows this token proves that commands reach the worker again.
-            machine.token_bump += 1
+            machine.raise_token()
             machine.cached_snapshot = None
         self._on_change()
 
