--- a/badgerseam/lab/worker.py
+++ b/badgerseam/lab/worker.py
@@ -121,6 +121,9 @@
         self._lease_renewed_at = clock.now()
         self.changed = False
         """Whether something has changed that must be reported at once."""
+        self._token_change_at = -lease_s
+        """When a higher token last counted as a change, which it does at most once in half of a
+        lease."""
 
     # ---- messages ----
 
@@ -167,7 +170,10 @@
             return False
         if token > self.token:
             self.token = token
-            self.changed = True
+            now = self._clock.now()
+            if now - self._token_change_at >= self._lease_s / 2:
+                self._token_change_at = now
+                self.changed = True
         return True
 
     # ---- commands ----
