--- a/tests/model/test_quota_random.py
+++ b/tests/model/test_quota_random.py
@@ -150,3 +150,13 @@
 
     site = run_on_site(scenario, seed, SITE_AT_LIMITS)
     assert sum(event.kind == "on" for event in site.history.events) > 20
+
+
+@pytest.mark.parametrize("seed", [0, 1, 5, 7])
+def test_limits_hold_under_random_faults_and_copies_of_commands(seed: int) -> None:
+    async def scenario(site: SimulatedSite) -> None:
+        site.inject_fault("command-copies", factor=0.7)
+        await RandomScenario(site, seed).run()
+        assert site.late_commands.copies_executed + site.late_commands.copies_refused > 20
+
+    run_on_site(scenario, seed, SITE_AT_LIMITS)
