--- a/badgerseam/workers/command_queue.py
+++ b/badgerseam/workers/command_queue.py
@@ -54,7 +54,7 @@
                 machine.fencing_token,
                 machine.incarnation,
                 direct,
-                _Summary(commands),
+                _CommandsText(commands),
             )
         return commands
 
@@ -150,7 +150,7 @@
         return attempt.job.demand.fits_in(free) and self._model.may_launch(attempt)
 
 
-class _Summary:
+class _CommandsText:
     """The text of commands in a log line, which is composed only if the line is written."""
 
     def __init__(self, commands: list[wire.Command]) -> None:
--- a/tests/workers/test_launch_copies_model.py
+++ b/tests/workers/test_launch_copies_model.py
@@ -343,6 +343,8 @@
     ("name", "text"),
     [
         ("failure", "elsewhere"),
+        ("delay", "elsewhere"),
+        ("session", "elsewhere"),
         ("refusal", "elsewhere"),
         ("eviction", "elsewhere"),
         ("takeover", "elsewhere"),
