--- a/badgerseam/cluster/membership.py
+++ b/badgerseam/cluster/membership.py
@@ -19,7 +19,7 @@
 from badgerseam.cluster.previous_owner import previous_owner_bound_s, previous_owner_until
 from badgerseam.cluster.registration import Registration
 from badgerseam.model.keys import LEADER_KEY, claim_key
-from badgerseam.model.machine import BUMP_BITS
+from badgerseam.model.machine import lowest_token
 from badgerseam.model.model import Model
 from badgerseam.model.state import ObservedClaim, Shard
 from badgerseam.store.client import LeaseExpiredError, StateClient, StateUnavailableError
@@ -227,7 +227,7 @@
             "shard activated shard=%d term=%d lowest_token=%d revision=%d",
             shard.index,
             claim.version,
-            claim.version << BUMP_BITS,
+            lowest_token(claim.version),
             self._model.revision,
         )
         bound_s = previous_owner_bound_s(self._model, shard, claim)
--- a/badgerseam/lab/late_heartbeats.py
+++ b/badgerseam/lab/late_heartbeats.py
@@ -9,6 +9,7 @@
 from badgerseam.background import BackgroundTasks
 from badgerseam.http.client import NoResponseError
 from badgerseam.http.network import SOCKETS, Network
+from badgerseam.lab.delays import log_uniform
 from badgerseam.lab.links import Links
 from badgerseam.lab.next_leader_heartbeats import NextLeaderHeartbeats
 
@@ -67,9 +68,8 @@
         if self.for_next_leader:
             self._next_leader.keep(body)
         else:
-            # The delay is log-uniform: delays of a few seconds, within the lease, are as likely as
-            # those of several leases.
-            delay_s = MIN_DELAY_S * (self._max_delay_s / MIN_DELAY_S) ** self._random.random()
+            # Delays of a few seconds, within the lease, are as likely as those of several leases.
+            delay_s = log_uniform(self._random, MIN_DELAY_S, self._max_delay_s)
             node = self._random.choice(sorted(self._nodes))
             self._tasks.spawn(self._deliver_late(node, body, delay_s))
 
--- a/badgerseam/model/machine.py
+++ b/badgerseam/model/machine.py
@@ -18,6 +18,11 @@
 """Number of raises from which nothing is sent directly any more; the rest is for lost answers."""
 
 
+def lowest_token(term: int) -> int:
+    """Returns the lowest fencing token of a term."""
+    return term << BUMP_BITS
+
+
 @dataclass(slots=True, eq=False)
 class Machine:
     """A machine with a record in the state service."""
@@ -141,7 +146,7 @@
         self.term = max(term, self.version)
         self.token_bump = 0
         self.reset_owner_state()
-        self.highest_unsettled_token = (self.term << BUMP_BITS) - 1
+        self.highest_unsettled_token = lowest_token(self.term) - 1
         self.unsettled_incarnation = None
         self.owned_since = now
         self.lease_renewed_at = safe_at
@@ -182,7 +187,7 @@
     def fencing_token(self) -> int:
         """The fencing token of the owner's commands: the term, and how often the token was
         raised."""
-        return (self.term << BUMP_BITS) + self.token_bump
+        return lowest_token(self.term) + self.token_bump
 
     @property
     def accepts_direct_commands(self) -> bool:
@@ -268,7 +273,7 @@
 
     def is_current_token(self, token: int) -> bool:
         """Whether a token was issued by the current owner, under its present term."""
-        return token >= self.term << BUMP_BITS
+        return token >= lowest_token(self.term)
 
     def is_verified_heartbeat(self, token: int) -> bool:
         """Whether a heartbeat that is newer than the known state was sent after this owner began to
--- a/badgerseam/workers/command_queue.py
+++ b/badgerseam/workers/command_queue.py
@@ -47,14 +47,14 @@
         self._fence_reaps(machine, commands, direct)
         commands += self._halts_of_stopping_attempts(machine, direct)
         commands += self._launches(machine, direct)
-        if commands:
+        if commands and log.isEnabledFor(logging.DEBUG):
             log.debug(
                 "commands sent machine=%s token=%d incarnation=%d direct=%s commands=%s",
                 machine.name,
                 machine.fencing_token,
                 machine.incarnation,
                 direct,
-                _CommandsText(commands),
+                ",".join(f"{c.op}:{c.task}@{c.attempt}" for c in commands),
             )
         return commands
 
@@ -150,16 +150,6 @@
         return attempt.job.demand.fits_in(free) and self._model.may_launch(attempt)
 
 
-class _CommandsText:
-    """The text of commands in a log line, which is composed only if the line is written."""
-
-    def __init__(self, commands: list[wire.Command]) -> None:
-        self._commands = commands
-
-    def __str__(self) -> str:
-        return ",".join(f"{c.op}:{c.task}@{c.attempt}" for c in self._commands)
-
-
 def halt_immediately(status: wire.TaskStatus) -> wire.Command:
     """Returns a halt without a grace period for a task that a worker has reported."""
     return wire.Command(HALT, status.task, status.attempt, 0.0)
