--- a/badgerseam/workers/direct_commands.py
+++ b/badgerseam/workers/direct_commands.py
@@ -68,8 +68,6 @@
         """
         if machine.command_in_flight or self._clock.now() < machine.next_push_at:
             return
-        if not machine.accepts_direct_commands:
-            return
         if not self._membership.may_answer_heartbeats_for(self._model.shards[machine.shard]):
             return
         if machine.incarnation == 0:
@@ -78,13 +76,15 @@
                 # heartbeat.
                 self._start_inspection(machine)
             return
-        commands = self._command_queue.collect(machine, direct=True)
+        commands: list[wire.Command] = []
+        if machine.accepts_direct_commands:
+            commands = self._command_queue.collect(machine, direct=True)
         if not commands and machine.push_failures:
             # Nothing is placed on a machine that left commands unanswered. Without an inspection,
             # it would stay unused permanently once no more commands are pending.
             self._start_inspection(machine)
             return
-        if not commands and not _needs_token(machine):
+        if not commands and not (machine.accepts_direct_commands and _needs_token(machine)):
             return
         machine.contacted = True
         machine.command_in_flight = True
--- a/tests/workers/test_fencing.py
+++ b/tests/workers/test_fencing.py
@@ -610,3 +610,20 @@
     assert machine.shard == 0
     assert worker.do(fixture.http.sent[0][2]).status == 409
     assert not worker.tasks
+
+
+def test_a_machine_whose_tokens_are_used_up_is_still_inspected_after_an_unanswered_command() -> (
+    None
+):
+    fixture, machine, worker, _ = launched_directly()
+    fixture.http.script = [no_response]
+    fixture.model.place(fixture.job(job_id="job-000002", pieces=1), 0, 1, machine, Stage.PLACED)
+    machine.token_bump = MAX_DIRECT_TOKEN_BUMP - 1
+    asyncio.run(fixture.push(machine))
+    assert machine.push_failures == 1
+    assert not machine.accepts_direct_commands
+    fixture.clock.time += 2.0
+    fixture.lease()
+    fixture.http.script = [lambda _: Response(200, worker.body())]
+    asyncio.run(fixture.push(machine))
+    assert machine.push_failures == 0, "no work is placed on it otherwise"
