--- a/tests/support/test_known_red.py
+++ b/tests/support/test_known_red.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tests.support.known_red import find_entry, read_known_red
+from tests.support.known_red import KNOWN_RED_FILE, find_entry, read_known_red
 
 TEXT = """Known red: what fails.
 
@@ -26,3 +26,10 @@
     assert find_entry("tests/a/test_a.py::test_one[case-2]", entries) is None
     assert find_entry("tests/a/test_a.py::test_two[case-2]", entries) == entries[1]
     assert find_entry("tests/a/test_a.py::test_two_more", entries) is None
+
+
+def test_each_listed_test_exists() -> None:
+    for entry in read_known_red(KNOWN_RED_FILE.read_text()):
+        path, _, name = entry.partition("::")
+        source = (KNOWN_RED_FILE.parent / path).read_text()
+        assert f"def {name.partition('[')[0]}(" in source, entry
