--- a/review/4/case.py
+++ b/review/4/case.py
@@ -22,7 +22,7 @@
 """The controller that is started again, and later takes over from burrow-2."""
 FIRST = "job-000001"
 """The job that is cancelled, of 17 tasks of 4 CPUs; with a small job, all of the team's limit."""
-SLOW_S = 0.9
+SLOW_S = 0.5
 """How long one answer of the state service takes at most: now and then a few hundred ms."""
 
 
